Add build, design page, ports and command line skeleton

Cause: the project had no code. Change: Maven modules with formatter, Checkstyle, Error Prone and NullAway as build failures, an import rule for the core, typed identifiers, ports for time, store, peers and upstreams, in-memory ports with faults, and the command line.

--- /dev/null
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -0,0 +1,17 @@
+package dev.nutmegdoor.cli;
+
+import java.util.List;
+
+/**
+ * All commands, in the order in which {@code --help} lists them.
+ */
+final class Commands {
+
+	private Commands() {
+	}
+
+	static List<Command> all() {
+		return List.of();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Command line: thin daemons and operator commands.
+ */
+@NullMarked
+package dev.nutmegdoor.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RefusalReason.java
@@ -0,0 +1,32 @@
+package dev.nutmegdoor.core.call;
+
+/**
+ * Stable reasons for refusing or failing a call, with their HTTP status.
+ */
+public enum RefusalReason {
+
+	MALFORMED_REQUEST(400), UNAUTHENTICATED(401), KEY_WITHDRAWN(401), FORBIDDEN(403), NOT_FOUND(404), OUT_OF_ORDER(409),
+	PROGRAM_CLOSED(409), IDEMPOTENCY_KEY_EXPIRED(409), IDEMPOTENCY_KEY_REUSED(422), REQUEST_TOO_LARGE(413),
+	BUDGET_EXHAUSTED(402), RATE_LIMITED(429), QUEUE_FULL(503), DEADLINE_EXCEEDED(504), NO_UPSTREAM(503),
+	HOME_UNREACHABLE(503), DRAINING(503), NOT_OWNER(503), OUTCOME_UNKNOWN(502), UPSTREAM_FAILED(502), CANCELLED(499),
+	INTERNAL(500);
+
+	private final int httpStatus;
+
+	RefusalReason(int httpStatus) {
+		this.httpStatus = httpStatus;
+	}
+
+	public int httpStatus() {
+		return this.httpStatus;
+	}
+
+	/**
+	 * Returns the stable name used in problem details.
+	 * @return the name in lower case with hyphens
+	 */
+	public String typeName() {
+		return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/Repeatability.java
@@ -0,0 +1,24 @@
+package dev.nutmegdoor.core.call;
+
+/**
+ * Whether a call may be sent to an upstream more than once.
+ */
+public enum Repeatability {
+
+	/** The call has no lasting effect, or the same effect when repeated. */
+	REPEATABLE(true),
+
+	/** The call must run at most once; its intent is recorded before it is sent. */
+	AT_MOST_ONCE(false);
+
+	private final boolean retryable;
+
+	Repeatability(boolean retryable) {
+		this.retryable = retryable;
+	}
+
+	public boolean isRetryable() {
+		return this.retryable;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeHost.java
@@ -0,0 +1,172 @@
+package dev.nutmegdoor.core.fake;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import dev.nutmegdoor.core.fault.InstanceStoppedException;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.time.Subscription;
+import dev.nutmegdoor.core.time.TimerService;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * One simulated process: its timers, and every callback it receives. A crashed host
+ * discards callbacks; a paused host keeps them until it resumes, while its clock goes on.
+ */
+public final class FakeHost implements TimerService {
+
+	private final VirtualTimerService timer;
+
+	private final InstanceId id;
+
+	private final AvailabilityZone availabilityZone;
+
+	private final long clockOffsetMs;
+
+	private final Deque<Runnable> deferred = new ArrayDeque<>();
+
+	private boolean crashed;
+
+	private boolean paused;
+
+	/**
+	 * Creates a running host.
+	 * @param timer virtual time of the whole run
+	 * @param id identifier of the process
+	 * @param availabilityZone zone of the process
+	 * @param clockOffsetMs offset of the host's clocks from virtual time in milliseconds
+	 */
+	public FakeHost(VirtualTimerService timer, InstanceId id, AvailabilityZone availabilityZone, long clockOffsetMs) {
+		this.timer = timer;
+		this.id = id;
+		this.availabilityZone = availabilityZone;
+		this.clockOffsetMs = clockOffsetMs;
+	}
+
+	public InstanceId id() {
+		return this.id;
+	}
+
+	public AvailabilityZone availabilityZone() {
+		return this.availabilityZone;
+	}
+
+	public boolean isCrashed() {
+		return this.crashed;
+	}
+
+	public boolean isPaused() {
+		return this.paused;
+	}
+
+	/**
+	 * Ends the process; nothing of it runs afterwards.
+	 */
+	public void crash() {
+		this.crashed = true;
+		this.deferred.clear();
+	}
+
+	/**
+	 * Stops the process from running without ending it.
+	 */
+	public void pause() {
+		this.paused = true;
+	}
+
+	/**
+	 * Lets a paused process run again, first the callbacks that came due meanwhile.
+	 */
+	public void resume() {
+		this.paused = false;
+		while (!this.paused && !this.crashed && !this.deferred.isEmpty()) {
+			run(this.deferred.removeFirst());
+		}
+	}
+
+	/**
+	 * Runs a callback of this process according to its state.
+	 * @param callback the callback
+	 */
+	public void run(Runnable callback) {
+		if (this.crashed) {
+			return;
+		}
+		if (this.paused) {
+			this.deferred.addLast(callback);
+			return;
+		}
+		try {
+			callback.run();
+		}
+		catch (InstanceStoppedException ex) {
+			crash();
+		}
+	}
+
+	@Override
+	public long nowMs() {
+		return this.timer.nowMs() + this.clockOffsetMs;
+	}
+
+	@Override
+	public long wallClockMs() {
+		return this.timer.wallClockMs() + this.clockOffsetMs;
+	}
+
+	@Override
+	public Subscription schedule(long delayMs, Runnable task) {
+		boolean[] cancelled = new boolean[1];
+		Subscription subscription = this.timer.schedule(delayMs, () -> run(() -> {
+			if (!cancelled[0]) {
+				task.run();
+			}
+		}));
+		return () -> {
+			cancelled[0] = true;
+			subscription.cancel();
+		};
+	}
+
+	@Override
+	public Subscription subscribe(long periodMs, Runnable listener) {
+		return new HostPeriodic(periodMs, listener);
+	}
+
+	/**
+	 * Re-arms only after the listener ran, so that a paused host doesn't collect ticks.
+	 */
+	private final class HostPeriodic implements Subscription {
+
+		private final long periodMs;
+
+		private final Runnable listener;
+
+		private Subscription pending;
+
+		private boolean cancelled;
+
+		private HostPeriodic(long periodMs, Runnable listener) {
+			this.periodMs = periodMs;
+			this.listener = listener;
+			this.pending = schedule(periodMs, this::tick);
+		}
+
+		private void tick() {
+			this.pending = schedule(this.periodMs, this::tick);
+			this.listener.run();
+			if (this.cancelled) {
+				this.pending.cancel();
+			}
+		}
+
+		@Override
+		public void cancel() {
+			this.cancelled = true;
+			this.pending.cancel();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
@@ -0,0 +1,315 @@
+package dev.nutmegdoor.core.fake;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreEvent;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.store.StorePage;
+import dev.nutmegdoor.core.store.StoreWatchResult;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * In-memory store on virtual time with versions, conditional updates, watches, a call
+ * rate, outages, cut zones and answers that are lost after the change took effect.
+ */
+public final class FakeObjectStore {
+
+	private static final int KEPT_EVENTS = 10_000;
+
+	private static final long OUTAGE_TIMEOUT_MS = 1000;
+
+	private static final long WATCH_POLL_MS = 20;
+
+	private final VirtualTimerService timer;
+
+	private final UniformRandomProvider random;
+
+	private final Map<String, SortedMap<String, StoredObject>> kinds = new HashMap<>();
+
+	private final List<StoreEvent> events = new ArrayList<>();
+
+	private final Set<AvailabilityZone> cutZones = new HashSet<>();
+
+	private StoreFaults faults;
+
+	private boolean available = true;
+
+	private long version;
+
+	private long firstKeptVersion;
+
+	private long calls;
+
+	private long writes;
+
+	private long rateWindowStartMs;
+
+	private int callsInWindow;
+
+	public FakeObjectStore(VirtualTimerService timer, UniformRandomProvider random, StoreFaults faults) {
+		this.timer = timer;
+		this.random = random;
+		this.faults = faults;
+	}
+
+	/**
+	 * Returns the store as one host sees it.
+	 * @param host the host
+	 * @return a client whose callbacks run on the host
+	 */
+	public ObjectStore clientOf(FakeHost host) {
+		return new Client(host);
+	}
+
+	public void setFaults(StoreFaults faults) {
+		this.faults = faults;
+	}
+
+	public void setAvailable(boolean isAvailable) {
+		this.available = isAvailable;
+	}
+
+	/**
+	 * Cuts or restores a zone's link to the store.
+	 * @param zone the zone
+	 * @param isCut whether the link is cut
+	 */
+	public void setCut(AvailabilityZone zone, boolean isCut) {
+		if (isCut) {
+			this.cutZones.add(zone);
+		}
+		else {
+			this.cutZones.remove(zone);
+		}
+	}
+
+	public long calls() {
+		return this.calls;
+	}
+
+	public long writes() {
+		return this.writes;
+	}
+
+	private boolean takeCall() {
+		long nowMs = this.timer.nowMs();
+		if (nowMs - this.rateWindowStartMs >= 1000) {
+			this.rateWindowStartMs = nowMs;
+			this.callsInWindow = 0;
+		}
+		this.calls++;
+		this.callsInWindow++;
+		return this.callsInWindow <= this.faults.callsPerSecond();
+	}
+
+	private SortedMap<String, StoredObject> kind(String kind) {
+		return this.kinds.computeIfAbsent(kind, (key) -> new TreeMap<>());
+	}
+
+	private StoredObject require(String kind, String name) {
+		StoredObject object = kind(kind).get(name);
+		if (object == null) {
+			throw new StoreException(StoreFailure.NOT_FOUND, kind + "/" + name + " does not exist");
+		}
+		return object;
+	}
+
+	private StoredObject put(String kind, String name, String value) {
+		if (value.getBytes(StandardCharsets.UTF_8).length > ObjectStore.MAX_VALUE_BYTES) {
+			throw new StoreException(StoreFailure.INVALID, "value of " + kind + "/" + name + " is too large");
+		}
+		StoredObject object = new StoredObject(kind, name, ++this.version, value);
+		kind(kind).put(name, object);
+		record(new StoreEvent(kind, name, this.version, value));
+		return object;
+	}
+
+	private void record(StoreEvent event) {
+		this.writes++;
+		this.events.add(event);
+		if (this.events.size() > KEPT_EVENTS) {
+			this.firstKeptVersion = this.events.remove(0).version();
+		}
+	}
+
+	private void requireVersion(StoredObject object, long expectedVersion) {
+		if (object.version() != expectedVersion) {
+			throw new StoreException(StoreFailure.CONFLICT, object.kind() + "/" + object.name() + " has version "
+					+ object.version() + ", expected " + expectedVersion);
+		}
+	}
+
+	private final class Client implements ObjectStore {
+
+		private final FakeHost host;
+
+		private Client(FakeHost host) {
+			this.host = host;
+		}
+
+		@Override
+		public CompletableFuture<StoredObject> get(String kind, String name) {
+			return call(false, () -> require(kind, name));
+		}
+
+		@Override
+		public CompletableFuture<StorePage> list(String kind, String prefix) {
+			return call(false, () -> {
+				List<StoredObject> found = new ArrayList<>();
+				for (StoredObject object : kind(kind).tailMap(prefix).values()) {
+					if (!object.name().startsWith(prefix)) {
+						break;
+					}
+					found.add(object);
+				}
+				return new StorePage(found, FakeObjectStore.this.version);
+			});
+		}
+
+		@Override
+		public CompletableFuture<StoredObject> create(String kind, String name, String value) {
+			return call(true, () -> {
+				if (kind(kind).containsKey(name)) {
+					throw new StoreException(StoreFailure.CONFLICT, kind + "/" + name + " exists already");
+				}
+				return put(kind, name, value);
+			});
+		}
+
+		@Override
+		public CompletableFuture<StoredObject> update(String kind, String name, long expectedVersion, String value) {
+			return call(true, () -> {
+				requireVersion(require(kind, name), expectedVersion);
+				return put(kind, name, value);
+			});
+		}
+
+		@Override
+		public CompletableFuture<Void> delete(String kind, String name, long expectedVersion) {
+			return call(true, () -> {
+				requireVersion(require(kind, name), expectedVersion);
+				kind(kind).remove(name);
+				record(new StoreEvent(kind, name, ++FakeObjectStore.this.version, null));
+				return null;
+			});
+		}
+
+		@Override
+		public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
+			long deadlineMs = FakeObjectStore.this.timer.nowMs() + timeoutMs;
+			CompletableFuture<StoreWatchResult> result = new CompletableFuture<>();
+			call(false, () -> {
+				poll(kind, afterVersion, deadlineMs, result);
+				return null;
+			}).whenComplete((ignored, error) -> {
+				if (error != null) {
+					result.completeExceptionally(error);
+				}
+			});
+			return result;
+		}
+
+		private void poll(String kind, long afterVersion, long deadlineMs, CompletableFuture<StoreWatchResult> result) {
+			if (!isReachable()) {
+				fail(result, StoreFailure.UNAVAILABLE);
+				return;
+			}
+			if (afterVersion < FakeObjectStore.this.firstKeptVersion) {
+				respond(result, new StoreWatchResult(List.of(), FakeObjectStore.this.version, true));
+				return;
+			}
+			List<StoreEvent> found = new ArrayList<>();
+			for (int i = FakeObjectStore.this.events.size() - 1; i >= 0; i--) {
+				StoreEvent event = FakeObjectStore.this.events.get(i);
+				if (event.version() <= afterVersion) {
+					break;
+				}
+				if (event.kind().equals(kind)) {
+					found.add(0, event);
+				}
+			}
+			if (!found.isEmpty() || FakeObjectStore.this.timer.nowMs() >= deadlineMs) {
+				respond(result, new StoreWatchResult(found, FakeObjectStore.this.version, false));
+				return;
+			}
+			FakeObjectStore.this.timer.schedule(WATCH_POLL_MS, () -> {
+				if (!this.host.isCrashed()) {
+					poll(kind, afterVersion, deadlineMs, result);
+				}
+			});
+		}
+
+		private boolean isReachable() {
+			return FakeObjectStore.this.available
+					&& !FakeObjectStore.this.cutZones.contains(this.host.availabilityZone());
+		}
+
+		private long delayMs() {
+			long jitterMs = FakeObjectStore.this.faults.jitterMs();
+			return FakeObjectStore.this.faults.delayMs()
+					+ ((jitterMs > 0) ? FakeObjectStore.this.random.nextLong(jitterMs + 1) : 0);
+		}
+
+		private <T> void respond(CompletableFuture<T> result, T value) {
+			this.host.schedule(delayMs(), () -> result.complete(value));
+		}
+
+		private <T> void fail(CompletableFuture<T> result, StoreFailure failure) {
+			long delayMs = (failure == StoreFailure.RATE_LIMITED) ? delayMs() : OUTAGE_TIMEOUT_MS;
+			this.host.schedule(delayMs,
+					() -> result.completeExceptionally(new StoreException(failure, "store call failed: " + failure)));
+		}
+
+		private <T> CompletableFuture<T> call(boolean isWrite, Supplier<T> effect) {
+			CompletableFuture<T> result = new CompletableFuture<>();
+			// The call reaches the store even if its sender crashes meanwhile.
+			FakeObjectStore.this.timer.schedule(delayMs(), () -> execute(isWrite, effect, result));
+			return result;
+		}
+
+		private <T> void execute(boolean isWrite, Supplier<T> effect, CompletableFuture<T> result) {
+			if (!isReachable()) {
+				fail(result, StoreFailure.UNAVAILABLE);
+				return;
+			}
+			if (!takeCall()) {
+				fail(result, StoreFailure.RATE_LIMITED);
+				return;
+			}
+			T value;
+			try {
+				value = effect.get();
+			}
+			catch (StoreException ex) {
+				this.host.schedule(delayMs(), () -> result.completeExceptionally(ex));
+				return;
+			}
+			boolean isAnswerLost = isWrite
+					&& FakeObjectStore.this.random.nextDouble() < FakeObjectStore.this.faults.lostAnswerProbability();
+			if (isAnswerLost) {
+				fail(result, StoreFailure.OUTCOME_UNKNOWN);
+			}
+			else {
+				respond(result, value);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakePeerNetwork.java
@@ -0,0 +1,194 @@
+package dev.nutmegdoor.core.fake;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerException;
+import dev.nutmegdoor.core.peer.PeerFailure;
+import dev.nutmegdoor.core.peer.PeerHandler;
+import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.peer.PeerTransport;
+
+/**
+ * Network between simulated instances on virtual time, with loss, delay, duplication,
+ * reordering, cut zones and cut instances.
+ */
+public final class FakePeerNetwork {
+
+	private final UniformRandomProvider random;
+
+	private final Map<InstanceId, Endpoint> endpoints = new LinkedHashMap<>();
+
+	private final Set<String> cutPairs = new HashSet<>();
+
+	private LinkSettings settings;
+
+	private long sentMessages;
+
+	public FakePeerNetwork(UniformRandomProvider random, LinkSettings settings) {
+		this.random = random;
+		this.settings = settings;
+	}
+
+	/**
+	 * Adds a host to the network.
+	 * @param host the host
+	 * @return its transport
+	 */
+	public PeerTransport join(FakeHost host) {
+		Endpoint endpoint = new Endpoint(host);
+		this.endpoints.put(host.id(), endpoint);
+		return endpoint;
+	}
+
+	public void setSettings(LinkSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Cuts or restores the links between two zones, both ways.
+	 * @param one a zone
+	 * @param other another zone
+	 * @param isCut whether the link is cut
+	 */
+	public void setCut(AvailabilityZone one, AvailabilityZone other, boolean isCut) {
+		setCutPair("zone:" + one, "zone:" + other, isCut);
+	}
+
+	/**
+	 * Cuts or restores the link between two instances, both ways.
+	 * @param one an instance
+	 * @param other another instance
+	 * @param isCut whether the link is cut
+	 */
+	public void setCut(InstanceId one, InstanceId other, boolean isCut) {
+		setCutPair("instance:" + one, "instance:" + other, isCut);
+	}
+
+	public long sentMessages() {
+		return this.sentMessages;
+	}
+
+	private void setCutPair(String one, String other, boolean isCut) {
+		if (isCut) {
+			this.cutPairs.add(one + "|" + other);
+			this.cutPairs.add(other + "|" + one);
+		}
+		else {
+			this.cutPairs.remove(one + "|" + other);
+			this.cutPairs.remove(other + "|" + one);
+		}
+	}
+
+	private boolean isCut(FakeHost from, FakeHost to) {
+		return this.cutPairs.contains("zone:" + from.availabilityZone() + "|zone:" + to.availabilityZone())
+				|| this.cutPairs.contains("instance:" + from.id() + "|instance:" + to.id());
+	}
+
+	private void transmit(FakeHost from, InstanceId to, Runnable delivery) {
+		this.sentMessages++;
+		Endpoint receiver = this.endpoints.get(to);
+		if (receiver == null || isCut(from, receiver.host)) {
+			return;
+		}
+		if (this.random.nextDouble() < this.settings.lossProbability()) {
+			return;
+		}
+		int copies = (this.random.nextDouble() < this.settings.duplicateProbability()) ? 2 : 1;
+		for (int i = 0; i < copies; i++) {
+			// The network keeps carrying a message after its sender has crashed.
+			receiver.host.schedule(delayMs(from, receiver.host), delivery);
+		}
+	}
+
+	private long delayMs(FakeHost from, FakeHost to) {
+		boolean isSameZone = from.availabilityZone().equals(to.availabilityZone());
+		long baseMs = isSameZone ? this.settings.zoneDelayMs() : this.settings.crossZoneDelayMs();
+		long jitterMs = this.settings.jitterMs();
+		return baseMs + ((jitterMs > 0) ? this.random.nextLong(jitterMs + 1) : 0);
+	}
+
+	private final class Endpoint implements PeerTransport {
+
+		private final FakeHost host;
+
+		private final Map<Class<?>, PeerHandler<?>> handlers = new HashMap<>();
+
+		private Endpoint(FakeHost host) {
+			this.host = host;
+		}
+
+		@Override
+		public InstanceId self() {
+			return this.host.id();
+		}
+
+		@Override
+		public void send(InstanceId to, PeerMessage message) {
+			InstanceId from = self();
+			transmit(this.host, to, () -> {
+				Endpoint receiver = FakePeerNetwork.this.endpoints.get(to);
+				if (receiver != null) {
+					receiver.handle(from, message);
+				}
+			});
+		}
+
+		@Override
+		public <A extends PeerMessage> CompletableFuture<A> request(InstanceId to, PeerMessage message,
+				Class<A> answerType, long timeoutMs) {
+			CompletableFuture<A> result = new CompletableFuture<>();
+			InstanceId from = self();
+			this.host.schedule(timeoutMs, () -> result.completeExceptionally(
+					new PeerException(PeerFailure.TIMEOUT, "no answer from " + to + " within " + timeoutMs + " ms")));
+			transmit(this.host, to, () -> {
+				Endpoint receiver = FakePeerNetwork.this.endpoints.get(to);
+				if (receiver == null) {
+					return;
+				}
+				CompletableFuture<? extends PeerMessage> answer = receiver.handle(from, message);
+				if (answer != null) {
+					answer.whenComplete((value, error) -> receiver.answer(this, result, answerType, value, error));
+				}
+			});
+			return result;
+		}
+
+		private <A extends PeerMessage> void answer(Endpoint requester, CompletableFuture<A> result,
+				Class<A> answerType, @Nullable PeerMessage value, @Nullable Throwable error) {
+			transmit(this.host, requester.self(), () -> {
+				if (answerType.isInstance(value)) {
+					result.complete(answerType.cast(value));
+				}
+				else {
+					String cause = (error != null) ? String.valueOf(error.getMessage()) : "unexpected type of answer";
+					result.completeExceptionally(new PeerException(PeerFailure.REMOTE_ERROR, cause));
+				}
+			});
+		}
+
+		@Override
+		public <M extends PeerMessage> void subscribe(Class<M> type, PeerHandler<M> handler) {
+			if (this.handlers.putIfAbsent(type, handler) != null) {
+				throw new IllegalStateException("a handler for " + type.getSimpleName() + " is registered already");
+			}
+		}
+
+		@SuppressWarnings("unchecked")
+		private @Nullable CompletableFuture<? extends PeerMessage> handle(InstanceId from, PeerMessage message) {
+			PeerHandler<PeerMessage> handler = (PeerHandler<PeerMessage>) this.handlers.get(message.getClass());
+			return (handler != null) ? handler.handle(from, message) : null;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * In-memory implementations of the ports on virtual time, with seeded faults, for tests
+ * and randomised runs.
+ */
+@NullMarked
+package dev.nutmegdoor.core.fake;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fault/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Named protocol steps, through which the fault matrix injects crashes and pauses.
+ */
+@NullMarked
+package dev.nutmegdoor.core.fault;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/AvailabilityZone.java
@@ -0,0 +1,28 @@
+package dev.nutmegdoor.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names an availability zone of the platform.
+ *
+ * @param value a non-blank string
+ */
+public record AvailabilityZone(@JsonValue String value) implements Comparable<AvailabilityZone> {
+
+	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+	public AvailabilityZone {
+		Identifiers.requireValid("AvailabilityZone", value);
+	}
+
+	@Override
+	public int compareTo(AvailabilityZone other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/KeyId.java
@@ -0,0 +1,28 @@
+package dev.nutmegdoor.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a caller's key without its secret.
+ *
+ * @param value a non-blank string
+ */
+public record KeyId(@JsonValue String value) implements Comparable<KeyId> {
+
+	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+	public KeyId {
+		Identifiers.requireValid("KeyId", value);
+	}
+
+	@Override
+	public int compareTo(KeyId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/UpstreamId.java
@@ -0,0 +1,28 @@
+package dev.nutmegdoor.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies one replica of a model engine or of a plain service.
+ *
+ * @param value a non-blank string
+ */
+public record UpstreamId(@JsonValue String value) implements Comparable<UpstreamId> {
+
+	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+	public UpstreamId {
+		Identifiers.requireValid("UpstreamId", value);
+	}
+
+	@Override
+	public int compareTo(UpstreamId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/WorkspaceId.java
@@ -0,0 +1,28 @@
+package dev.nutmegdoor.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies the paying workspace that a request belongs to.
+ *
+ * @param value a non-blank string
+ */
+public record WorkspaceId(@JsonValue String value) implements Comparable<WorkspaceId> {
+
+	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+	public WorkspaceId {
+		Identifiers.requireValid("WorkspaceId", value);
+	}
+
+	@Override
+	public int compareTo(WorkspaceId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/time/Subscription.java
@@ -0,0 +1,14 @@
+package dev.nutmegdoor.core.time;
+
+/**
+ * Handle of a scheduled task or a subscription.
+ */
+@FunctionalInterface
+public interface Subscription {
+
+	/**
+	 * Cancels the task or subscription; has no effect when called again.
+	 */
+	void cancel();
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/upstream/ServiceAnswer.java
@@ -0,0 +1,11 @@
+package dev.nutmegdoor.core.upstream;
+
+/**
+ * Answer of a plain service.
+ *
+ * @param status HTTP status
+ * @param body JSON body
+ */
+public record ServiceAnswer(int status, String body) {
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/upstream/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Ports to upstreams: model engines and plain services.
+ */
+@NullMarked
+package dev.nutmegdoor.core.upstream;
+
+import org.jspecify.annotations.NullMarked;
