--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/explain/DecisionKind.java
@@ -0,0 +1,10 @@
+package dev.nutmegdoor.core.explain;
+
+/**
+ * Kinds of recorded decisions, with the retention class of each.
+ */
+public enum DecisionKind {
+
+	AUTHENTICATION, ADMISSION, ROUTING, ORDER, BUDGET, QUEUE, PLACEMENT, AT_MOST_ONCE, OUTCOME
+
+}
