--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/control/ControlThread.java
@@ -0,0 +1,115 @@
+package dev.nutmegdoor.node.control;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.jboss.logging.Logger;
+
+import dev.nutmegdoor.core.time.Subscription;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Runs all control work of an instance on one thread, in order, and is its source of
+ * time. Time is the monotonic clock of the JVM.
+ */
+public final class ControlThread implements TimerService, Executor, AutoCloseable {
+
+	private static final Logger logger = Logger.getLogger(ControlThread.class);
+
+	private final ScheduledThreadPoolExecutor executor;
+
+	/**
+	 * Starts the thread.
+	 * @param name name of the thread
+	 */
+	public ControlThread(String name) {
+		this.executor = new ScheduledThreadPoolExecutor(1, (task) -> {
+			Thread thread = new Thread(task, name);
+			thread.setDaemon(true);
+			return thread;
+		});
+		this.executor.setRemoveOnCancelPolicy(true);
+		this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+	}
+
+	@Override
+	public long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
+	@Override
+	public long wallClockMs() {
+		return System.currentTimeMillis();
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		try {
+			this.executor.execute(guard(task));
+		}
+		catch (RejectedExecutionException ex) {
+			logger.debug("event=control.rejected reason=closed");
+		}
+	}
+
+	/**
+	 * Runs a function on the control thread.
+	 * @param function the function
+	 * @param <T> type of the result
+	 * @return its result or failure
+	 */
+	public <T> CompletableFuture<T> call(Supplier<T> function) {
+		return CompletableFuture.supplyAsync(function, this);
+	}
+
+	@Override
+	public Subscription schedule(long delayMs, Runnable task) {
+		if (delayMs < 0) {
+			throw new IllegalArgumentException("delayMs must not be negative but is " + delayMs);
+		}
+		return cancelling(() -> this.executor.schedule(guard(task), delayMs, TimeUnit.MILLISECONDS));
+	}
+
+	@Override
+	public Subscription subscribe(long periodMs, Runnable listener) {
+		if (periodMs < 1) {
+			throw new IllegalArgumentException("periodMs must be at least 1 but is " + periodMs);
+		}
+		return cancelling(
+				() -> this.executor.scheduleWithFixedDelay(guard(listener), periodMs, periodMs, TimeUnit.MILLISECONDS));
+	}
+
+	@Override
+	public void close() {
+		this.executor.shutdownNow();
+	}
+
+	private Subscription cancelling(Supplier<Future<?>> submission) {
+		try {
+			Future<?> future = submission.get();
+			return () -> future.cancel(false);
+		}
+		catch (RejectedExecutionException ex) {
+			return () -> {
+			};
+		}
+	}
+
+	private static Runnable guard(Runnable task) {
+		// A failed task must neither end its subscription nor pass unnoticed.
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				logger.errorf(ex, "event=control.task_failed error=\"%s\"", ex.getMessage());
+			}
+		};
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -0,0 +1,358 @@
+package dev.nutmegdoor.node.peer;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerException;
+import dev.nutmegdoor.core.peer.PeerFailure;
+import dev.nutmegdoor.core.peer.PeerHandler;
+import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.protocol.Frame;
+import dev.nutmegdoor.protocol.FrameCodec;
+import dev.nutmegdoor.protocol.FrameKind;
+import dev.nutmegdoor.protocol.ProtocolException;
+
+/**
+ * Messages between instances over TCP. Each instance opens one connection to each peer it
+ * sends to; answers come back on the connection of their request. Frames are decoded on
+ * the traffic threads; handlers and futures run on the control thread.
+ */
+public final class TcpPeerTransport implements PeerTransport, AutoCloseable {
+
+	private static final Logger logger = Logger.getLogger(TcpPeerTransport.class);
+
+	private final InstanceId self;
+
+	private final PeerTransportSettings settings;
+
+	private final FrameCodec codec;
+
+	private final ControlThread control;
+
+	private final PeerAddresses addresses;
+
+	private final Map<Class<?>, PeerHandler<?>> handlers = new ConcurrentHashMap<>();
+
+	private final Map<InstanceId, PeerConnection> connections = new ConcurrentHashMap<>();
+
+	private final Map<Long, PendingRequest<?>> pending = new ConcurrentHashMap<>();
+
+	private final AtomicLong correlationIds = new AtomicLong();
+
+	private final AtomicLong sentFrames = new AtomicLong();
+
+	private final AtomicLong sentBytes = new AtomicLong();
+
+	private final AtomicLong droppedFrames = new AtomicLong();
+
+	private @Nullable DisposableServer server;
+
+	public TcpPeerTransport(InstanceId self, PeerTransportSettings settings, FrameCodec codec, ControlThread control,
+			PeerAddresses addresses) {
+		this.self = self;
+		this.settings = settings;
+		this.codec = codec;
+		this.control = control;
+		this.addresses = addresses;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @return the port that is bound
+	 */
+	public int start() {
+		DisposableServer bound = TcpServer.create()
+			.host(this.settings.host())
+			.port(this.settings.port())
+			.doOnConnection((connection) -> install(connection.channel(), new Inbound(null)))
+			.bindNow();
+		this.server = bound;
+		return bound.port();
+	}
+
+	@Override
+	public InstanceId self() {
+		return this.self;
+	}
+
+	/**
+	 * Returns the traffic of this transport since its start.
+	 * @return a snapshot of the counters
+	 */
+	public PeerTraffic traffic() {
+		return new PeerTraffic(this.sentFrames.get(), this.sentBytes.get(), this.droppedFrames.get());
+	}
+
+	@Override
+	public void send(InstanceId to, PeerMessage message) {
+		transmit(to, this.codec.frame(FrameKind.ONE_WAY, message, 0, 0));
+	}
+
+	@Override
+	public <A extends PeerMessage> CompletableFuture<A> request(InstanceId to, PeerMessage message, Class<A> answerType,
+			long timeoutMs) {
+		long id = this.correlationIds.incrementAndGet();
+		PendingRequest<A> request = new PendingRequest<>(to, answerType);
+		this.pending.put(id, request);
+		this.control.schedule(timeoutMs,
+				() -> fail(id, PeerFailure.TIMEOUT, "no answer from " + to + " within " + timeoutMs + " ms"));
+		if (!transmit(to, this.codec.frame(FrameKind.REQUEST, message, id, timeoutMs))) {
+			this.control.execute(() -> fail(id, PeerFailure.NOT_SENT, "no connection to " + to));
+		}
+		return request.result;
+	}
+
+	@Override
+	public <M extends PeerMessage> void subscribe(Class<M> type, PeerHandler<M> handler) {
+		if (this.handlers.putIfAbsent(type, handler) != null) {
+			throw new IllegalStateException("a handler for " + type.getSimpleName() + " is registered already");
+		}
+	}
+
+	@Override
+	public void close() {
+		DisposableServer bound = this.server;
+		if (bound != null) {
+			bound.disposeNow();
+		}
+		this.connections.values().forEach(PeerConnection::close);
+		this.connections.clear();
+	}
+
+	private boolean transmit(InstanceId to, Frame frame) {
+		PeerConnection connection = connectionTo(to);
+		byte[] envelope = this.codec.encode(frame);
+		if (connection == null || !connection.send(envelope)) {
+			this.droppedFrames.incrementAndGet();
+			return false;
+		}
+		count(envelope);
+		return true;
+	}
+
+	private void count(byte[] envelope) {
+		this.sentFrames.incrementAndGet();
+		this.sentBytes.addAndGet(envelope.length + 4L);
+	}
+
+	private @Nullable PeerConnection connectionTo(InstanceId to) {
+		PeerConnection existing = this.connections.get(to);
+		if (existing != null && !existing.isClosed()) {
+			return existing;
+		}
+		InetSocketAddress address = this.addresses.addressOf(to);
+		if (address == null) {
+			return null;
+		}
+		PeerConnection created = new PeerConnection(this.settings.maxQueuedFrames());
+		this.connections.put(to, created);
+		connect(to, address, created);
+		return created;
+	}
+
+	private void connect(InstanceId to, InetSocketAddress address, PeerConnection connection) {
+		byte[] hello = this.codec.encode(new Frame(FrameKind.HELLO, this.self.value(), 0, 0,
+				this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8)));
+		TcpClient.newConnection()
+			.remoteAddress(() -> address)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.settings.connectTimeoutMs())
+			.connect()
+			.subscribe((established) -> {
+				install(established.channel(), new Inbound(to));
+				established.onDispose(() -> disconnected(to, connection));
+				connection.open(established.channel(), hello);
+			}, (error) -> {
+				logger.debugf("event=peer.connect_failed peer=%s address=%s error=\"%s\"", to, address,
+						error.getMessage());
+				disconnected(to, connection);
+			});
+	}
+
+	private void disconnected(InstanceId to, PeerConnection connection) {
+		connection.close();
+		this.connections.remove(to, connection);
+		this.control.execute(() -> failAll(to));
+	}
+
+	private void failAll(InstanceId to) {
+		Iterator<Map.Entry<Long, PendingRequest<?>>> iterator = this.pending.entrySet().iterator();
+		while (iterator.hasNext()) {
+			Map.Entry<Long, PendingRequest<?>> entry = iterator.next();
+			if (entry.getValue().to.equals(to)) {
+				iterator.remove();
+				// The request may have been written before the connection broke.
+				entry.getValue().result.completeExceptionally(
+						new PeerException(PeerFailure.TIMEOUT, "connection to " + to + " was closed"));
+			}
+		}
+	}
+
+	private void fail(long correlationId, PeerFailure failure, String message) {
+		PendingRequest<?> request = this.pending.remove(correlationId);
+		if (request != null) {
+			request.result.completeExceptionally(new PeerException(failure, message));
+		}
+	}
+
+	private void install(Channel channel, Inbound inbound) {
+		ChannelPipeline pipeline = channel.pipeline();
+		pipeline.addFirst("nutmegdoor-frames",
+				new LengthFieldBasedFrameDecoder(FrameCodec.MAX_FRAME_BYTES, 0, 4, 0, 4));
+		pipeline.addAfter("nutmegdoor-frames", "nutmegdoor-inbound", inbound);
+		// Reactor Netty reads only on demand of its own subscribers; here the handler
+		// reads.
+		channel.config().setAutoRead(true);
+	}
+
+	@SuppressWarnings("unchecked")
+	private void dispatch(Channel channel, InstanceId from, Frame frame, PeerMessage message) {
+		PeerHandler<PeerMessage> handler = (PeerHandler<PeerMessage>) this.handlers.get(message.getClass());
+		if (handler == null) {
+			answerError(channel, frame, "no handler for " + frame.type());
+			return;
+		}
+		CompletableFuture<? extends PeerMessage> answer = handler.handle(from, message);
+		if (answer == null || frame.kind() != FrameKind.REQUEST) {
+			return;
+		}
+		answer.whenComplete((value, error) -> {
+			if (error != null) {
+				answerError(channel, frame, String.valueOf(error.getMessage()));
+			}
+			else {
+				write(channel, this.codec.frame(FrameKind.ANSWER, value, frame.correlationId(), 0));
+			}
+		});
+	}
+
+	private void answerError(Channel channel, Frame request, String text) {
+		if (request.kind() == FrameKind.REQUEST) {
+			write(channel,
+					new Frame(FrameKind.ERROR, "", request.correlationId(), 0, text.getBytes(StandardCharsets.UTF_8)));
+		}
+	}
+
+	private void write(Channel channel, Frame frame) {
+		byte[] envelope = this.codec.encode(frame);
+		if (!channel.isWritable() && channel.bytesBeforeUnwritable() <= -FrameCodec.MAX_FRAME_BYTES) {
+			this.droppedFrames.incrementAndGet();
+			return;
+		}
+		ByteBuf buffer = channel.alloc().buffer(envelope.length + 4);
+		buffer.writeInt(envelope.length).writeBytes(envelope);
+		channel.writeAndFlush(buffer);
+		count(envelope);
+	}
+
+	private void complete(Frame frame, @Nullable PeerMessage message) {
+		PendingRequest<?> request = this.pending.remove(frame.correlationId());
+		if (request == null) {
+			return;
+		}
+		if (frame.kind() == FrameKind.ERROR || message == null) {
+			request.result.completeExceptionally(new PeerException(PeerFailure.REMOTE_ERROR,
+					request.to + " answered: " + new String(frame.body(), StandardCharsets.UTF_8)));
+			return;
+		}
+		request.complete(message);
+	}
+
+	private static final class PendingRequest<A extends PeerMessage> {
+
+		private final InstanceId to;
+
+		private final Class<A> answerType;
+
+		private final CompletableFuture<A> result = new CompletableFuture<>();
+
+		private PendingRequest(InstanceId to, Class<A> answerType) {
+			this.to = to;
+			this.answerType = answerType;
+		}
+
+		private void complete(PeerMessage message) {
+			if (this.answerType.isInstance(message)) {
+				this.result.complete(this.answerType.cast(message));
+			}
+			else {
+				this.result.completeExceptionally(new PeerException(PeerFailure.REMOTE_ERROR,
+						this.to + " answered with " + message.getClass().getSimpleName()));
+			}
+		}
+
+	}
+
+	/**
+	 * Decodes the frames of one connection.
+	 */
+	private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
+
+		/** Peer at the other end; unknown on accepted connections until its hello. */
+		private @Nullable InstanceId peer;
+
+		private Inbound(@Nullable InstanceId peer) {
+			this.peer = peer;
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+			byte[] bytes = new byte[buffer.readableBytes()];
+			buffer.readBytes(bytes);
+			Frame frame = TcpPeerTransport.this.codec.decode(bytes);
+			InstanceId from = this.peer;
+			if (from == null) {
+				this.peer = authenticate(frame);
+				return;
+			}
+			PeerMessage message = (frame.kind() != FrameKind.ERROR) ? TcpPeerTransport.this.codec.message(frame) : null;
+			if (frame.kind() == FrameKind.ANSWER || frame.kind() == FrameKind.ERROR) {
+				TcpPeerTransport.this.control.execute(() -> complete(frame, message));
+			}
+			else if (message == null) {
+				answerError(context.channel(), frame, "unknown type " + frame.type());
+			}
+			else {
+				TcpPeerTransport.this.control.execute(() -> dispatch(context.channel(), from, frame, message));
+			}
+		}
+
+		private InstanceId authenticate(Frame frame) {
+			byte[] expected = TcpPeerTransport.this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8);
+			if (frame.kind() != FrameKind.HELLO || !MessageDigest.isEqual(expected, frame.body())) {
+				throw new ProtocolException("connection without a valid hello");
+			}
+			return new InstanceId(frame.type());
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			logger.warnf("event=peer.connection_failed remote=%s error=\"%s\"", context.channel().remoteAddress(),
+					cause.getMessage());
+			context.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/ProtocolException.java
@@ -0,0 +1,18 @@
+package dev.nutmegdoor.protocol;
+
+/**
+ * A frame or message could not be encoded or decoded.
+ */
+public class ProtocolException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	public ProtocolException(String message) {
+		super(message);
+	}
+
+	public ProtocolException(String message, Throwable cause) {
+		super(message, cause);
+	}
+
+}
