Add platform client with call budget and platform stand-in

Cause: the store port had no implementation over HTTP. Change: PlatformHttp sends single calls and translates failures; a change whose answer is lost after the request was written is OUTCOME_UNKNOWN. BudgetedObjectStore adds the token bucket, back-off, coalesced reads and the circuit breaker. The stand-in serves objects, watches and the lagging instance list with scheduled, seeded faults.

--- /dev/null
+++ b/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/BudgetedObjectStore.java
@@ -0,0 +1,242 @@
+package dev.nutmegdoor.platform;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.store.StorePage;
+import dev.nutmegdoor.core.store.StoreWatchResult;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Keeps the calls of this process within its budget: calls wait for a token, those that
+ * had no effect are retried with jittered back-off until a deadline, equal reads share a
+ * call, and calls fail at once during an outage. A call whose outcome is unknown is never
+ * retried here, because only its caller can tell whether it took effect. Call it on the
+ * control thread.
+ */
+public final class BudgetedObjectStore implements ObjectStore {
+
+	/**
+	 * Wait of a watch that probes the platform during an outage; a full wait would keep
+	 * all other calls back.
+	 */
+	private static final long PROBE_WATCH_MS = 200;
+
+	private final ObjectStore store;
+
+	private final TimerService timer;
+
+	private final UniformRandomProvider random;
+
+	private final CallBudgetSettings settings;
+
+	private final Set<String> urgentKinds;
+
+	private final EventLog events;
+
+	private final CallBudget budget;
+
+	private final CircuitBreaker breaker;
+
+	private final ReadCoalescer coalescer = new ReadCoalescer();
+
+	private final Deque<PendingCall<?>> urgentQueue = new ArrayDeque<>();
+
+	private final Deque<PendingCall<?>> queue = new ArrayDeque<>();
+
+	private boolean armed;
+
+	private long sentCalls;
+
+	private long refusedCalls;
+
+	/**
+	 * Creates a client.
+	 * @param store sends single calls
+	 * @param timer time
+	 * @param random source of jitter
+	 * @param settings limits
+	 * @param urgentKinds kinds of objects whose calls are sent before others, such as
+	 * {@code lease}
+	 * @param events receives {@code platform.breaker-opened} and
+	 * {@code platform.breaker-closed}
+	 */
+	public BudgetedObjectStore(ObjectStore store, TimerService timer, UniformRandomProvider random,
+			CallBudgetSettings settings, Set<String> urgentKinds, EventLog events) {
+		this.store = store;
+		this.timer = timer;
+		this.random = random;
+		this.settings = settings;
+		this.urgentKinds = Set.copyOf(urgentKinds);
+		this.events = events;
+		this.budget = new CallBudget(timer, settings.callsPerSecond(), settings.burst());
+		this.breaker = new CircuitBreaker(timer, random, settings);
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> get(String kind, String name) {
+		return this.coalescer.read("get " + kind + "/" + name, () -> submit(kind, () -> this.store.get(kind, name)));
+	}
+
+	@Override
+	public CompletableFuture<StorePage> list(String kind, String prefix) {
+		return this.coalescer.read("list " + kind + "/" + prefix,
+				() -> submit(kind, () -> this.store.list(kind, prefix)));
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> create(String kind, String name, String value) {
+		return submit(kind, () -> this.store.create(kind, name, value));
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> update(String kind, String name, long expectedVersion, String value) {
+		return submit(kind, () -> this.store.update(kind, name, expectedVersion, value));
+	}
+
+	@Override
+	public CompletableFuture<Void> delete(String kind, String name, long expectedVersion) {
+		return submit(kind, () -> this.store.delete(kind, name, expectedVersion));
+	}
+
+	@Override
+	public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
+		return submit(kind, () -> this.store.watch(kind, afterVersion,
+				this.breaker.isOpen() ? Math.min(timeoutMs, PROBE_WATCH_MS) : timeoutMs));
+	}
+
+	public CallBudgetDump dump() {
+		return new CallBudgetDump(this.budget.tokens(), this.urgentQueue.size() + this.queue.size(),
+				this.breaker.isOpen(), this.breaker.opened(), this.sentCalls, this.coalescer.joinedReads(),
+				this.refusedCalls);
+	}
+
+	private <T> CompletableFuture<T> submit(String kind, Supplier<CompletableFuture<T>> operation) {
+		PendingCall<T> call = new PendingCall<>(operation, this.urgentKinds.contains(kind),
+				this.timer.nowMs() + this.settings.deadlineMs());
+		enqueue(call);
+		return call.result();
+	}
+
+	private void enqueue(PendingCall<?> call) {
+		if (this.urgentQueue.size() + this.queue.size() >= this.settings.maxQueuedCalls()) {
+			refuse(call, StoreFailure.RATE_LIMITED, "too many calls wait for the call budget");
+			return;
+		}
+		(call.isUrgent() ? this.urgentQueue : this.queue).addLast(call);
+		drain();
+	}
+
+	private void drain() {
+		PendingCall<?> call = peek();
+		while (call != null) {
+			if (this.timer.nowMs() > call.deadlineMs()) {
+				poll();
+				refuse(call, StoreFailure.RATE_LIMITED, "the call waited too long for the call budget");
+			}
+			else if (!this.breaker.tryPass()) {
+				poll();
+				refuse(call, StoreFailure.UNAVAILABLE, "the platform is out; the circuit breaker is open");
+			}
+			else if (this.breaker.isOpen() || this.budget.take()) {
+				poll();
+				send(call);
+			}
+			else {
+				arm();
+				return;
+			}
+			call = peek();
+		}
+	}
+
+	private @Nullable PendingCall<?> peek() {
+		PendingCall<?> urgent = this.urgentQueue.peekFirst();
+		return (urgent != null) ? urgent : this.queue.peekFirst();
+	}
+
+	private void poll() {
+		if (this.urgentQueue.pollFirst() == null) {
+			this.queue.pollFirst();
+		}
+	}
+
+	private void arm() {
+		if (this.armed) {
+			return;
+		}
+		this.armed = true;
+		this.timer.schedule(this.budget.waitMs(), () -> {
+			this.armed = false;
+			drain();
+		});
+	}
+
+	private void refuse(PendingCall<?> call, StoreFailure failure, String message) {
+		this.refusedCalls++;
+		call.result().completeExceptionally(new StoreException(failure, message));
+	}
+
+	private <T> void send(PendingCall<T> call) {
+		this.sentCalls++;
+		call.send().whenComplete((value, error) -> {
+			if (error == null) {
+				answered();
+				call.result().complete(value);
+			}
+			else {
+				failed(call, error);
+			}
+		});
+	}
+
+	private void failed(PendingCall<?> call, Throwable error) {
+		Throwable cause = (error instanceof CompletionException && error.getCause() != null) ? error.getCause() : error;
+		StoreFailure failure = (cause instanceof StoreException ex) ? ex.failure() : StoreFailure.OUTCOME_UNKNOWN;
+		if (failure == StoreFailure.UNAVAILABLE || failure == StoreFailure.OUTCOME_UNKNOWN) {
+			if (this.breaker.failed()) {
+				this.events.record("platform.breaker-opened", "failure", failure);
+			}
+		}
+		else {
+			answered();
+		}
+		long delayMs = backoffMs(call.attempts());
+		boolean isRetried = failure.isRetryable() && failure.isWithoutEffect() && !this.breaker.isOpen()
+				&& call.attempts() < this.settings.maxAttempts() && this.timer.nowMs() + delayMs < call.deadlineMs();
+		if (isRetried) {
+			this.timer.schedule(delayMs, () -> enqueue(call));
+		}
+		else {
+			call.result().completeExceptionally(cause);
+		}
+	}
+
+	private void answered() {
+		if (this.breaker.succeeded()) {
+			long windowMs = this.settings.resumeWindowMs() / 2 + this.random.nextLong(this.settings.resumeWindowMs());
+			this.budget.resume(windowMs);
+			this.events.record("platform.breaker-closed", "resumeWindowMs", windowMs);
+		}
+		drain();
+	}
+
+	private long backoffMs(int attempts) {
+		long ceilingMs = Math.min(this.settings.backoffMaxMs(),
+				this.settings.backoffBaseMs() << Math.min(attempts, 20));
+		return 1 + this.random.nextLong(ceilingMs);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformFault.java
@@ -0,0 +1,31 @@
+package dev.nutmegdoor.standin.platform;
+
+/**
+ * A fault during a span of time.
+ *
+ * @param kind kind of the fault
+ * @param fromMs start in milliseconds after the start of the stand-in
+ * @param untilMs end in milliseconds after the start of the stand-in
+ * @param probability probability that a call in the span meets the fault, 0 to 1
+ * @param delayMs delay of {@link PlatformFaultKind#SLOW} in milliseconds
+ */
+public record PlatformFault(PlatformFaultKind kind, long fromMs, long untilMs, double probability, long delayMs) {
+
+	public PlatformFault {
+		if (fromMs < 0 || untilMs <= fromMs) {
+			throw new IllegalArgumentException(
+					"fault must end after it starts but is from " + fromMs + " until " + untilMs + " ms");
+		}
+		if (!(probability >= 0 && probability <= 1)) {
+			throw new IllegalArgumentException("probability must be from 0 to 1 but is " + probability);
+		}
+		if (delayMs < 0) {
+			throw new IllegalArgumentException("delayMs must not be negative but is " + delayMs);
+		}
+	}
+
+	boolean isActive(long elapsedMs) {
+		return elapsedMs >= this.fromMs && elapsedMs < this.untilMs;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/platform/PlatformStandinTests.java
@@ -0,0 +1,186 @@
+package dev.nutmegdoor.standin.platform;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.store.StoreWatchResult;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.platform.HttpObjectStore;
+import dev.nutmegdoor.platform.HttpPlatformDirectory;
+import dev.nutmegdoor.platform.PlatformEndpoint;
+import dev.nutmegdoor.platform.PlatformHttp;
+import dev.nutmegdoor.platform.PlatformInstance;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class PlatformStandinTests {
+
+	private static final long FAULT_MS = 600_000;
+
+	private final ExecutorService control = Executors.newSingleThreadExecutor();
+
+	private PlatformStandin platform = PlatformStandin.start(settings(1_000, 0));
+
+	private PlatformHttp http = connect();
+
+	private ObjectStore store = new HttpObjectStore(this.http);
+
+	private static PlatformStandinSettings settings(int writesPerSecond, long listLagMs) {
+		return new PlatformStandinSettings("127.0.0.1", 0, 1, 2_000, writesPerSecond, 0, 0, listLagMs, 10, List.of());
+	}
+
+	private PlatformHttp connect() {
+		return new PlatformHttp(new PlatformEndpoint("127.0.0.1", this.platform.address().getPort(), 1_000, 5_000),
+				this.control);
+	}
+
+	private void restart(PlatformStandinSettings settings) {
+		stop();
+		this.platform = PlatformStandin.start(settings);
+		this.http = connect();
+		this.store = new HttpObjectStore(this.http);
+	}
+
+	private void stop() {
+		this.http.close();
+		this.platform.close();
+	}
+
+	@AfterEach
+	void close() {
+		stop();
+		this.control.shutdown();
+	}
+
+	private static StoreFailure failureOf(CompletableFuture<?> future) {
+		CompletionException ex = assertThrows(CompletionException.class, future::join);
+		return ((StoreException) ex.getCause()).failure();
+	}
+
+	@Nested
+	class ConditionalChanges {
+
+		// Guards against two racing writers that both believe they won.
+		@Test
+		void refuseOldVersionsAndSecondCreations() {
+			ObjectStore store = PlatformStandinTests.this.store;
+			StoredObject created = store.create("k", "n \u00e9+%", "{\"a\":\"\u00e9\"}").join();
+			StoredObject updated = store.update("k", "n \u00e9+%", created.version(), "2").join();
+			assertThat(failureOf(store.create("k", "n \u00e9+%", "3")), is(StoreFailure.CONFLICT));
+			assertThat(failureOf(store.update("k", "n \u00e9+%", created.version(), "3")), is(StoreFailure.CONFLICT));
+			assertThat(store.get("k", "n \u00e9+%").join(), is(updated));
+			assertThat(store.list("k", "n").join().objects(), contains(updated));
+			store.delete("k", "n \u00e9+%", updated.version()).join();
+			assertThat(failureOf(store.get("k", "n \u00e9+%")), is(StoreFailure.NOT_FOUND));
+		}
+
+		// Guards against a value that the platform would refuse in production only.
+		@Test
+		void refuseValuesAboveTheLimit() {
+			assertThat(failureOf(PlatformStandinTests.this.store.create("k", "n", "x".repeat(1_000_001))),
+					is(StoreFailure.INVALID));
+			PlatformStandinTests.this.store.create("k", "n", "x".repeat(1_000_000)).join();
+		}
+
+	}
+
+	@Nested
+	class Watches {
+
+		// Guards against a watcher that misses changes made before it asks again.
+		@Test
+		void reportChangesAndForgottenVersions() {
+			ObjectStore store = PlatformStandinTests.this.store;
+			CompletableFuture<StoreWatchResult> watch = store.watch("k", 0, 60_000);
+			store.create("other", "n", "1").join();
+			store.create("k", "n", "1").join();
+			StoreWatchResult seen = watch.join();
+			assertThat(seen.events(), hasSize(1));
+			for (int i = 0; i < 20; i++) {
+				store.create("k", "n" + i, "1").join();
+			}
+			assertThat(store.watch("k", seen.version(), 0).join().isReset(), is(true));
+		}
+
+	}
+
+	@Nested
+	class Faults {
+
+		// Guards against a client that reports a change as not done although it took
+		// effect, or hides that it does not know.
+		@Test
+		void leaveTheOutcomeOfChangesUnknownOnceTheyAreSent() {
+			for (PlatformFaultKind kind : List.of(PlatformFaultKind.LOST_ANSWER,
+					PlatformFaultKind.ERROR_AFTER_EFFECT)) {
+				restart(settings(1_000, 0));
+				PlatformStandinTests.this.platform.inject(kind, FAULT_MS, 1, 0);
+				assertThat(failureOf(PlatformStandinTests.this.store.create("k", "n", "1")),
+						is(StoreFailure.OUTCOME_UNKNOWN));
+				assertThat(PlatformStandinTests.this.store.get("k", "n").join().value(), is("1"));
+			}
+		}
+
+		// Guards against a retry of a read that a caller could have had answered.
+		@Test
+		void reportReadsOfDroppedConnectionsAsUnavailable() {
+			PlatformStandinTests.this.platform.inject(PlatformFaultKind.UNREACHABLE, FAULT_MS, 1, 0);
+			assertThat(failureOf(PlatformStandinTests.this.store.get("k", "n")), is(StoreFailure.UNAVAILABLE));
+		}
+
+		// Guards against an outage that is taken for an unknown outcome.
+		@Test
+		void refuseWithoutEffectDuringOutages() {
+			PlatformStandinTests.this.platform.inject(PlatformFaultKind.OUTAGE, FAULT_MS, 1, 0);
+			assertThat(failureOf(PlatformStandinTests.this.store.create("k", "n", "1")), is(StoreFailure.UNAVAILABLE));
+			PlatformStandinTests.this.platform.close();
+			assertThat(failureOf(PlatformStandinTests.this.store.create("k", "n", "1")), is(StoreFailure.UNAVAILABLE));
+		}
+
+		// Guards against a stand-in more generous than the platform.
+		@Test
+		void refuseCallsAboveTheRate() {
+			restart(settings(1, 0));
+			PlatformStandinTests.this.store.create("k", "a", "1").join();
+			assertThat(failureOf(PlatformStandinTests.this.store.create("k", "b", "1")), is(StoreFailure.RATE_LIMITED));
+		}
+
+	}
+
+	@Nested
+	class InstanceLists {
+
+		// Guards against code that takes the lagging list for the present state.
+		@Test
+		void showEarlierStates() {
+			PlatformInstance entry = new PlatformInstance(new InstanceId("i-1"), new AvailabilityZone("a"), "127.0.0.1",
+					1, true);
+			HttpPlatformDirectory directory = new HttpPlatformDirectory(PlatformStandinTests.this.http);
+			directory.register(entry).join();
+			assertThat(directory.list().join(), contains(entry));
+			restart(settings(1_000, FAULT_MS));
+			directory = new HttpPlatformDirectory(PlatformStandinTests.this.http);
+			directory.register(entry).join();
+			assertThat(directory.list().join(), is(empty()));
+		}
+
+	}
+
+}
