Add entry instance over HTTP with stand-ins of engines and services

Cause: there was no path from a caller to an upstream.

Change: `nutmegdoor entry` authenticates, admits and runs chat completions (streamed or whole), service operations and programs; refusals are problem details with decision and run state. `nutmegdoor standin engine|service` host upstreams. Settings are YAML and report all problems in one run. SIGTERM drains. Rate, keys, programs and dispatch have single-instance implementations behind the ports of core until the shared ones arrive.

--- /dev/null
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/EntryCommand.java
@@ -0,0 +1,56 @@
+package dev.nutmegdoor.cli;
+
+import java.nio.file.Path;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.node.EntryNode;
+import dev.nutmegdoor.node.LoggingEventLog;
+import dev.nutmegdoor.node.StandaloneEntry;
+import dev.nutmegdoor.node.settings.EntrySettings;
+import dev.nutmegdoor.node.settings.SettingsException;
+
+/**
+ * Runs an entry instance until it is asked to end by SIGTERM or SIGINT.
+ */
+final class EntryCommand implements Command {
+
+	@Override
+	public String name() {
+		return "entry";
+	}
+
+	@Override
+	public String summary() {
+		return "runs an entry instance; SIGTERM drains it";
+	}
+
+	@Override
+	public Options options() {
+		return new Options().addOption(SettingsOptions.config()).addOption(SettingsOptions.check());
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, Console console) {
+		Path file = Path.of(line.getOptionValue("config"));
+		EntrySettings settings;
+		try {
+			settings = EntrySettings.read(file);
+		}
+		catch (SettingsException ex) {
+			return SettingsOptions.report(ex, console);
+		}
+		if (line.hasOption("check")) {
+			console.out().println(file + ": valid");
+			return ExitCode.OK;
+		}
+		EntryNode node = StandaloneEntry
+			.create(settings, settings.instanceCount(), new InvariantRegistry(), new LoggingEventLog())
+			.node();
+		node.start();
+		return Daemon.await(node::drain);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/ConfiguredKeyAuthenticator.java
@@ -0,0 +1,87 @@
+package dev.nutmegdoor.node.direct;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.configuration.CallerKey;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.key.Authentication;
+import dev.nutmegdoor.core.key.KeyAuthenticator;
+
+/**
+ * Authenticates against the keys of the configuration in force, less the keys withdrawn
+ * on this instance.
+ */
+public final class ConfiguredKeyAuthenticator implements KeyAuthenticator {
+
+	private static final String PREFIX = "nd_";
+
+	private final ConfigurationView configuration;
+
+	private final Set<KeyId> withdrawn = ConcurrentHashMap.newKeySet();
+
+	public ConfiguredKeyAuthenticator(ConfigurationView configuration) {
+		this.configuration = configuration;
+	}
+
+	@Override
+	public Authentication authenticate(String presentedKey) {
+		int separator = presentedKey.indexOf('_', PREFIX.length());
+		if (!presentedKey.startsWith(PREFIX) || separator <= PREFIX.length() || separator > 64) {
+			return Authentication.refused(RefusalReason.UNAUTHENTICATED);
+		}
+		String idText = presentedKey.substring(PREFIX.length(), separator);
+		if (!idText.chars().allMatch((c) -> c > ' ' && c < 0x7f && c != '/')) {
+			return Authentication.refused(RefusalReason.UNAUTHENTICATED);
+		}
+		KeyId id = new KeyId(idText);
+		CallerKey key = this.configuration.current().keys().get(id);
+		if (key == null || !isSecret(presentedKey, key)) {
+			return Authentication.refused(RefusalReason.UNAUTHENTICATED);
+		}
+		if (this.withdrawn.contains(id)) {
+			return Authentication.refused(RefusalReason.KEY_WITHDRAWN);
+		}
+		return Authentication.of(id, key.workspace());
+	}
+
+	private static boolean isSecret(String presentedKey, CallerKey key) {
+		byte[] presentedHash = hash(presentedKey).getBytes(StandardCharsets.US_ASCII);
+		return MessageDigest.isEqual(presentedHash, key.secretHash().getBytes(StandardCharsets.US_ASCII));
+	}
+
+	/**
+	 * Returns the hash under which a key is stored.
+	 * @param key the whole key
+	 * @return its SHA-256 in lower-case hexadecimal
+	 */
+	public static String hash(String key) {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("the JDK has no SHA-256", ex);
+		}
+	}
+
+	@Override
+	public boolean isActive(KeyId key) {
+		return !this.withdrawn.contains(key) && this.configuration.current().keys().containsKey(key);
+	}
+
+	/**
+	 * Withdraws a key on this instance.
+	 * @param key identifier of the key
+	 */
+	public void withdraw(KeyId key) {
+		this.withdrawn.add(key);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/LocalProgram.java
@@ -0,0 +1,257 @@
+package dev.nutmegdoor.node.direct;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.configuration.ProgramBudget;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+
+/**
+ * One program of {@link LocalPrograms}.
+ */
+final class LocalProgram {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final ProgramId id;
+
+	private final WorkspaceId workspace;
+
+	private final @Nullable LocalProgram parent;
+
+	private final int depth;
+
+	private final ProgramBudget budget;
+
+	private final long openedMs;
+
+	private final InvariantRegistry invariants;
+
+	private final ArrayNode history = MAPPER.createArrayNode();
+
+	private final Map<Integer, SharedCall> calls = new HashMap<>();
+
+	private final Map<Integer, CallHandle> handles = new HashMap<>();
+
+	private int historyTokens;
+
+	private int historyTurns;
+
+	private int nextTurn = 1;
+
+	private int runningTurn;
+
+	private long reservedTokens;
+
+	private long usedTokens;
+
+	private int usedCalls;
+
+	private boolean isClosed;
+
+	LocalProgram(ProgramId id, WorkspaceId workspace, @Nullable LocalProgram parent, int depth, ProgramBudget budget,
+			long openedMs, InvariantRegistry invariants) {
+		this.id = id;
+		this.workspace = workspace;
+		this.parent = parent;
+		this.depth = depth;
+		this.budget = budget;
+		this.openedMs = openedMs;
+		this.invariants = invariants;
+	}
+
+	ProgramId id() {
+		return this.id;
+	}
+
+	int depth() {
+		return this.depth;
+	}
+
+	int nextTurn() {
+		return this.nextTurn;
+	}
+
+	boolean isOf(WorkspaceId other) {
+		return this.workspace.equals(other);
+	}
+
+	boolean isClosed() {
+		return this.isClosed;
+	}
+
+	boolean isWithin(LocalProgram ancestor) {
+		return this == ancestor || (this.parent != null && this.parent.isWithin(ancestor));
+	}
+
+	/**
+	 * Closes the program and ends its running call.
+	 * @return {@code false} if it was closed already
+	 */
+	boolean close() {
+		if (this.isClosed) {
+			return false;
+		}
+		this.isClosed = true;
+		handle(this.runningTurn).cancel();
+		return true;
+	}
+
+	@Nullable SharedCall call(int turn) {
+		return this.calls.get(turn);
+	}
+
+	CallHandle handle(int turn) {
+		return () -> {
+			CallHandle handle = this.handles.get(turn);
+			if (handle != null) {
+				handle.cancel();
+			}
+		};
+	}
+
+	void started(int turn, CallHandle handle) {
+		if (this.runningTurn == turn) {
+			this.handles.put(turn, handle);
+		}
+	}
+
+	/**
+	 * Reserves the budget of a call, at the ancestors as well.
+	 * @param request the call
+	 * @param nowMs current time
+	 * @return what is exhausted, or {@code null}
+	 */
+	@Nullable String reserve(CallRequest request, long nowMs) {
+		long tokens = tokensOf(request);
+		for (LocalProgram program = this; program != null; program = program.parent) {
+			if (program.usedCalls + 1 > program.budget.maxCalls()) {
+				return "the program has used its " + program.budget.maxCalls() + " calls";
+			}
+			if (program.usedTokens + program.reservedTokens + tokens > program.budget.maxTokens()) {
+				return "the call may need " + tokens + " tokens, more than is left of the program's "
+						+ program.budget.maxTokens();
+			}
+			if (nowMs - program.openedMs > program.budget.maxDurationMs()) {
+				return "the program has used its " + program.budget.maxDurationMs() + " ms";
+			}
+		}
+		for (LocalProgram program = this; program != null; program = program.parent) {
+			program.usedCalls++;
+			program.reservedTokens += tokens;
+		}
+		return null;
+	}
+
+	private long tokensOf(CallRequest request) {
+		if (request.payload() instanceof ModelCall call) {
+			return this.historyTokens + call.promptTokens() + (long) call.maxTokens();
+		}
+		return 0;
+	}
+
+	SharedCall begin(CallRequest request) {
+		this.invariants.check(Invariant.PROGRAM_ORDER, this.runningTurn == 0 && request.turn() == this.nextTurn,
+				() -> "program " + this.id + " starts turn " + request.turn() + " after " + (this.nextTurn - 1)
+						+ " while turn " + this.runningTurn + " runs");
+		this.invariants.check(Invariant.HISTORY_INTEGRITY, this.historyTurns == request.turn() - 1, () -> "program "
+				+ this.id + " has the history of " + this.historyTurns + " turns at turn " + request.turn());
+		this.runningTurn = request.turn();
+		SharedCall shared = new SharedCall(request.payload(), new Outcome(request, tokensOf(request)));
+		this.calls.put(request.turn(), shared);
+		return shared;
+	}
+
+	/**
+	 * Returns the call with the program's history in front of its messages.
+	 * @param request the call
+	 * @return the call as it goes to the engine
+	 */
+	CallRequest withHistory(CallRequest request) {
+		if (!(request.payload() instanceof ModelCall call)) {
+			return request;
+		}
+		ArrayNode messages = this.history.deepCopy();
+		messages.addAll(messagesOf(call));
+		ModelCall extended = new ModelCall(call.model(), messages.toString(), this.historyTokens + call.promptTokens(),
+				call.maxTokens());
+		return new CallRequest(request.decision(), request.workspace(), request.key(), request.program(),
+				request.turn(), request.workKind(), extended, request.timeoutMs());
+	}
+
+	private static ArrayNode messagesOf(ModelCall call) {
+		try {
+			JsonNode messages = MAPPER.readTree(call.messagesJson());
+			return (messages instanceof ArrayNode array) ? array : MAPPER.createArrayNode().add(messages);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("messages are not JSON", ex);
+		}
+	}
+
+	/**
+	 * Settles the budget and the history of a call.
+	 */
+	private final class Outcome implements CallListener {
+
+		private final CallRequest request;
+
+		private final long reserved;
+
+		private Outcome(CallRequest request, long reserved) {
+			this.request = request;
+			this.reserved = reserved;
+		}
+
+		@Override
+		public void generated(int offset, String text) {
+		}
+
+		@Override
+		public void completed(CallResult result) {
+			settle(Math.min(this.reserved, result.promptTokens() + (long) result.generatedTokens()));
+			if (this.request.payload() instanceof ModelCall call) {
+				LocalProgram.this.history.addAll(messagesOf(call));
+				LocalProgram.this.history.addObject().put("role", "assistant").put("content", result.body());
+				LocalProgram.this.historyTokens += call.promptTokens() + result.generatedTokens();
+			}
+			LocalProgram.this.historyTurns++;
+			LocalProgram.this.nextTurn++;
+		}
+
+		@Override
+		public void refused(Refusal refusal) {
+			settle(0);
+			LocalProgram.this.calls.remove(this.request.turn());
+		}
+
+		private void settle(long tokens) {
+			LocalProgram.this.runningTurn = 0;
+			LocalProgram.this.handles.remove(this.request.turn());
+			for (LocalProgram program = LocalProgram.this; program != null; program = program.parent) {
+				LocalProgram settled = program;
+				settled.reservedTokens -= this.reserved;
+				settled.usedTokens += tokens;
+				LocalProgram.this.invariants.check(Invariant.BUDGET, settled.usedTokens <= settled.budget.maxTokens(),
+						() -> "program " + settled.id + " used " + settled.usedTokens + " tokens");
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/OnceCallRunner.java
@@ -0,0 +1,142 @@
+package dev.nutmegdoor.node.direct;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.ServiceOperation;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Runs calls with an idempotency key at most once, as long as this process lives: a
+ * repetition waits for the first call or gets its outcome. A call with an unknown outcome
+ * is never sent again.
+ */
+public final class OnceCallRunner implements CallRunner {
+
+	/** Time for which a key is remembered (design, section 4.6). */
+	private static final long KEY_RETENTION_MS = 86_400_000;
+
+	private final CallRunner next;
+
+	private final ConfigurationView configuration;
+
+	private final TimerService timers;
+
+	private final InvariantRegistry invariants;
+
+	private final Map<String, SharedCall> calls = new HashMap<>();
+
+	private final Map<String, CallHandle> handles = new HashMap<>();
+
+	private final Set<String> sent = new HashSet<>();
+
+	public OnceCallRunner(CallRunner next, ConfigurationView configuration, TimerService timers,
+			InvariantRegistry invariants) {
+		this.next = next;
+		this.configuration = configuration;
+		this.timers = timers;
+		this.invariants = invariants;
+	}
+
+	@Override
+	public CallHandle run(CallRequest request, CallListener listener) {
+		if (!(request.payload() instanceof ServiceCall call)) {
+			return this.next.run(request, listener);
+		}
+		if (call.idempotencyKey() == null) {
+			ServiceOperation operation = this.configuration.current()
+				.operations()
+				.get(call.service() + "/" + call.operation());
+			if (operation == null || operation.repeatability().isRetryable()) {
+				return this.next.run(request, listener);
+			}
+			listener.refused(Refusal.notRun(RefusalReason.MALFORMED_REQUEST,
+					"operation " + operation.qualifiedName() + " needs the header Idempotency-Key", 0));
+			return () -> {
+			};
+		}
+		return runOnce(request, call, call.idempotencyKey(), listener);
+	}
+
+	private CallHandle runOnce(CallRequest request, ServiceCall call, String idempotencyKey, CallListener listener) {
+		String key = request.workspace() + ":" + idempotencyKey;
+		SharedCall known = this.calls.get(key);
+		if (known != null && !known.isSameAs(call)) {
+			listener.refused(Refusal.notRun(RefusalReason.IDEMPOTENCY_KEY_REUSED,
+					"the idempotency key was used for a different call", 0));
+			return () -> {
+			};
+		}
+		if (known != null) {
+			return known.attach(listener, () -> cancel(key));
+		}
+		this.invariants.check(Invariant.AT_MOST_ONCE, this.sent.add(key),
+				() -> "call " + key + " is sent although it was sent before");
+		SharedCall shared = new SharedCall(call, new Outcome(key));
+		this.calls.put(key, shared);
+		CallHandle result = shared.attach(listener, () -> cancel(key));
+		ServiceCall scoped = new ServiceCall(call.service(), call.operation(), call.body(), key);
+		CallRequest scopedRequest = new CallRequest(request.decision(), request.workspace(), request.key(),
+				request.program(), request.turn(), request.workKind(), scoped, request.timeoutMs());
+		CallHandle handle = this.next.run(scopedRequest, shared);
+		this.handles.put(key, handle);
+		this.timers.schedule(KEY_RETENTION_MS, () -> forget(key));
+		return result;
+	}
+
+	private void cancel(String key) {
+		CallHandle handle = this.handles.get(key);
+		if (handle != null) {
+			handle.cancel();
+		}
+	}
+
+	private void forget(String key) {
+		this.calls.remove(key);
+		this.handles.remove(key);
+		this.sent.remove(key);
+	}
+
+	/**
+	 * Forgets a call that was not run, so that the same key may run it later.
+	 */
+	private final class Outcome implements CallListener {
+
+		private final String key;
+
+		private Outcome(String key) {
+			this.key = key;
+		}
+
+		@Override
+		public void generated(int offset, String text) {
+		}
+
+		@Override
+		public void completed(CallResult result) {
+		}
+
+		@Override
+		public void refused(Refusal refusal) {
+			if (refusal.run() == RunState.NOT_RUN) {
+				forget(this.key);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/SharedCall.java
@@ -0,0 +1,97 @@
+package dev.nutmegdoor.node.direct;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallPayload;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.Refusal;
+
+/**
+ * A call that several requests wait for: the first one and its repetitions. Late
+ * listeners get everything from the start.
+ */
+final class SharedCall implements CallListener {
+
+	private final CallPayload payload;
+
+	private final CallListener owner;
+
+	private final List<CallListener> listeners = new ArrayList<>();
+
+	private final StringBuilder text = new StringBuilder();
+
+	private @Nullable CallResult result;
+
+	private @Nullable Refusal refusal;
+
+	/**
+	 * Creates the call.
+	 * @param payload what the call asks
+	 * @param owner learns the outcome before the listeners do
+	 */
+	SharedCall(CallPayload payload, CallListener owner) {
+		this.payload = payload;
+		this.owner = owner;
+	}
+
+	boolean isSameAs(CallPayload other) {
+		return this.payload.equals(other);
+	}
+
+	/**
+	 * Adds a listener and replays to it what happened so far.
+	 * @param listener the listener
+	 * @param handle handle of the running call
+	 * @return handle that ends the call if no other listener is left
+	 */
+	CallHandle attach(CallListener listener, CallHandle handle) {
+		if (!this.text.isEmpty()) {
+			listener.generated(0, this.text.toString());
+		}
+		if (this.result != null) {
+			listener.completed(this.result);
+			return () -> {
+			};
+		}
+		if (this.refusal != null) {
+			listener.refused(this.refusal);
+			return () -> {
+			};
+		}
+		this.listeners.add(listener);
+		return () -> {
+			if (this.listeners.size() == 1 && this.listeners.contains(listener)) {
+				handle.cancel();
+			}
+			this.listeners.remove(listener);
+		};
+	}
+
+	@Override
+	public void generated(int offset, String piece) {
+		this.text.append(piece);
+		List.copyOf(this.listeners).forEach((listener) -> listener.generated(offset, piece));
+	}
+
+	@Override
+	public void completed(CallResult value) {
+		this.result = value;
+		this.owner.completed(value);
+		List.copyOf(this.listeners).forEach((listener) -> listener.completed(value));
+		this.listeners.clear();
+	}
+
+	@Override
+	public void refused(Refusal value) {
+		this.refusal = value;
+		this.owner.refused(value);
+		List.copyOf(this.listeners).forEach((listener) -> listener.refused(value));
+		this.listeners.clear();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Single-instance implementations of the ports, for an instance that runs alone.
+ */
+@NullMarked
+package dev.nutmegdoor.node.direct;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/AnswerEvent.java
@@ -0,0 +1,39 @@
+package dev.nutmegdoor.node.entry;
+
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.Refusal;
+
+/**
+ * What happens to a call, in the order in which its caller learns of it.
+ */
+sealed interface AnswerEvent {
+
+	/**
+	 * A piece of generated text.
+	 *
+	 * @param offset characters before this piece
+	 * @param text the piece
+	 */
+	record Piece(int offset, String text) implements AnswerEvent {
+
+	}
+
+	/**
+	 * The whole answer is there; the last event.
+	 *
+	 * @param result the answer
+	 */
+	record Completed(CallResult result) implements AnswerEvent {
+
+	}
+
+	/**
+	 * There will be no answer, or no more of it; the last event.
+	 *
+	 * @param refusal the refusal
+	 */
+	record Refused(Refusal refusal) implements AnswerEvent {
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/BodyReader.java
@@ -0,0 +1,123 @@
+package dev.nutmegdoor.node.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeoutException;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import reactor.core.publisher.Mono;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.node.settings.LimitSettings;
+import dev.nutmegdoor.node.settings.TimeoutSettings;
+import dev.nutmegdoor.node.upstream.KeyScanner;
+
+/**
+ * Reads the JSON body of a request within its limits of size and time, and refuses a body
+ * that contains a caller's key. The parsed form is what goes on, so that no escaping can
+ * hide a key from the check.
+ */
+final class BodyReader {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+		.build();
+
+	private final LimitSettings limits;
+
+	private final Duration timeout;
+
+	private final KeyScanner keyScanner;
+
+	BodyReader(LimitSettings limits, TimeoutSettings timeouts, KeyScanner keyScanner) {
+		this.limits = limits;
+		this.timeout = Duration.ofMillis(timeouts.bodyMs());
+		this.keyScanner = keyScanner;
+	}
+
+	/**
+	 * Reads the body.
+	 * @param exchange the request
+	 * @return the JSON object, an empty one if there is no body
+	 */
+	Mono<ObjectNode> read(Exchange exchange) {
+		return exchange.request()
+			.receive()
+			.asByteArray()
+			.reduceWith(ByteArrayOutputStream::new, this::append)
+			.timeout(this.timeout)
+			.onErrorMap(TimeoutException.class,
+					(ex) -> RefusalException
+						.malformed("the body was not complete after " + this.timeout.toMillis() + " ms"))
+			.map((body) -> parse(exchange, body.toByteArray()));
+	}
+
+	private ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] bytes) {
+		if (body.size() + bytes.length > this.limits.maxBodyBytes()) {
+			throw new RefusalException(Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE,
+					"the body has more than " + this.limits.maxBodyBytes() + " bytes", 0));
+		}
+		body.writeBytes(bytes);
+		return body;
+	}
+
+	private ObjectNode parse(Exchange exchange, byte[] bytes) {
+		if (bytes.length == 0) {
+			return JsonNodeFactory.instance.objectNode();
+		}
+		try {
+			JsonNode node = MAPPER.readTree(bytes);
+			if (!(node instanceof ObjectNode object)) {
+				throw RefusalException.malformed("the body is not a JSON object");
+			}
+			if (containsKey(exchange, object)) {
+				throw RefusalException.malformed("the body contains a key; a key may occur only in Authorization");
+			}
+			return object;
+		}
+		catch (JsonProcessingException ex) {
+			throw RefusalException.malformed("the body is not JSON: line " + ex.getLocation().getLineNr() + ", column "
+					+ ex.getLocation().getColumnNr());
+		}
+		catch (IOException ex) {
+			throw RefusalException.malformed("the body cannot be read");
+		}
+	}
+
+	private boolean containsKey(Exchange exchange, JsonNode node) {
+		if (node.isTextual()) {
+			return isKey(exchange, node.textValue());
+		}
+		for (Map.Entry<String, JsonNode> field : node.properties()) {
+			if (isKey(exchange, field.getKey()) || containsKey(exchange, field.getValue())) {
+				return true;
+			}
+		}
+		if (node.isArray()) {
+			for (JsonNode element : node) {
+				if (containsKey(exchange, element)) {
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
+	private boolean isKey(Exchange exchange, String text) {
+		String presentedKey = exchange.presentedKey();
+		return (presentedKey != null && text.contains(presentedKey)) || this.keyScanner.containsKey(text);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/CallAnswer.java
@@ -0,0 +1,189 @@
+package dev.nutmegdoor.node.entry;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBufUtil;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.node.settings.LimitSettings;
+
+/**
+ * Answer of one call between the control thread, which produces it, and the connection,
+ * which takes it at the speed of its reader. What waits for the reader is bounded; a call
+ * whose reader is too slow is ended. All methods but {@link #events} run on the control
+ * thread.
+ */
+final class CallAnswer implements CallListener {
+
+	private final CallRequest request;
+
+	private final LimitSettings limits;
+
+	private final InvariantRegistry invariants;
+
+	private final Runnable onEnd;
+
+	private final Sinks.Many<AnswerEvent> sink = Sinks.many().unicast().onBackpressureBuffer();
+
+	private final AtomicLong waitingBytes = new AtomicLong();
+
+	private final StringBuilder text = new StringBuilder();
+
+	private long totalBytes;
+
+	private @Nullable CallHandle handle;
+
+	private @Nullable Refusal abortion;
+
+	private boolean isEnded;
+
+	/**
+	 * Creates the answer.
+	 * @param request the call
+	 * @param limits bounds of the answer
+	 * @param invariants registry of checks
+	 * @param onEnd called once when the outcome is known
+	 */
+	CallAnswer(CallRequest request, LimitSettings limits, InvariantRegistry invariants, Runnable onEnd) {
+		this.request = request;
+		this.limits = limits;
+		this.invariants = invariants;
+		this.onEnd = onEnd;
+	}
+
+	CallRequest request() {
+		return this.request;
+	}
+
+	boolean isEnded() {
+		return this.isEnded;
+	}
+
+	void started(CallHandle callHandle) {
+		this.handle = callHandle;
+	}
+
+	/**
+	 * Returns the events of the call; may be subscribed to once.
+	 * @return events, ended by exactly one {@code Completed} or {@code Refused}
+	 */
+	Flux<AnswerEvent> events() {
+		return this.sink.asFlux().doOnNext((event) -> {
+			if (event instanceof AnswerEvent.Piece piece) {
+				this.waitingBytes.addAndGet(-ByteBufUtil.utf8Bytes(piece.text()));
+			}
+		});
+	}
+
+	@Override
+	public void generated(int offset, String piece) {
+		if (this.isEnded) {
+			return;
+		}
+		boolean isNext = this.invariants.check(Invariant.ANSWER_MATCH, offset == this.text.length(),
+				() -> "call " + this.request.decision() + " got text at offset " + offset + " after "
+						+ this.text.length() + " characters");
+		if (!isNext) {
+			abort(new Refusal(RefusalReason.INTERNAL, RunState.UNKNOWN, "part of the answer was lost", 0));
+			return;
+		}
+		int bytes = ByteBufUtil.utf8Bytes(piece);
+		this.text.append(piece);
+		this.totalBytes += bytes;
+		if (this.totalBytes > this.limits.maxStreamBytes()) {
+			abort(new Refusal(RefusalReason.INTERNAL, RunState.RAN,
+					"the answer has more than " + this.limits.maxStreamBytes() + " bytes", 0));
+			return;
+		}
+		if (this.waitingBytes.addAndGet(bytes) > this.limits.maxBufferedAnswerBytes()) {
+			abort(new Refusal(RefusalReason.CANCELLED, RunState.UNKNOWN, "the reader was too slow: more than "
+					+ this.limits.maxBufferedAnswerBytes() + " bytes of the answer were waiting", 0));
+			return;
+		}
+		emit(new AnswerEvent.Piece(offset, piece));
+	}
+
+	@Override
+	public void completed(CallResult result) {
+		if (this.isEnded) {
+			return;
+		}
+		if (this.request.payload() instanceof ModelCall) {
+			boolean isWhole = this.invariants.check(Invariant.ANSWER_MATCH,
+					result.body().startsWith(this.text.toString()),
+					() -> "call " + this.request.decision() + " streamed " + this.text.length()
+							+ " characters that differ from its answer of " + result.body().length());
+			if (!isWhole) {
+				end(new AnswerEvent.Refused(
+						new Refusal(RefusalReason.INTERNAL, RunState.RAN, "the answer was inconsistent", 0)));
+				return;
+			}
+			if (result.body().length() > this.text.length()) {
+				generated(this.text.length(), result.body().substring(this.text.length()));
+			}
+		}
+		if (!this.isEnded) {
+			end(new AnswerEvent.Completed(result));
+		}
+	}
+
+	@Override
+	public void refused(Refusal refusal) {
+		if (this.isEnded) {
+			return;
+		}
+		this.invariants.check(Invariant.NOT_RUN_TRUTH, refusal.run() != RunState.NOT_RUN || this.text.isEmpty(),
+				() -> "call " + this.request.decision() + " is reported as not run after it generated text");
+		Refusal abortedWith = this.abortion;
+		if (abortedWith != null) {
+			end(new AnswerEvent.Refused(new Refusal(abortedWith.reason(), refusal.run(), abortedWith.detail(),
+					abortedWith.retryAfterMs())));
+			return;
+		}
+		end(new AnswerEvent.Refused(refusal));
+	}
+
+	/**
+	 * Ends the call and its answer. Whether the call ran is taken from the runner if it
+	 * answers the cancellation at once, otherwise from the given refusal.
+	 * @param refusal last event for the caller
+	 */
+	void abort(Refusal refusal) {
+		if (this.isEnded) {
+			return;
+		}
+		this.abortion = refusal;
+		CallHandle callHandle = this.handle;
+		if (callHandle != null) {
+			callHandle.cancel();
+		}
+		if (!this.isEnded) {
+			end(new AnswerEvent.Refused(refusal));
+		}
+	}
+
+	private void end(AnswerEvent last) {
+		this.isEnded = true;
+		emit(last);
+		this.sink.tryEmitComplete();
+		this.onEnd.run();
+	}
+
+	private void emit(AnswerEvent event) {
+		// A caller that is gone has cancelled the subscription; the event is dropped.
+		this.sink.tryEmitNext(event);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/CallExchange.java
@@ -0,0 +1,37 @@
+package dev.nutmegdoor.node.entry;
+
+import reactor.core.publisher.Flux;
+import reactor.core.scheduler.Schedulers;
+
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+
+/**
+ * Starts calls on the control thread and brings their events to the event loop. A caller
+ * that closes its connection ends its call.
+ */
+final class CallExchange {
+
+	private final RunningCalls runningCalls;
+
+	private final ControlThread control;
+
+	CallExchange(RunningCalls runningCalls, ControlThread control) {
+		this.runningCalls = runningCalls;
+		this.control = control;
+	}
+
+	Flux<AnswerEvent> run(Exchange exchange, CallRequest request) {
+		return Flux.defer(() -> {
+			CallAnswer answer = this.runningCalls.prepare(request);
+			this.control.execute(() -> this.runningCalls.start(answer));
+			return answer.events()
+				.publishOn(Schedulers.fromExecutor(exchange.channel().eventLoop()), 16)
+				.doOnCancel(() -> this.control.execute(() -> answer
+					.abort(new Refusal(RefusalReason.CANCELLED, RunState.UNKNOWN, "the caller is gone", 0))));
+		});
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
@@ -0,0 +1,224 @@
+package dev.nutmegdoor.node.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.DecisionId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.node.settings.EntrySettings;
+
+/**
+ * HTTP server for callers. Every request gets a decision identifier and exactly one
+ * answer.
+ */
+public final class EntryServer {
+
+	private static final long DRAINING_RETRY_MS = 1_000;
+
+	private final EntrySettings settings;
+
+	private final EntryDependencies dependencies;
+
+	private final FilterChain chain;
+
+	private final Answers answers;
+
+	private final AtomicLong sequence = new AtomicLong();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private final MetricRegistry metrics;
+
+	private final EventLog eventLog;
+
+	private volatile InstanceState state = InstanceState.STARTING;
+
+	private @Nullable DisposableServer server;
+
+	/**
+	 * Creates the server; {@link #start} binds it.
+	 * @param settings settings of the instance
+	 * @param dependencies what requests need to run
+	 */
+	public EntryServer(EntrySettings settings, EntryDependencies dependencies) {
+		this.settings = settings;
+		this.dependencies = dependencies;
+		this.metrics = dependencies.metrics();
+		this.eventLog = dependencies.eventLog();
+		this.answers = new Answers(dependencies.configuration());
+		this.chain = chain();
+		this.metrics.gauge("entry.requests.running", () -> this.running::get);
+	}
+
+	private FilterChain chain() {
+		EntryDependencies parts = this.dependencies;
+		ControlThread control = new ControlThread(parts.timers());
+		RunningCalls runningCalls = new RunningCalls(parts.callRunner(), parts.authenticator(), parts.configuration(),
+				this.settings.limits(), parts.invariants(), parts.eventLog(), parts.timers());
+		CallExchange calls = new CallExchange(runningCalls, control);
+		BodyReader bodyReader = new BodyReader(this.settings.limits(), this.settings.timeouts(), parts.keyScanner());
+		CallHeaders headers = new CallHeaders(parts.configuration(), this.settings.timeouts().callMs());
+		List<RequestFilter> filters = List.of(this::refuseIfDraining, new SizeFilter(this.settings.limits()),
+				new AuthenticationFilter(parts.authenticator()), new RateFilter(parts.rateLimiter(), control));
+		List<Route> routes = List.of(
+				new ModelRoute(bodyReader, headers, calls, new ChatAnswers(this.answers), parts.configuration()),
+				new ServiceRoute(bodyReader, headers, calls, this.answers, parts.configuration()),
+				new ProgramRoute(bodyReader, parts.programs(), control, this.answers, parts.configuration()));
+		return new FilterChain(filters, routes);
+	}
+
+	/**
+	 * Binds the server.
+	 * @return the bound address
+	 */
+	public InetSocketAddress start() {
+		// The decoder's limit only bounds memory; the size filter refuses with a
+		// decision.
+		int decoderLimit = 2 * this.settings.limits().maxHeaderBytes();
+		this.server = HttpServer.create()
+			.host(this.settings.listen().host())
+			.port(this.settings.listen().port())
+			.idleTimeout(Duration.ofMillis(this.settings.timeouts().idleMs()))
+			.readTimeout(Duration.ofMillis(this.settings.timeouts().bodyMs()))
+			.httpRequestDecoder((spec) -> spec.maxHeaderSize(decoderLimit).maxInitialLineLength(decoderLimit))
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.handle(this::handle)
+			.bindNow();
+		return (InetSocketAddress) this.server.address();
+	}
+
+	public InstanceState state() {
+		return this.state;
+	}
+
+	/**
+	 * Changes the state that readiness shows.
+	 * @param newState the state
+	 */
+	public void enter(InstanceState newState) {
+		this.eventLog.record("entry.state", "instance", this.settings.instance(), "from", this.state, "to", newState);
+		this.state = newState;
+	}
+
+	/**
+	 * Returns the number of requests whose answer is not complete.
+	 * @return number of requests
+	 */
+	public int runningRequests() {
+		return this.running.get();
+	}
+
+	/**
+	 * Stops listening and closes all connections.
+	 */
+	public void stop() {
+		if (this.server != null) {
+			this.server.disposeNow();
+		}
+	}
+
+	private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+		Channel[] channel = new Channel[1];
+		request.withConnection((Connection connection) -> channel[0] = connection.channel());
+		DecisionId decision = new DecisionId(this.settings.instance() + "-" + this.sequence.incrementAndGet());
+		Exchange exchange = new Exchange(request, response, channel[0], decision);
+		Mono<Void> open = openRoute(exchange);
+		if (open != null) {
+			return open;
+		}
+		this.running.incrementAndGet();
+		return this.chain.run(exchange).onErrorResume((error) -> refuse(exchange, error)).doFinally((signal) -> {
+			this.running.decrementAndGet();
+			finished(exchange);
+		});
+	}
+
+	private Mono<Void> refuseIfDraining(Exchange exchange) {
+		if (this.state.isAccepting()) {
+			return Mono.empty();
+		}
+		exchange.response().header("Connection", "close");
+		return Mono.error(new RefusalException(Refusal.notRun(RefusalReason.DRAINING,
+				"the instance takes no work; another one does", DRAINING_RETRY_MS)));
+	}
+
+	private Mono<Void> refuse(Exchange exchange, Throwable error) {
+		Refusal refusal = refusalOf(exchange, error);
+		this.metrics.counter("entry.refused." + refusal.reason().typeName()).inc();
+		WorkspaceId workspace = exchange.workspaceOrNull();
+		this.eventLog.record("request.refused", "decision", exchange.decision(), "workspace",
+				(workspace != null) ? workspace : "-", "reason", refusal.reason().typeName(), "run",
+				refusal.run().wireName());
+		if (exchange.isAnswered()) {
+			return Mono.error(error);
+		}
+		return this.answers.problem(exchange, refusal);
+	}
+
+	private Refusal refusalOf(Exchange exchange, Throwable error) {
+		if (error instanceof RefusalException refused) {
+			return refused.refusal();
+		}
+		this.eventLog.record("request.failed", "decision", exchange.decision(), "error", error);
+		return new Refusal(RefusalReason.INTERNAL, RunState.UNKNOWN, "the request failed inside the scheduler", 0);
+	}
+
+	private void finished(Exchange exchange) {
+		this.metrics.timer("entry.requests").update(Duration.ofMillis(exchange.elapsedMs()));
+	}
+
+	private @Nullable Mono<Void> openRoute(Exchange exchange) {
+		if (!exchange.method().equals("GET")) {
+			return null;
+		}
+		return switch (exchange.path()) {
+			case "/healthz" -> this.answers.json(exchange, 200, "{\"status\":\"ok\"}");
+			case "/readyz" -> ready(exchange);
+			case "/status" -> this.answers.json(exchange, 200, status().toString());
+			default -> null;
+		};
+	}
+
+	private Mono<Void> ready(Exchange exchange) {
+		boolean isReady = this.state.isReady();
+		HttpResponseStatus status = isReady ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+		return this.answers.json(exchange, status.code(),
+				JsonNodeFactory.instance.objectNode().put("ready", isReady).put("state", stateName()).toString());
+	}
+
+	private ObjectNode status() {
+		return JsonNodeFactory.instance.objectNode()
+			.put("instance", this.settings.instance().value())
+			.put("availabilityZone", this.settings.availabilityZone().value())
+			.put("state", stateName())
+			.put("configurationVersion", this.dependencies.configuration().current().version())
+			.put("runningRequests", this.running.get());
+	}
+
+	private String stateName() {
+		return this.state.name().toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ProgramRoute.java
@@ -0,0 +1,106 @@
+package dev.nutmegdoor.node.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.ProgramBudget;
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.id.ProgramId;
+
+/**
+ * Opens and closes programs: {@code POST /v1/programs} and {@code DELETE
+ * /v1/programs/{id}}.
+ */
+final class ProgramRoute implements Route {
+
+	private static final String PATH = "/v1/programs";
+
+	private final BodyReader bodyReader;
+
+	private final ProgramGateway programs;
+
+	private final ControlThread control;
+
+	private final Answers answers;
+
+	private final ConfigurationView configuration;
+
+	ProgramRoute(BodyReader bodyReader, ProgramGateway programs, ControlThread control, Answers answers,
+			ConfigurationView configuration) {
+		this.bodyReader = bodyReader;
+		this.programs = programs;
+		this.control = control;
+		this.answers = answers;
+		this.configuration = configuration;
+	}
+
+	@Override
+	public boolean isFor(String method, String path) {
+		return (method.equals("POST") && path.equals(PATH)) || (method.equals("DELETE") && path.startsWith(PATH + "/"));
+	}
+
+	@Override
+	public Mono<Void> run(Exchange exchange) {
+		return exchange.method().equals("POST") ? open(exchange) : close(exchange);
+	}
+
+	private Mono<Void> open(Exchange exchange) {
+		ProgramId parent = CallHeaders.program(exchange, CallHeaders.PARENT);
+		return this.bodyReader.read(exchange).flatMap((body) -> {
+			ProgramBudget budget = budgetOf(exchange, body);
+			return this.control.call(exchange,
+					() -> this.programs.open(exchange.decision(), exchange.workspace(), parent, budget));
+		})
+			.flatMap((id) -> this.answers.json(exchange, 201,
+					JsonNodeFactory.instance.objectNode().put("id", id.toString()).toString()));
+	}
+
+	private Mono<Void> close(Exchange exchange) {
+		ProgramId id;
+		try {
+			id = ProgramId.parse(exchange.path().substring(PATH.length() + 1));
+		}
+		catch (IllegalArgumentException ex) {
+			return Mono.error(RefusalException.malformed("the path does not name a program"));
+		}
+		return this.control
+			.call(exchange,
+					() -> this.programs.close(exchange.decision(), exchange.workspace(), id).thenApply((closed) -> id))
+			.flatMap((closed) -> this.answers.json(exchange, 200,
+					JsonNodeFactory.instance.objectNode().put("id", id.toString()).put("state", "closed").toString()));
+	}
+
+	private @Nullable ProgramBudget budgetOf(Exchange exchange, ObjectNode body) {
+		JsonNode budget = body.get("budget");
+		Workspace workspace = this.configuration.current().workspaces().get(exchange.workspace());
+		if (budget == null || workspace == null) {
+			return null;
+		}
+		if (!budget.isObject()) {
+			throw RefusalException.malformed("budget: an object is expected");
+		}
+		ProgramBudget largest = workspace.budget();
+		return new ProgramBudget(bounded(budget, "maxTokens", largest.maxTokens()),
+				(int) bounded(budget, "maxCalls", largest.maxCalls()),
+				bounded(budget, "maxDurationMs", largest.maxDurationMs()),
+				(int) bounded(budget, "maxDepth", largest.maxDepth()));
+	}
+
+	private static long bounded(JsonNode budget, String name, long largest) {
+		JsonNode value = budget.path(name);
+		if (value.isMissingNode()) {
+			return largest;
+		}
+		if (!value.canConvertToLong() || !value.isIntegralNumber() || value.longValue() < 0
+				|| value.longValue() > largest) {
+			throw RefusalException
+				.malformed("budget." + name + ": a whole number from 0 to the workspace's " + largest + " is expected");
+		}
+		return value.longValue();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
@@ -0,0 +1,39 @@
+package dev.nutmegdoor.node.entry;
+
+import reactor.core.publisher.Mono;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.limit.Admission;
+import dev.nutmegdoor.core.limit.RateLimiter;
+
+/**
+ * Admits requests within the rate of their workspace.
+ */
+final class RateFilter implements RequestFilter {
+
+	private final RateLimiter limiter;
+
+	private final ControlThread control;
+
+	RateFilter(RateLimiter limiter, ControlThread control) {
+		this.limiter = limiter;
+		this.control = control;
+	}
+
+	@Override
+	public Mono<Void> filter(Exchange exchange) {
+		return this.control.call(exchange, () -> this.limiter.admit(exchange.workspace()))
+			.flatMap((admission) -> decide(exchange, admission));
+	}
+
+	private static Mono<Void> decide(Exchange exchange, Admission admission) {
+		exchange.admitted(admission);
+		if (admission.isAdmitted()) {
+			return Mono.empty();
+		}
+		return Mono.error(new RefusalException(Refusal.notRun(RefusalReason.RATE_LIMITED,
+				"the workspace is above its rate: " + admission.rule(), Math.max(1, admission.retryAfterMs()))));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/SizeFilter.java
@@ -0,0 +1,46 @@
+package dev.nutmegdoor.node.entry;
+
+import java.util.Map;
+
+import reactor.core.publisher.Mono;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.node.settings.LimitSettings;
+
+/**
+ * Refuses requests whose header or announced body is too large, before anything of the
+ * body is read.
+ */
+final class SizeFilter implements RequestFilter {
+
+	/** Characters that separate a field's name, value and end of line. */
+	private static final int FIELD_OVERHEAD = 4;
+
+	private final LimitSettings limits;
+
+	SizeFilter(LimitSettings limits) {
+		this.limits = limits;
+	}
+
+	@Override
+	public Mono<Void> filter(Exchange exchange) {
+		int headerBytes = exchange.request().uri().length();
+		for (Map.Entry<String, String> field : exchange.request().requestHeaders()) {
+			headerBytes += field.getKey().length() + field.getValue().length() + FIELD_OVERHEAD;
+		}
+		if (headerBytes > this.limits.maxHeaderBytes()) {
+			return tooLarge("the header has " + headerBytes + " bytes, more than " + this.limits.maxHeaderBytes());
+		}
+		String contentLength = exchange.header("Content-Length");
+		if (contentLength != null && Long.parseLong(contentLength) > this.limits.maxBodyBytes()) {
+			return tooLarge("the body has " + contentLength + " bytes, more than " + this.limits.maxBodyBytes());
+		}
+		return Mono.empty();
+	}
+
+	private static Mono<Void> tooLarge(String detail) {
+		return Mono.error(new RefusalException(Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, detail, 0)));
+	}
+
+}
