Add membership controller

Cause: routing and the assignment of shares need to know which instances there are, at a cost per instance that does not rise with the fleet.

--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/ChangeFlood.java
@@ -0,0 +1,42 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Collects changes for a moment, so that several go out in one message.
+ */
+final class ChangeFlood {
+
+	private static final long DELAY_MS = 5;
+
+	private final TimerService timer;
+
+	private final Consumer<MembershipChange> sender;
+
+	private final Map<InstanceId, MemberUpdate> pending = new LinkedHashMap<>();
+
+	ChangeFlood(TimerService timer, Consumer<MembershipChange> sender) {
+		this.timer = timer;
+		this.sender = sender;
+	}
+
+	void add(MemberUpdate update) {
+		if (this.pending.isEmpty()) {
+			this.timer.schedule(DELAY_MS, this::flush);
+		}
+		this.pending.put(update.member().id(), update);
+	}
+
+	private void flush() {
+		MembershipChange change = new MembershipChange(List.copyOf(this.pending.values()));
+		this.pending.clear();
+		this.sender.accept(change);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/DirectoryReader.java
@@ -0,0 +1,56 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Reads the platform's list at jittered times.
+ */
+final class DirectoryReader {
+
+	private final InstanceDirectory directory;
+
+	private final TimerService timer;
+
+	private final UniformRandomProvider random;
+
+	private final EventLog eventLog;
+
+	private final MembershipSettings settings;
+
+	private boolean read;
+
+	DirectoryReader(InstanceDirectory directory, TimerService timer, UniformRandomProvider random, EventLog eventLog,
+			MembershipSettings settings) {
+		this.directory = directory;
+		this.timer = timer;
+		this.random = random;
+		this.eventLog = eventLog;
+		this.settings = settings;
+	}
+
+	/**
+	 * Reads the list now and then periodically, more often until the first success.
+	 * @param listener receives the list and whether it is the first one
+	 */
+	void start(BiConsumer<List<DirectoryEntry>, Boolean> listener) {
+		this.directory.list().whenComplete((entries, error) -> {
+			if (error != null) {
+				this.eventLog.record("membership.directory_failed", "reason", error.toString());
+			}
+			else {
+				boolean isFirst = !this.read;
+				this.read = true;
+				listener.accept(entries, isFirst);
+			}
+			long periodMs = this.read ? this.settings.directoryMs() : this.settings.heartbeatMs();
+			this.timer.schedule(periodMs / 2 + this.random.nextLong(periodMs), () -> start(listener));
+		});
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/HeartbeatTargets.java
@@ -0,0 +1,99 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+
+/**
+ * Chooses to whom heartbeats go and whose silence is watched. The number of targets
+ * depends on the number of zones, not on the number of instances.
+ */
+final class HeartbeatTargets {
+
+	private final Member self;
+
+	private final int ringNeighbours;
+
+	private final UniformRandomProvider random;
+
+	HeartbeatTargets(Member self, int ringNeighbours, UniformRandomProvider random) {
+		this.self = self;
+		this.ringNeighbours = ringNeighbours;
+		this.random = random;
+	}
+
+	/**
+	 * Returns the targets of one round: the successors in the zone, one more instance of
+	 * the zone at random, and one at random of each other zone.
+	 * @param table known instances
+	 * @return the targets
+	 */
+	Set<InstanceId> next(MemberTable table) {
+		Set<InstanceId> targets = new LinkedHashSet<>(neighbours(table, true));
+		Map<AvailabilityZone, List<InstanceId>> byZone = new TreeMap<>();
+		for (MemberTable.Entry entry : table.entries()) {
+			if (entry.state() != MemberState.GONE) {
+				byZone.computeIfAbsent(entry.zone(), (zone) -> new ArrayList<>()).add(entry.id());
+			}
+		}
+		for (List<InstanceId> ids : byZone.values()) {
+			targets.add(ids.get(this.random.nextInt(ids.size())));
+		}
+		return targets;
+	}
+
+	/**
+	 * Returns random instances for passing on a change.
+	 * @param table known instances
+	 * @param count largest number
+	 * @return the instances
+	 */
+	Set<InstanceId> sample(MemberTable table, int count) {
+		List<InstanceId> ids = new ArrayList<>();
+		for (MemberTable.Entry entry : table.entries()) {
+			if (entry.state() != MemberState.GONE) {
+				ids.add(entry.id());
+			}
+		}
+		Set<InstanceId> sample = new LinkedHashSet<>();
+		while (!ids.isEmpty() && sample.size() < count) {
+			sample.add(ids.remove(this.random.nextInt(ids.size())));
+		}
+		return sample;
+	}
+
+	/**
+	 * Returns the neighbours in the ring of the own zone's instances.
+	 * @param table known instances
+	 * @param isForward successors if {@code true}, else predecessors
+	 * @return the nearest first
+	 */
+	List<InstanceId> neighbours(MemberTable table, boolean isForward) {
+		List<InstanceId> ring = new ArrayList<>();
+		int before = 0;
+		for (MemberTable.Entry entry : table.entries()) {
+			boolean isCandidate = entry.state() != MemberState.GONE
+					&& entry.zone().equals(this.self.availabilityZone());
+			if (isCandidate) {
+				ring.add(entry.id());
+				before += (entry.id().compareTo(this.self.id()) < 0) ? 1 : 0;
+			}
+		}
+		List<InstanceId> neighbours = new ArrayList<>();
+		int size = ring.size();
+		for (int i = 0; i < Math.min(this.ringNeighbours, size); i++) {
+			int index = isForward ? (before + i) : (before - 1 - i);
+			neighbours.add(ring.get(Math.floorMod(index, size)));
+		}
+		return neighbours;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MemberListeners.java
@@ -0,0 +1,42 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.InstanceId;
+
+/**
+ * Tells listeners of changes of state, each change once.
+ */
+final class MemberListeners {
+
+	private final EventLog eventLog;
+
+	private final List<Consumer<Member>> listeners = new ArrayList<>();
+
+	private final Map<InstanceId, MemberState> announced = new HashMap<>();
+
+	MemberListeners(EventLog eventLog) {
+		this.eventLog = eventLog;
+	}
+
+	void add(Consumer<Member> listener) {
+		this.listeners.add(listener);
+	}
+
+	void announce(Member member) {
+		MemberState before = this.announced.put(member.id(), member.state());
+		if (before == member.state()) {
+			return;
+		}
+		this.eventLog.record("membership.changed", "instance", member.id(), "state", member.state());
+		for (Consumer<Member> listener : List.copyOf(this.listeners)) {
+			listener.accept(member);
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MemberTable.java
@@ -0,0 +1,237 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import net.openhft.hashing.LongHashFunction;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+
+/**
+ * What is known of the other instances.
+ */
+final class MemberTable {
+
+	/** Heartbeats that carry a change; the flood reaches nearly all instances before. */
+	private static final int ROUNDS = 5;
+
+	/** Bounds a heartbeat to about 4 KB when many instances change at once. */
+	private static final int MAX_UPDATES = 32;
+
+	private static final LongHashFunction HASH = LongHashFunction.xx();
+
+	private final TreeMap<InstanceId, Entry> entries = new TreeMap<>();
+
+	private final Map<AvailabilityZone, Long> zoneHeardMs = new HashMap<>();
+
+	@Nullable Entry get(InstanceId id) {
+		return this.entries.get(id);
+	}
+
+	Collection<Entry> entries() {
+		return this.entries.values();
+	}
+
+	/**
+	 * Takes an update of another instance.
+	 * @param update the update
+	 * @param nowMs current time
+	 * @return {@code true} if it was news
+	 */
+	boolean merge(MemberUpdate update, long nowMs) {
+		Entry entry = this.entries.get(update.member().id());
+		if (entry == null) {
+			if (update.member().state() == MemberState.GONE) {
+				return false;
+			}
+			this.entries.put(update.member().id(), new Entry(update, nowMs));
+			this.zoneHeardMs.putIfAbsent(update.member().availabilityZone(), nowMs);
+			return true;
+		}
+		if (!update.isNewerThan(entry.update)) {
+			return false;
+		}
+		boolean isStateChange = entry.state() != update.member().state();
+		entry.update = update;
+		entry.roundsLeft = ROUNDS;
+		if (isStateChange) {
+			entry.sinceMs = nowMs;
+		}
+		return true;
+	}
+
+	void remove(InstanceId id) {
+		this.entries.remove(id);
+	}
+
+	void heard(InstanceId id, AvailabilityZone zone, long nowMs) {
+		Entry entry = this.entries.get(id);
+		if (entry != null) {
+			entry.heardMs = nowMs;
+		}
+		heardZone(zone, nowMs);
+	}
+
+	void heardZone(AvailabilityZone zone, long atMs) {
+		this.zoneHeardMs.merge(zone, atMs, Math::max);
+	}
+
+	long zoneAgeMs(AvailabilityZone zone, long nowMs) {
+		return nowMs - this.zoneHeardMs.getOrDefault(zone, nowMs);
+	}
+
+	Map<String, Long> zoneAgesMs(long nowMs) {
+		Map<String, Long> ages = new TreeMap<>();
+		this.zoneHeardMs.forEach((zone, heardMs) -> ages.put(zone.value(), nowMs - heardMs));
+		return ages;
+	}
+
+	/**
+	 * Restarts all measurements of silence after a pause of this process.
+	 * @param nowMs current time
+	 */
+	void restartSilence(long nowMs) {
+		this.zoneHeardMs.replaceAll((zone, heardMs) -> nowMs);
+		for (Entry entry : this.entries.values()) {
+			entry.heardMs = nowMs;
+			entry.sinceMs = nowMs;
+		}
+	}
+
+	/**
+	 * Returns the changes for the next heartbeat and counts the round.
+	 * @return at most {@link #MAX_UPDATES} updates
+	 */
+	List<MemberUpdate> nextUpdates() {
+		List<MemberUpdate> updates = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (entry.roundsLeft > 0 && updates.size() < MAX_UPDATES) {
+				entry.roundsLeft--;
+				updates.add(entry.update);
+			}
+		}
+		return updates;
+	}
+
+	List<Entry> takeListed(List<DirectoryEntry> listed) {
+		Set<InstanceId> ids = new HashSet<>();
+		listed.forEach((item) -> ids.add(item.id()));
+		List<Entry> present = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			boolean isListed = ids.contains(entry.id());
+			entry.dropped = entry.listed && !isListed;
+			entry.listed = entry.listed || isListed;
+			if (isListed) {
+				present.add(entry);
+			}
+		}
+		return present;
+	}
+
+	/**
+	 * Returns the instances that the platform's list used to show and no longer shows.
+	 * @return the instances that are not gone yet
+	 */
+	List<Entry> dropped() {
+		List<Entry> dropped = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (entry.dropped && entry.state() != MemberState.GONE) {
+				dropped.add(entry);
+			}
+		}
+		return dropped;
+	}
+
+	List<MemberUpdate> present() {
+		List<MemberUpdate> updates = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (entry.state() != MemberState.GONE) {
+				updates.add(entry.update);
+			}
+		}
+		return updates;
+	}
+
+	/**
+	 * Returns a hash of the instances that are present, equal on all instances that know
+	 * the same ones.
+	 * @param self own entry
+	 * @return the hash
+	 */
+	long digest(Member self) {
+		long digest = hash(self);
+		for (Entry entry : this.entries.values()) {
+			if (entry.state() != MemberState.GONE) {
+				digest ^= hash(entry.update.member());
+			}
+		}
+		return digest;
+	}
+
+	private static long hash(Member member) {
+		String suffix = (member.state() == MemberState.LEAVING) ? "/leaving" : "";
+		return HASH.hashChars(member.id().value() + suffix);
+	}
+
+	/**
+	 * An instance with what this process observed of it.
+	 */
+	static final class Entry {
+
+		private MemberUpdate update;
+
+		private int roundsLeft = ROUNDS;
+
+		private long heardMs;
+
+		private long sinceMs;
+
+		private boolean listed;
+
+		private boolean dropped;
+
+		private Entry(MemberUpdate update, long nowMs) {
+			this.update = update;
+			this.heardMs = nowMs;
+			this.sinceMs = nowMs;
+		}
+
+		MemberUpdate update() {
+			return this.update;
+		}
+
+		InstanceId id() {
+			return this.update.member().id();
+		}
+
+		AvailabilityZone zone() {
+			return this.update.member().availabilityZone();
+		}
+
+		MemberState state() {
+			return this.update.member().state();
+		}
+
+		long heardMs() {
+			return this.heardMs;
+		}
+
+		void setHeardMs(long heardMs) {
+			this.heardMs = heardMs;
+		}
+
+		long sinceMs() {
+			return this.sinceMs;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MembershipController.java
@@ -0,0 +1,312 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Keeps the list of instances. Each instance sends heartbeats to a few others; changes of
+ * state are passed on at once to a few random instances and repeated on heartbeats. A
+ * silent neighbour of the ring is suspect for everyone; the instances of a silent zone
+ * are suspect only in the own view, because the zone may be cut off rather than down.
+ */
+public final class MembershipController implements MembershipView {
+
+	/** Late ticks beyond this are a pause of this process, not silence of others. */
+	private static final long PAUSE_MS = 1000;
+
+	private static final long SYNC_TIMEOUT_MS = 1000;
+
+	private static final long SYNC_INTERVAL_MS = 5000;
+
+	private static final int JOIN_PEERS = 3;
+
+	private final TimerService timer;
+
+	private final PeerTransport transport;
+
+	private final InstanceDirectory directory;
+
+	private final UniformRandomProvider random;
+
+	private final EventLog eventLog;
+
+	private final MembershipSettings settings;
+
+	private final MemberTable table = new MemberTable();
+
+	private final HeartbeatTargets targets;
+
+	private final HeartbeatFields fields = new HeartbeatFields();
+
+	private final MemberListeners listeners;
+
+	private final ChangeFlood flood;
+
+	private final SilenceWatch watch;
+
+	private MemberUpdate self;
+
+	private @Nullable List<Member> snapshot;
+
+	private long lastTickMs;
+
+	private long nextSyncMs;
+
+	private long sentMessages;
+
+	public MembershipController(Member self, TimerService timer, PeerTransport transport, InstanceDirectory directory,
+			UniformRandomProvider random, EventLog eventLog, MembershipSettings settings) {
+		this.self = new MemberUpdate(self, 1);
+		this.timer = timer;
+		this.transport = transport;
+		this.directory = directory;
+		this.random = random;
+		this.eventLog = eventLog;
+		this.settings = settings;
+		this.listeners = new MemberListeners(eventLog);
+		this.targets = new HeartbeatTargets(self, settings.ringNeighbours(), random);
+		this.watch = new SilenceWatch(this.targets, settings);
+		this.flood = new ChangeFlood(timer, (change) -> {
+			for (InstanceId target : this.targets.sample(this.table, settings.floodFanOut())) {
+				send(target, change);
+			}
+		});
+	}
+
+	/**
+	 * Adds a field to heartbeats; to be called before {@link #start}.
+	 * @param extension the extension
+	 */
+	public void register(HeartbeatExtension extension) {
+		this.fields.add(extension);
+	}
+
+	/**
+	 * Joins the other instances and starts sending heartbeats.
+	 * @param seeds instances known from the settings, which are asked in addition to
+	 * those of the platform's list; may be empty
+	 */
+	public void start(List<Member> seeds) {
+		this.lastTickMs = this.timer.nowMs();
+		this.transport.subscribe(Heartbeat.class, this::receiveHeartbeat);
+		this.transport.subscribe(MembershipChange.class, (from, message) -> {
+			message.updates().forEach(this::merge);
+			return null;
+		});
+		this.transport.subscribe(MembershipSync.class, (from, message) -> {
+			merge(message.sender());
+			List<MemberUpdate> known = this.table.present();
+			known.add(this.self);
+			return CompletableFuture.completedFuture(new MembershipSyncAnswer(known));
+		});
+		for (Member seed : seeds) {
+			merge(new MemberUpdate(seed, 0));
+		}
+		join();
+		new DirectoryReader(this.directory, this.timer, this.random, this.eventLog, this.settings)
+			.start(this::takeDirectory);
+		this.timer.schedule(1 + this.random.nextLong(this.settings.heartbeatMs()), () -> {
+			tick();
+			this.timer.subscribe(this.settings.heartbeatMs(), this::tick);
+		});
+	}
+
+	/**
+	 * Tells all instances that this one drains.
+	 */
+	public void leave() {
+		this.self = new MemberUpdate(this.self.withState(MemberState.LEAVING).member(), this.self.version() + 1);
+		this.snapshot = null;
+		passOn(this.self);
+		announce(this.self.member().id());
+	}
+
+	@Override
+	public Member self() {
+		return this.self.member();
+	}
+
+	@Override
+	public List<Member> members() {
+		List<Member> members = this.snapshot;
+		if (members == null) {
+			members = new ArrayList<>();
+			members.add(this.self.member());
+			for (MemberTable.Entry entry : this.table.entries()) {
+				if (entry.state() != MemberState.GONE) {
+					members.add(view(entry));
+				}
+			}
+			members.sort((a, b) -> a.id().compareTo(b.id()));
+			members = List.copyOf(members);
+			this.snapshot = members;
+		}
+		return members;
+	}
+
+	@Override
+	public @Nullable Member member(InstanceId id) {
+		if (id.equals(this.self.member().id())) {
+			return this.self.member();
+		}
+		MemberTable.Entry entry = this.table.get(id);
+		return (entry != null) ? view(entry) : null;
+	}
+
+	@Override
+	public void subscribe(Consumer<Member> listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Returns the state of this controller.
+	 * @return a copy
+	 */
+	public MembershipDump dump() {
+		List<Member> members = new ArrayList<>();
+		for (MemberTable.Entry entry : this.table.entries()) {
+			members.add(view(entry));
+		}
+		return new MembershipDump(self(), this.self.version(), members, this.table.zoneAgesMs(this.timer.nowMs()),
+				this.sentMessages);
+	}
+
+	private Member view(MemberTable.Entry entry) {
+		boolean isCutOff = entry.state() == MemberState.LIVE
+				&& this.table.zoneAgeMs(entry.zone(), this.timer.nowMs()) > this.settings.zoneSuspectAfterMs();
+		return (isCutOff ? entry.update().withState(MemberState.SUSPECT) : entry.update()).member();
+	}
+
+	private void tick() {
+		long nowMs = this.timer.nowMs();
+		if (nowMs - this.lastTickMs > this.settings.heartbeatMs() + PAUSE_MS) {
+			this.eventLog.record("membership.paused", "late_ms", nowMs - this.lastTickMs);
+			this.table.restartSilence(nowMs);
+		}
+		this.lastTickMs = nowMs;
+		this.watch.findChanges(this.table, nowMs).forEach(this::merge);
+		for (InstanceId id : this.watch.findQuiet(this.table, nowMs)) {
+			send(id, heartbeat(List.of(), true));
+		}
+		Heartbeat heartbeat = heartbeat(this.table.nextUpdates(), false);
+		for (InstanceId target : this.targets.next(this.table)) {
+			send(target, heartbeat);
+		}
+		// The view of a zone changes with time alone.
+		this.snapshot = null;
+		for (MemberTable.Entry entry : this.table.entries()) {
+			announce(entry.id());
+		}
+	}
+
+	private Heartbeat heartbeat(List<MemberUpdate> updates, boolean answerWanted) {
+		return new Heartbeat(this.self, this.table.digest(self()), updates, this.table.zoneAgesMs(this.timer.nowMs()),
+				this.fields.write(), answerWanted);
+	}
+
+	private @Nullable CompletableFuture<? extends PeerMessage> receiveHeartbeat(InstanceId from, Heartbeat message) {
+		long nowMs = this.timer.nowMs();
+		merge(message.sender());
+		this.table.heard(from, message.sender().member().availabilityZone(), nowMs);
+		message.zoneAgesMs()
+			.forEach((zone, ageMs) -> this.table.heardZone(new AvailabilityZone(zone), nowMs - Math.max(0, ageMs)));
+		message.updates().forEach(this::merge);
+		MemberTable.Entry entry = this.table.get(from);
+		if (entry != null && entry.update().isNewerThan(message.sender())) {
+			// The sender is alive but believed suspect or gone; it has to raise its
+			// version.
+			send(from, new MembershipChange(List.of(entry.update())));
+		}
+		if (message.answerWanted()) {
+			send(from, heartbeat(List.of(), false));
+		}
+		if (message.digest() != this.table.digest(self()) && nowMs >= this.nextSyncMs) {
+			sync(from);
+		}
+		this.fields.read(from, message.fields());
+		return null;
+	}
+
+	private void sync(InstanceId peer) {
+		this.nextSyncMs = this.timer.nowMs() + SYNC_INTERVAL_MS + this.random.nextLong(SYNC_INTERVAL_MS);
+		this.sentMessages++;
+		this.transport.request(peer, new MembershipSync(this.self), MembershipSyncAnswer.class, SYNC_TIMEOUT_MS)
+			.whenComplete((answer, error) -> {
+				if (error == null) {
+					answer.members().forEach(this::merge);
+				}
+			});
+	}
+
+	private void merge(MemberUpdate update) {
+		if (update.member().id().equals(this.self.member().id())) {
+			boolean isWrong = update.version() >= this.self.version()
+					&& update.member().state() != this.self.member().state();
+			if (isWrong) {
+				this.self = new MemberUpdate(this.self.member(), update.version() + 1);
+				passOn(this.self);
+			}
+			return;
+		}
+		if (this.table.merge(update, this.timer.nowMs())) {
+			this.snapshot = null;
+			passOn(update);
+			announce(update.member().id());
+		}
+	}
+
+	private void passOn(MemberUpdate update) {
+		this.flood.add(update);
+	}
+
+	private void announce(InstanceId id) {
+		Member member = member(id);
+		if (member != null) {
+			this.listeners.announce(member);
+		}
+	}
+
+	private void join() {
+		for (InstanceId peer : this.targets.sample(this.table, JOIN_PEERS)) {
+			sync(peer);
+		}
+	}
+
+	private void takeDirectory(List<DirectoryEntry> listed, boolean isFirst) {
+		for (DirectoryEntry item : listed) {
+			merge(item.toUpdate());
+		}
+		for (MemberTable.Entry entry : this.table.takeListed(listed)) {
+			if (entry.state() == MemberState.GONE) {
+				send(entry.id(), heartbeat(List.of(entry.update()), true));
+			}
+		}
+		for (MemberTable.Entry entry : this.table.dropped()) {
+			// The list lags, so an instance that still sends heartbeats stays.
+			if (view(entry).state() != MemberState.LIVE) {
+				merge(entry.update().withState(MemberState.GONE));
+			}
+		}
+		if (isFirst) {
+			join();
+		}
+	}
+
+	private void send(InstanceId to, PeerMessage message) {
+		this.sentMessages++;
+		this.transport.send(to, message);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/SilenceWatch.java
@@ -0,0 +1,92 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import dev.nutmegdoor.core.id.InstanceId;
+
+/**
+ * Watches the predecessors in the ring, whose heartbeats this instance expects, and ages
+ * the states of silent instances.
+ */
+final class SilenceWatch {
+
+	private final HeartbeatTargets targets;
+
+	private final MembershipSettings settings;
+
+	private Set<InstanceId> watched = Set.of();
+
+	SilenceWatch(HeartbeatTargets targets, MembershipSettings settings) {
+		this.targets = targets;
+		this.settings = settings;
+	}
+
+	/**
+	 * Returns the changes of state that follow from silence.
+	 * @param table known instances
+	 * @param nowMs current time
+	 * @return the changes
+	 */
+	List<MemberUpdate> findChanges(MemberTable table, long nowMs) {
+		List<MemberUpdate> changes = new ArrayList<>();
+		Set<InstanceId> predecessors = new HashSet<>(this.targets.neighbours(table, false));
+		for (MemberTable.Entry entry : table.entries()) {
+			if (predecessors.contains(entry.id()) && !this.watched.contains(entry.id())) {
+				entry.setHeardMs(nowMs);
+			}
+		}
+		this.watched = predecessors;
+		long suspectMs = this.settings.goneAfterMs() - this.settings.suspectAfterMs();
+		for (MemberTable.Entry entry : List.copyOf(table.entries())) {
+			boolean isSilent = predecessors.contains(entry.id())
+					&& nowMs - entry.heardMs() > this.settings.suspectAfterMs();
+			long ageMs = nowMs - entry.sinceMs();
+			switch (entry.state()) {
+				case LIVE -> {
+					if (isSilent) {
+						changes.add(entry.update().withState(MemberState.SUSPECT));
+					}
+				}
+				case LEAVING -> {
+					if (isSilent) {
+						changes.add(entry.update().withState(MemberState.GONE));
+					}
+				}
+				case SUSPECT -> {
+					if (ageMs > suspectMs) {
+						changes.add(entry.update().withState(MemberState.GONE));
+					}
+				}
+				case GONE -> {
+					if (ageMs > this.settings.tombstoneMs()) {
+						table.remove(entry.id());
+					}
+				}
+			}
+		}
+		return changes;
+	}
+
+	/**
+	 * Returns the watched instances that will be suspect unless they answer now.
+	 * @param table known instances
+	 * @param nowMs current time
+	 * @return the instances
+	 */
+	List<InstanceId> findQuiet(MemberTable table, long nowMs) {
+		List<InstanceId> quiet = new ArrayList<>();
+		for (InstanceId id : this.watched) {
+			MemberTable.Entry entry = table.get(id);
+			boolean isQuiet = entry != null && entry.state() == MemberState.LIVE
+					&& nowMs - entry.heardMs() > this.settings.suspectAfterMs() - this.settings.heartbeatMs();
+			if (isQuiet) {
+				quiet.add(id);
+			}
+		}
+		return quiet;
+	}
+
+}
