Add instance lease with witnesses and a simulated fleet

Cause: everything an instance owns depends on a lease that survives store outages and cut-off zones and that is never ended while it is valid. Change: store record plus up to four witnesses; acknowledgements and concurrences always share a witness; witnesses also keep the newest holdings, which the fencer hands to one heir. While it is unknown which witnesses the record names, a quorum of each possible set is needed. Renewals are jittered and back off. FakeFleet runs both controllers on virtual time.

--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeDirectory.java
@@ -0,0 +1,94 @@
+package dev.nutmegdoor.core.fake;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.membership.InstanceDirectory;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * List of instances on virtual time that shows starts and ends late.
+ */
+public final class FakeDirectory {
+
+	private final VirtualTimerService timer;
+
+	private final long lagMs;
+
+	private final Map<InstanceId, Listed> entries = new LinkedHashMap<>();
+
+	private boolean available = true;
+
+	public FakeDirectory(VirtualTimerService timer, long lagMs) {
+		this.timer = timer;
+		this.lagMs = lagMs;
+	}
+
+	public void setAvailable(boolean isAvailable) {
+		this.available = isAvailable;
+	}
+
+	/**
+	 * Adds an instance, which shows up after the lag.
+	 * @param entry the instance
+	 * @param isListed whether it shows up at once
+	 */
+	public void add(DirectoryEntry entry, boolean isListed) {
+		long fromMs = isListed ? Long.MIN_VALUE : (this.timer.nowMs() + this.lagMs);
+		this.entries.put(entry.id(), new Listed(entry, fromMs, Long.MAX_VALUE));
+	}
+
+	/**
+	 * Removes an instance, which disappears after the lag.
+	 * @param id the instance
+	 */
+	public void remove(InstanceId id) {
+		Listed listed = this.entries.get(id);
+		if (listed != null) {
+			this.entries.put(id, new Listed(listed.entry, listed.fromMs, this.timer.nowMs() + this.lagMs));
+		}
+	}
+
+	/**
+	 * Returns the directory as one host sees it.
+	 * @param host the host
+	 * @return a client whose callbacks run on the host
+	 */
+	public InstanceDirectory clientOf(FakeHost host) {
+		return () -> {
+			CompletableFuture<List<DirectoryEntry>> result = new CompletableFuture<>();
+			host.schedule(2, () -> {
+				if (this.available) {
+					result.complete(list());
+				}
+				else {
+					result.completeExceptionally(
+							new StoreException(StoreFailure.UNAVAILABLE, "the list of instances is unavailable"));
+				}
+			});
+			return result;
+		};
+	}
+
+	private List<DirectoryEntry> list() {
+		List<DirectoryEntry> shown = new ArrayList<>();
+		for (Listed listed : this.entries.values()) {
+			if (listed.fromMs <= this.timer.nowMs() && this.timer.nowMs() < listed.untilMs) {
+				shown.add(listed.entry);
+			}
+		}
+		return shown;
+	}
+
+	private record Listed(DirectoryEntry entry, long fromMs, long untilMs) {
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeFleet.java
@@ -0,0 +1,182 @@
+package dev.nutmegdoor.core.fake;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.lease.LeaseController;
+import dev.nutmegdoor.core.lease.LeaseSettings;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.membership.Member;
+import dev.nutmegdoor.core.membership.MemberState;
+import dev.nutmegdoor.core.membership.MembershipController;
+import dev.nutmegdoor.core.membership.MembershipSettings;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * Simulated instances in several zones with one store, on virtual time.
+ */
+public final class FakeFleet {
+
+	private static final long DIRECTORY_LAG_MS = 5000;
+
+	private final UniformRandomProvider random;
+
+	private final VirtualTimerService timer = new VirtualTimerService(1_780_000_000_000L);
+
+	private final FakeObjectStore store;
+
+	private final FakePeerNetwork network;
+
+	private final FakeDirectory directory;
+
+	private final List<AvailabilityZone> zones = new ArrayList<>();
+
+	private final Map<InstanceId, FakeInstance> instances = new LinkedHashMap<>();
+
+	private StepListener steps = StepListener.NONE;
+
+	private EventLog eventLog = EventLog.NONE;
+
+	private int started;
+
+	public FakeFleet(long seed, int zoneCount) {
+		this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+		this.store = new FakeObjectStore(this.timer, nextRandom(), StoreFaults.NONE);
+		this.network = new FakePeerNetwork(nextRandom(), LinkSettings.RELIABLE);
+		this.directory = new FakeDirectory(this.timer, DIRECTORY_LAG_MS);
+		for (int i = 0; i < zoneCount; i++) {
+			this.zones.add(new AvailabilityZone(String.valueOf((char) ('a' + i))));
+		}
+	}
+
+	public void setSteps(StepListener steps) {
+		this.steps = steps;
+	}
+
+	public void setEventLog(EventLog eventLog) {
+		this.eventLog = eventLog;
+	}
+
+	public VirtualTimerService timer() {
+		return this.timer;
+	}
+
+	public FakeObjectStore store() {
+		return this.store;
+	}
+
+	public FakePeerNetwork network() {
+		return this.network;
+	}
+
+	public FakeDirectory directory() {
+		return this.directory;
+	}
+
+	public List<AvailabilityZone> zones() {
+		return List.copyOf(this.zones);
+	}
+
+	/**
+	 * Returns a generator that depends on the seed of the fleet.
+	 * @return a new generator
+	 */
+	public UniformRandomProvider nextRandom() {
+		return RandomSource.XO_SHI_RO_256_PP.create(this.random.nextLong());
+	}
+
+	public List<FakeInstance> instances() {
+		return List.copyOf(this.instances.values());
+	}
+
+	/**
+	 * Returns the instances that run.
+	 * @return those that neither crashed nor are paused
+	 */
+	public List<FakeInstance> running() {
+		List<FakeInstance> running = new ArrayList<>(this.instances.values());
+		running.removeIf((instance) -> !instance.isRunning());
+		return running;
+	}
+
+	/**
+	 * Starts instances, one zone after the other in turn.
+	 * @param count number of instances
+	 */
+	public void start(int count) {
+		for (int i = 0; i < count; i++) {
+			start(this.zones.get(i % this.zones.size()), true);
+		}
+	}
+
+	/**
+	 * Starts an instance.
+	 * @param zone its zone
+	 * @param isListed whether the platform's list shows it at once
+	 * @return the instance
+	 */
+	public FakeInstance start(AvailabilityZone zone, boolean isListed) {
+		InstanceId id = new InstanceId(String.format("i-%s-%03d", zone, this.started++));
+		// Offsets of clocks must not matter to anything.
+		FakeHost host = new FakeHost(this.timer, id, zone, this.random.nextLong(1_000_000));
+		PeerTransport transport = this.network.join(host);
+		ObjectStore client = this.store.clientOf(host);
+		DirectoryEntry entry = new DirectoryEntry(id, zone, "127.0.0.1", 7000 + this.started, false);
+		this.directory.add(entry, isListed);
+		Member self = new Member(id, zone, entry.host(), entry.port(), MemberState.LIVE);
+		MembershipController membership = new MembershipController(self, host, transport, this.directory.clientOf(host),
+				nextRandom(), this.eventLog, MembershipSettings.DEFAULT);
+		LeaseController lease = new LeaseController(host, transport, client, membership, nextRandom(), this.steps,
+				this.eventLog, LeaseSettings.DEFAULT);
+		FakeInstance instance = new FakeInstance(host, membership, lease);
+		this.instances.put(id, instance);
+		host.run(() -> {
+			membership.start(List.of());
+			lease.start();
+		});
+		return instance;
+	}
+
+	/**
+	 * Ends an instance without warning.
+	 * @param instance the instance
+	 */
+	public void crash(FakeInstance instance) {
+		instance.host().crash();
+		this.directory.remove(instance.id());
+	}
+
+	/**
+	 * Cuts or restores the links of a zone to the other zones and to the store.
+	 * @param zone the zone
+	 * @param isCut whether the links are cut
+	 */
+	public void setCut(AvailabilityZone zone, boolean isCut) {
+		for (AvailabilityZone other : this.zones) {
+			if (!other.equals(zone)) {
+				this.network.setCut(zone, other, isCut);
+			}
+		}
+		this.store.setCut(zone, isCut);
+	}
+
+	/**
+	 * Lets virtual time pass.
+	 * @param durationMs span in milliseconds
+	 */
+	public void advance(long durationMs) {
+		this.timer.advance(durationMs);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeInstance.java
@@ -0,0 +1,28 @@
+package dev.nutmegdoor.core.fake;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.lease.LeaseController;
+import dev.nutmegdoor.core.membership.MembershipController;
+
+/**
+ * One simulated instance with its controllers.
+ *
+ * @param host process
+ * @param membership membership controller
+ * @param lease lease controller
+ */
+public record FakeInstance(FakeHost host, MembershipController membership, LeaseController lease) {
+
+	public InstanceId id() {
+		return this.host.id();
+	}
+
+	/**
+	 * Returns whether the process runs.
+	 * @return {@code true} unless it has crashed or is paused
+	 */
+	public boolean isRunning() {
+		return !this.host.isCrashed() && !this.host.isPaused();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/HeldLease.java
@@ -0,0 +1,244 @@
+package dev.nutmegdoor.core.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * The own lease: messages to the witnesses, records of holdings, validity.
+ */
+final class HeldLease {
+
+	/** A record that neither the witnesses nor the store confirm by then is given up. */
+	private static final long RECORD_TIMEOUT_MS = 3000;
+
+	/** Wait for the witnesses before the store is asked to record holdings. */
+	private static final long STORE_FALLBACK_MS = 200;
+
+	private static final int SILENT_BEATS = 3;
+
+	private final TimerService timer;
+
+	private final PeerTransport transport;
+
+	private final EventLog eventLog;
+
+	private final LeaseSettings settings;
+
+	private final WitnessAcknowledgements acknowledgements = new WitnessAcknowledgements();
+
+	private final HoldingsLog holdings = new HoldingsLog();
+
+	private final List<LeaseListener> listeners = new ArrayList<>();
+
+	private final List<PendingRecord> pending = new ArrayList<>();
+
+	private final LeaseRenewal renewal;
+
+	private LeaseState announced = LeaseState.NONE;
+
+	private boolean ended;
+
+	private long storeSentMs = Long.MIN_VALUE;
+
+	private long storedVersion;
+
+	private boolean beatScheduled;
+
+	HeldLease(TimerService timer, PeerTransport transport, LeaseRecords records, WitnessSelector selector,
+			UniformRandomProvider random, StepListener steps, EventLog eventLog, LeaseSettings settings) {
+		this.timer = timer;
+		this.transport = transport;
+		this.eventLog = eventLog;
+		this.settings = settings;
+		this.renewal = new LeaseRenewal(this, timer, records, selector, random, () -> steps.reached(Step.LEASE_RENEW),
+				settings);
+	}
+
+	void start() {
+		this.renewal.start();
+	}
+
+	void tick() {
+		beat();
+		announce();
+	}
+
+	boolean isValid() {
+		return !this.ended && this.timer.nowMs() < validUntilMs();
+	}
+
+	long validUntilMs() {
+		long sentMs = Math.max(this.storeSentMs, (epoch() > 0) ? this.acknowledgements.quorumSentMs() : Long.MIN_VALUE);
+		return (sentMs == Long.MIN_VALUE) ? Long.MIN_VALUE
+				: (sentMs + this.settings.ttlMs() - this.settings.marginMs());
+	}
+
+	long epoch() {
+		return this.renewal.epoch();
+	}
+
+	LeaseState state() {
+		if (this.ended) {
+			return LeaseState.FENCED;
+		}
+		if (epoch() == 0) {
+			return LeaseState.NONE;
+		}
+		return isValid() ? LeaseState.VALID : LeaseState.EXPIRED;
+	}
+
+	void subscribe(LeaseListener listener) {
+		this.listeners.add(listener);
+	}
+
+	HoldingsLog holdings() {
+		return this.holdings;
+	}
+
+	WitnessAcknowledgements acknowledgements() {
+		return this.acknowledgements;
+	}
+
+	List<InstanceId> witnesses() {
+		return List.copyOf(this.acknowledgements.all());
+	}
+
+	CompletableFuture<Boolean> record(Map<String, Long> changes) {
+		if (this.ended) {
+			return CompletableFuture.completedFuture(false);
+		}
+		PendingRecord record = new PendingRecord(this.holdings.set(changes), new CompletableFuture<>());
+		this.pending.add(record);
+		beatSoon();
+		this.timer.schedule(STORE_FALLBACK_MS, () -> {
+			if (!record.result.isDone()) {
+				this.renewal.renewNow();
+			}
+		});
+		this.timer.schedule(RECORD_TIMEOUT_MS, () -> {
+			if (this.pending.remove(record)) {
+				record.result.complete(false);
+			}
+		});
+		return record.result;
+	}
+
+	CompletableFuture<Boolean> release() {
+		return this.renewal.release();
+	}
+
+	/**
+	 * Notes that the store has a record of this lease.
+	 * @param sentMs time at which the write was sent
+	 * @param holdingsVersion version of the holdings that it contains
+	 */
+	void stored(long sentMs, long holdingsVersion) {
+		this.storeSentMs = Math.max(this.storeSentMs, sentMs);
+		this.storedVersion = Math.max(this.storedVersion, holdingsVersion);
+		settle();
+		announce();
+	}
+
+	void end(String reason) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		this.eventLog.record("lease.ended", "epoch", epoch(), "reason", reason);
+		List<PendingRecord> failed = List.copyOf(this.pending);
+		this.pending.clear();
+		failed.forEach((record) -> record.result.complete(false));
+		announce();
+	}
+
+	private void beat() {
+		if (this.ended || epoch() == 0) {
+			return;
+		}
+		long sentMs = this.timer.nowMs();
+		Map<Long, Map<String, Long>> changesBySince = new TreeMap<>();
+		for (InstanceId witness : this.acknowledgements.all()) {
+			boolean isSilent = sentMs - this.acknowledgements.sentMsOf(witness) > SILENT_BEATS * this.settings.beatMs();
+			// A witness that may be down gets the changes only after it has answered.
+			long since = isSilent ? this.holdings.version() : this.acknowledgements.versionOf(witness);
+			Map<String, Long> changes = changesBySince.computeIfAbsent(since, this.holdings::changesSince);
+			LeaseBeat beat = new LeaseBeat(epoch(), since, this.holdings.version(), changes);
+			this.transport.request(witness, beat, LeaseBeatAnswer.class, this.settings.requestTimeoutMs())
+				.whenComplete((answer, error) -> receive(witness, sentMs, beat.version(), answer, error));
+		}
+	}
+
+	private void beatSoon() {
+		if (!this.beatScheduled) {
+			this.beatScheduled = true;
+			this.timer.schedule(0, () -> {
+				this.beatScheduled = false;
+				beat();
+			});
+		}
+	}
+
+	private void receive(InstanceId witness, long sentMs, long sentVersion, @Nullable LeaseBeatAnswer answer,
+			@Nullable Throwable error) {
+		if (error != null || answer == null || this.ended) {
+			return;
+		}
+		if (answer.isAccepted()) {
+			this.acknowledgements.acknowledged(witness, sentMs, answer.version());
+			settle();
+			if (!this.pending.isEmpty() && answer.version() < sentVersion) {
+				beatSoon();
+			}
+			announce();
+		}
+		else {
+			this.acknowledgements.refused(witness);
+			this.renewal.renewNow();
+		}
+	}
+
+	private void settle() {
+		if (this.pending.isEmpty()) {
+			return;
+		}
+		long durable = Math.max(this.storedVersion, this.acknowledgements.quorumVersion());
+		List<PendingRecord> settled = new ArrayList<>();
+		this.pending.removeIf((record) -> {
+			boolean isDurable = record.version <= durable;
+			if (isDurable) {
+				settled.add(record);
+			}
+			return isDurable;
+		});
+		settled.forEach((record) -> record.result.complete(true));
+	}
+
+	void announce() {
+		LeaseState state = state();
+		if (state != this.announced) {
+			this.announced = state;
+			this.eventLog.record("lease.changed", "state", state, "epoch", epoch());
+			for (LeaseListener listener : List.copyOf(this.listeners)) {
+				listener.changed(state);
+			}
+		}
+	}
+
+	private record PendingRecord(long version, CompletableFuture<Boolean> result) {
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseController.java
@@ -0,0 +1,163 @@
+package dev.nutmegdoor.core.lease;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Holds the lease of this instance, witnesses the leases of others, and fences instances
+ * that are silent. A valid holder is never fenced: the store record must be unchanged for
+ * the life of a lease, and enough witnesses must have been without a sign of life as
+ * long, so that the acknowledgements which extend a lease and the concurrences which end
+ * it always share a witness.
+ */
+public final class LeaseController implements InstanceLease, LeaseHoldings {
+
+	/** Late ticks beyond this are a pause of this process, not silence of others. */
+	private static final long PAUSE_MS = 1000;
+
+	private final TimerService timer;
+
+	private final PeerTransport transport;
+
+	private final UniformRandomProvider random;
+
+	private final LeaseSettings settings;
+
+	private final HeldLease lease;
+
+	private final WitnessRegister register;
+
+	private final LeaseFencer fencer;
+
+	private final LeaseReaper reaper;
+
+	private long lastTickMs;
+
+	public LeaseController(TimerService timer, PeerTransport transport, ObjectStore store, MembershipView membership,
+			UniformRandomProvider random, StepListener steps, EventLog eventLog, LeaseSettings settings) {
+		this.timer = timer;
+		this.transport = transport;
+		this.random = random;
+		this.settings = settings;
+		LeaseRecords records = new LeaseRecords(store);
+		this.register = new WitnessRegister(settings);
+		this.lease = new HeldLease(timer, transport, records, new WitnessSelector(membership), random, steps, eventLog,
+				settings);
+		this.fencer = new LeaseFencer(transport.self(), timer, transport, records, this.register, random, steps,
+				eventLog, settings);
+		this.reaper = new LeaseReaper(membership, timer);
+	}
+
+	/**
+	 * Acquires the lease and starts to witness and fence; to be called after the
+	 * membership has started.
+	 */
+	public void start() {
+		this.lastTickMs = this.timer.nowMs();
+		this.transport.subscribe(LeaseBeat.class, (from, message) -> CompletableFuture
+			.completedFuture(this.register.beat(from, message, this.timer.nowMs())));
+		this.transport.subscribe(ConcurrenceRequest.class, (from, message) -> {
+			noticePause();
+			return CompletableFuture.completedFuture(this.register.concur(message, this.timer.nowMs()));
+		});
+		this.lease.start();
+		this.timer.schedule(1 + this.random.nextLong(this.settings.beatMs()), () -> {
+			tick();
+			this.timer.subscribe(this.settings.beatMs(), this::tick);
+		});
+		this.timer.schedule(1 + this.random.nextLong(this.settings.reapMs()),
+				() -> this.timer.subscribe(this.settings.reapMs(), this::reap));
+	}
+
+	@Override
+	public boolean isValid() {
+		return this.lease.isValid();
+	}
+
+	@Override
+	public long epoch() {
+		return this.lease.epoch();
+	}
+
+	@Override
+	public void subscribe(LeaseListener listener) {
+		this.lease.subscribe(listener);
+	}
+
+	@Override
+	public CompletableFuture<Boolean> fence(InstanceId holder) {
+		return this.fencer.fence(holder);
+	}
+
+	@Override
+	public CompletableFuture<Boolean> record(Map<String, Long> changes) {
+		return this.lease.record(changes);
+	}
+
+	@Override
+	public void subscribeAdoption(AdoptionListener listener) {
+		this.fencer.subscribeAdoption(listener);
+	}
+
+	@Override
+	public CompletableFuture<@Nullable Map<String, Long>> finalHoldings(InstanceId holder) {
+		return this.fencer.finalHoldings(holder);
+	}
+
+	/**
+	 * Gives up the lease at the end of a drain; nothing may be owned any more.
+	 * @return completes once the store has recorded it
+	 */
+	public CompletableFuture<Boolean> release() {
+		return this.lease.release();
+	}
+
+	/**
+	 * Returns the state of this controller.
+	 * @return a copy
+	 */
+	public LeaseDump dump() {
+		long nowMs = this.timer.nowMs();
+		return new LeaseDump(this.lease.state(), epoch(), Math.max(0, this.lease.validUntilMs() - nowMs),
+				this.lease.witnesses(), this.lease.holdings().version(), this.lease.holdings().size(),
+				this.register.silenceMs(nowMs), this.fencer.attempts());
+	}
+
+	private void tick() {
+		noticePause();
+		this.lastTickMs = this.timer.nowMs();
+		this.lease.tick();
+	}
+
+	private void noticePause() {
+		long nowMs = this.timer.nowMs();
+		if (nowMs - this.lastTickMs > this.settings.beatMs() + PAUSE_MS) {
+			this.register.restartSilence(nowMs);
+		}
+	}
+
+	private void reap() {
+		if (!isValid()) {
+			return;
+		}
+		for (InstanceId holder : this.reaper.due()) {
+			fence(holder).thenAccept((isFenced) -> {
+				if (isFenced) {
+					this.reaper.fenced(holder);
+				}
+			});
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseHoldings.java
@@ -0,0 +1,38 @@
+package dev.nutmegdoor.core.lease;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.InstanceId;
+
+/**
+ * Durable record of what this instance owns under its lease: small numbers by name. The
+ * instance that fences the lease receives the last recorded values.
+ */
+public interface LeaseHoldings {
+
+	/**
+	 * Records changed entries at the witnesses, or in the store if they don't answer.
+	 * @param changes entries with their new values
+	 * @return {@code true} once the values, or later ones, will be part of the holdings
+	 * that a fencer receives; {@code false} if that is unknown
+	 */
+	CompletableFuture<Boolean> record(Map<String, Long> changes);
+
+	/**
+	 * Registers the owner of the entries.
+	 * @param listener receives the holdings of instances that this one has fenced
+	 */
+	void subscribeAdoption(AdoptionListener listener);
+
+	/**
+	 * Reads the last holdings of an instance whose lease has ended.
+	 * @param holder the instance
+	 * @return the holdings, or {@code null} if the lease has not ended or the holdings
+	 * are not known for certain
+	 */
+	CompletableFuture<@Nullable Map<String, Long>> finalHoldings(InstanceId holder);
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseReaper.java
@@ -0,0 +1,93 @@
+package dev.nutmegdoor.core.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import net.openhft.hashing.LongHashFunction;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.Member;
+import dev.nutmegdoor.core.membership.MemberState;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Decides which silent instances this one tries to fence, so that normally a single
+ * instance per silent one loads the store.
+ */
+final class LeaseReaper {
+
+	/** The next instance in line joins in when the earlier ones have not succeeded. */
+	private static final long TURN_MS = 10_000;
+
+	private static final LongHashFunction HASH = LongHashFunction.xx();
+
+	private final MembershipView membership;
+
+	private final TimerService timer;
+
+	private final Map<InstanceId, Silent> silent = new TreeMap<>();
+
+	LeaseReaper(MembershipView membership, TimerService timer) {
+		this.membership = membership;
+		this.timer = timer;
+		membership.subscribe(this::changed);
+	}
+
+	private void changed(Member member) {
+		boolean isSilent = member.state() == MemberState.SUSPECT || member.state() == MemberState.GONE;
+		if (!isSilent) {
+			this.silent.remove(member.id());
+		}
+		else {
+			this.silent.putIfAbsent(member.id(), new Silent(member, this.timer.nowMs()));
+		}
+	}
+
+	void fenced(InstanceId holder) {
+		this.silent.remove(holder);
+	}
+
+	/**
+	 * Returns the instances that this one should try to fence now.
+	 * @return the instances
+	 */
+	List<InstanceId> due() {
+		List<InstanceId> due = new ArrayList<>();
+		long nowMs = this.timer.nowMs();
+		this.silent.forEach((holder, entry) -> {
+			long waitedMs = nowMs - entry.sinceMs;
+			if (waitedMs >= rank(entry.member) * TURN_MS) {
+				due.add(holder);
+			}
+		});
+		return due;
+	}
+
+	// Returns how many live instances come before this one; those of the silent
+	// instance's zone come first, because what it held belongs there.
+	private int rank(Member holder) {
+		Member self = this.membership.self();
+		long own = score(holder, self);
+		int rank = 0;
+		for (Member member : this.membership.members()) {
+			boolean isBefore = member.state().isRoutable() && !member.id().equals(self.id())
+					&& score(holder, member) < own;
+			rank += isBefore ? 1 : 0;
+		}
+		return rank;
+	}
+
+	private static long score(Member holder, Member candidate) {
+		long hash = HASH.hashChars(holder.id().value() + "/" + candidate.id().value()) >>> 2;
+		boolean isSameZone = holder.availabilityZone().equals(candidate.availabilityZone());
+		return isSameZone ? hash : (hash + (Long.MAX_VALUE >>> 1));
+	}
+
+	private record Silent(Member member, long sinceMs) {
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/WitnessQuorum.java
@@ -0,0 +1,34 @@
+package dev.nutmegdoor.core.lease;
+
+/**
+ * Numbers of witnesses needed. Acknowledgements and concurrences always add up to one
+ * more than the witnesses, so that any two such sets share a witness.
+ */
+final class WitnessQuorum {
+
+	private WitnessQuorum() {
+	}
+
+	/**
+	 * Returns the acknowledgements that extend a lease.
+	 * @param witnesses witnesses named in the record
+	 * @return the number; without witnesses no number is enough
+	 */
+	static int acknowledgements(int witnesses) {
+		return switch (witnesses) {
+			case 0 -> Integer.MAX_VALUE;
+			case 1, 2 -> 1;
+			default -> 2;
+		};
+	}
+
+	/**
+	 * Returns the concurrences that allow fencing.
+	 * @param witnesses witnesses named in the record
+	 * @return the number
+	 */
+	static int concurrences(int witnesses) {
+		return (witnesses == 0) ? 0 : (witnesses + 1 - acknowledgements(witnesses));
+	}
+
+}
