--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/ForwardedCalls.java
@@ -0,0 +1,174 @@
+package dev.nutmegdoor.core.call;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.program.HomeLostException;
+import dev.nutmegdoor.core.program.PartitionHint;
+import dev.nutmegdoor.core.program.ProgramDependencies;
+import dev.nutmegdoor.core.program.ProgramException;
+import dev.nutmegdoor.core.program.ProgramHomes;
+
+/**
+ * Home's side of forwarded calls: runs each once per identifier, streams it back, and
+ * repeats its outcome until the entry instance has it.
+ */
+public final class ForwardedCalls {
+
+	/**
+	 * Time for which an ended call is recognised, so that a forward that is delayed in
+	 * the network does not start it again after a refusal.
+	 */
+	private static final long KEPT_MS = 120_000;
+
+	private static final int OUTCOME_ATTEMPTS = 20;
+
+	private final ProgramDependencies dependencies;
+
+	private final ProgramHomes homes;
+
+	private final Map<String, Forwarded> calls = new HashMap<>();
+
+	public ForwardedCalls(ProgramDependencies dependencies, ProgramHomes homes) {
+		this.dependencies = dependencies;
+		this.homes = homes;
+		dependencies.transport()
+			.subscribe(CallForward.class,
+					(from, forward) -> CompletableFuture.completedFuture(forwarded(from, forward)));
+		dependencies.transport().subscribe(CallResume.class, (from, resume) -> {
+			Forwarded call = this.calls.get(resume.callId());
+			if (call != null) {
+				call.resume(resume.offset());
+			}
+			return null;
+		});
+		dependencies.transport().subscribe(CallCancel.class, (from, cancel) -> {
+			Forwarded call = this.calls.get(cancel.callId());
+			if (call != null) {
+				call.handle.cancel();
+			}
+			return null;
+		});
+		dependencies.transport()
+			.subscribe(ProgramOpen.class, (from, open) -> homes.open(open.program(), open.workspace(), open.parent())
+				.handle((id, error) -> new ProgramAnswer(open.program(), refusalOf(error))));
+		dependencies.transport()
+			.subscribe(ProgramClose.class, (from, close) -> homes.close(close.program(), close.workspace())
+				.handle((ignored, error) -> new ProgramAnswer(close.program(), refusalOf(error))));
+	}
+
+	public int size() {
+		return this.calls.size();
+	}
+
+	private CallAccepted forwarded(InstanceId from, CallForward forward) {
+		Forwarded known = this.calls.get(forward.callId());
+		if (known != null) {
+			known.resume(forward.offset());
+			return new CallAccepted(forward.callId(), true, null);
+		}
+		CallRequest request = forward.request();
+		ProgramId log = this.homes.logOf(request);
+		if (log != null && !this.homes.isServing(log.partitionName())) {
+			PartitionHint hint = this.homes.controller().table().find(log.partitionName());
+			return new CallAccepted(forward.callId(), false, hint);
+		}
+		Forwarded call = new Forwarded(forward.callId(), from);
+		this.calls.put(forward.callId(), call);
+		call.handle = this.homes.run(request, call);
+		return new CallAccepted(forward.callId(), true, null);
+	}
+
+	static @Nullable Refusal refusalOf(@Nullable Throwable error) {
+		if (error == null) {
+			return null;
+		}
+		Throwable cause = (error.getCause() != null) ? error.getCause() : error;
+		if (cause instanceof ProgramException exception) {
+			return exception.refusal();
+		}
+		RefusalReason reason = (cause instanceof HomeLostException) ? RefusalReason.NOT_OWNER : RefusalReason.INTERNAL;
+		return new Refusal(reason, RunState.UNKNOWN, "the home of the program changed", 500);
+	}
+
+	private final class Forwarded implements CallListener {
+
+		private final String callId;
+
+		private final InstanceId entry;
+
+		private final StringBuilder text = new StringBuilder();
+
+		private CallHandle handle = () -> {
+		};
+
+		private @Nullable CallOutcome outcome;
+
+		private boolean isSending;
+
+		private Forwarded(String callId, InstanceId entry) {
+			this.callId = callId;
+			this.entry = entry;
+		}
+
+		private void resume(int offset) {
+			if (this.outcome != null) {
+				deliver(this.outcome, 0);
+			}
+			else if (offset >= 0 && offset < this.text.length()) {
+				ForwardedCalls.this.dependencies.transport()
+					.send(this.entry, new CallChunk(this.callId, offset, this.text.substring(offset)));
+			}
+		}
+
+		@Override
+		public void generated(int offset, String piece) {
+			if (offset == this.text.length()) {
+				this.text.append(piece);
+				ForwardedCalls.this.dependencies.transport()
+					.send(this.entry, new CallChunk(this.callId, offset, piece));
+			}
+		}
+
+		@Override
+		public void completed(CallResult result) {
+			end(new CallOutcome(this.callId, result, null));
+		}
+
+		@Override
+		public void refused(Refusal refusal) {
+			end(new CallOutcome(this.callId, null, refusal));
+		}
+
+		private void end(CallOutcome ended) {
+			this.outcome = ended;
+			this.text.setLength(0);
+			ForwardedCalls.this.dependencies.timer()
+				.schedule(KEPT_MS, () -> ForwardedCalls.this.calls.remove(this.callId));
+			deliver(ended, 0);
+		}
+
+		private void deliver(CallOutcome ended, int attempt) {
+			if (this.isSending || attempt >= OUTCOME_ATTEMPTS) {
+				return;
+			}
+			this.isSending = true;
+			ProgramDependencies dependencies = ForwardedCalls.this.dependencies;
+			dependencies.transport()
+				.request(this.entry, ended, CallOutcomeAck.class, dependencies.settings().appendTimeoutMs())
+				.whenComplete((ack, error) -> {
+					this.isSending = false;
+					if (error != null) {
+						deliver(ended, attempt + 1);
+					}
+				});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RoutingCallRunner.java
@@ -0,0 +1,157 @@
+package dev.nutmegdoor.core.call;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.program.ProgramDependencies;
+import dev.nutmegdoor.core.program.ProgramException;
+import dev.nutmegdoor.core.program.ProgramHomes;
+
+/**
+ * Entry's side of calls: runs a call here if this instance is its home or if it needs
+ * none, and otherwise forwards it to its home.
+ */
+public final class RoutingCallRunner implements CallRunner {
+
+	private static final int OPEN_ATTEMPTS = 20;
+
+	private final ProgramDependencies dependencies;
+
+	private final ProgramHomes homes;
+
+	private final HomeRoutes routes;
+
+	private final Map<String, RoutedCall> calls = new HashMap<>();
+
+	private long sequence;
+
+	public RoutingCallRunner(ProgramDependencies dependencies, ProgramHomes homes) {
+		this.dependencies = dependencies;
+		this.homes = homes;
+		this.routes = new HomeRoutes(dependencies, homes);
+		dependencies.transport().subscribe(CallChunk.class, (from, chunk) -> {
+			RoutedCall call = this.calls.get(chunk.callId());
+			if (call != null) {
+				call.chunk(from, chunk);
+			}
+			return null;
+		});
+		dependencies.transport().subscribe(CallOutcome.class, (from, outcome) -> {
+			RoutedCall call = this.calls.get(outcome.callId());
+			if (call != null) {
+				call.outcome(from, outcome);
+			}
+			return CompletableFuture.completedFuture(new CallOutcomeAck(outcome.callId()));
+		});
+	}
+
+	public int size() {
+		return this.calls.size();
+	}
+
+	@Override
+	public CallHandle run(CallRequest request, CallListener listener) {
+		ProgramId log = this.homes.logOf(request);
+		if (log == null) {
+			return this.homes.run(request, listener);
+		}
+		String callId = this.dependencies.transport().self() + "-" + this.sequence++;
+		RoutedCall call = new RoutedCall(callId, request, log.partitionName(), listener, this.dependencies, this.homes,
+				this.routes, () -> this.calls.remove(callId));
+		this.calls.put(callId, call);
+		call.start();
+		return call::cancel;
+	}
+
+	/**
+	 * Opens a program near this instance, or at the home of its parent.
+	 * @param workspace workspace of the program
+	 * @param parent program whose sub-agent it is, or {@code null}
+	 * @return the identifier; fails with {@link ProgramException}
+	 */
+	public CompletableFuture<ProgramId> open(WorkspaceId workspace, @Nullable ProgramId parent) {
+		String suffix = Long.toString(this.dependencies.random().nextLong() >>> 1, 36);
+		ProgramId id;
+		if (parent != null) {
+			id = new ProgramId(parent.availabilityZone(), parent.partition(), suffix);
+		}
+		else {
+			String partition = partitionForNewProgram();
+			if (partition == null) {
+				return CompletableFuture.failedFuture(new ProgramException(Refusal
+					.notRun(RefusalReason.HOME_UNREACHABLE, "no home for new programs is reachable", 1_000)));
+			}
+			id = ProgramId.parse(partition + "." + suffix);
+		}
+		CompletableFuture<ProgramId> result = new CompletableFuture<>();
+		ask(id, new ProgramOpen(id, workspace, parent), () -> this.homes.open(id, workspace, parent), result,
+				OPEN_ATTEMPTS);
+		return result;
+	}
+
+	/**
+	 * Ends a program wherever its home is.
+	 * @param workspace workspace of the program
+	 * @param id the program
+	 * @return completes when the end is durable; fails with {@link ProgramException}
+	 */
+	public CompletableFuture<ProgramId> close(WorkspaceId workspace, ProgramId id) {
+		CompletableFuture<ProgramId> result = new CompletableFuture<>();
+		ask(id, new ProgramClose(id, workspace), () -> this.homes.close(id, workspace).thenApply((done) -> id), result,
+				OPEN_ATTEMPTS);
+		return result;
+	}
+
+	private @Nullable String partitionForNewProgram() {
+		List<String> own = this.homes.openPartitions();
+		if (!own.isEmpty()) {
+			return own.get(this.dependencies.random().nextInt(own.size()));
+		}
+		AvailabilityZone zone = this.dependencies.members().self().availabilityZone();
+		List<String> near = this.routes.reachablePartitions(zone);
+		List<String> candidates = near.isEmpty() ? this.routes.reachablePartitions(null) : near;
+		return candidates.isEmpty() ? null : candidates.get(this.dependencies.random().nextInt(candidates.size()));
+	}
+
+	private void ask(ProgramId id, dev.nutmegdoor.core.peer.PeerMessage message,
+			java.util.function.Supplier<CompletableFuture<ProgramId>> local, CompletableFuture<ProgramId> result,
+			int attemptsLeft) {
+		InstanceId owner = this.routes.routableOwner(id.partitionName());
+		CompletableFuture<ProgramAnswer> answer;
+		if (this.homes.isServing(id.partitionName())) {
+			answer = local.get().handle((done, error) -> new ProgramAnswer(id, ForwardedCalls.refusalOf(error)));
+		}
+		else if (owner == null || owner.equals(this.dependencies.transport().self())) {
+			answer = CompletableFuture.completedFuture(new ProgramAnswer(id, HomeRoutes.UNREACHABLE));
+		}
+		else {
+			answer = this.dependencies.transport()
+				.request(owner, message, ProgramAnswer.class, this.dependencies.settings().appendTimeoutMs() * 4);
+		}
+		answer.whenComplete((value, error) -> {
+			Refusal refusal = (error != null) ? HomeRoutes.UNREACHABLE : value.refusal();
+			boolean isRetryable = refusal != null && (refusal.reason() == RefusalReason.NOT_OWNER
+					|| refusal.reason() == RefusalReason.HOME_UNREACHABLE);
+			if (refusal == null) {
+				result.complete(id);
+			}
+			else if (isRetryable && attemptsLeft > 1) {
+				this.dependencies.timer()
+					.schedule(HomeRoutes.RETRY_MS, () -> ask(id, message, local, result, attemptsLeft - 1));
+				this.homes.controller().table().refreshEarly();
+			}
+			else {
+				result.completeExceptionally(new ProgramException(refusal));
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/Hashes.java
@@ -0,0 +1,43 @@
+package dev.nutmegdoor.core.program;
+
+import net.openhft.hashing.LongHashFunction;
+
+import dev.nutmegdoor.core.call.CallPayload;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * Hashes on which instances have to agree.
+ */
+final class Hashes {
+
+	private static final LongHashFunction FIRST = LongHashFunction.xx();
+
+	private static final LongHashFunction SECOND = LongHashFunction.xx(1);
+
+	private Hashes() {
+	}
+
+	static long ofPayload(CallPayload payload) {
+		return FIRST.hashChars(payload.getClass().getSimpleName() + Json.write(payload));
+	}
+
+	/**
+	 * Returns the log that remembers an idempotency key of calls without a program.
+	 * @param settings zones and partitions
+	 * @param workspace workspace of the call
+	 * @param key idempotency key
+	 * @return identifier of the log; 128 bits of hash make a collision negligible
+	 */
+	static ProgramId keyLog(ProgramSettings settings, WorkspaceId workspace, String key) {
+		String text = workspace + "/" + key;
+		long first = FIRST.hashChars(text);
+		long second = SECOND.hashChars(text);
+		int zones = settings.keyZones().size();
+		AvailabilityZone zone = settings.keyZones().get((int) Long.remainderUnsigned(first, zones));
+		int partition = (int) Long.remainderUnsigned(second, settings.partitionsPerZone());
+		return new ProgramId(zone, partition, "key-" + Long.toHexString(first) + "-" + Long.toHexString(second));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/Json.java
@@ -0,0 +1,37 @@
+package dev.nutmegdoor.core.program;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * JSON form of store records and log bodies. Unknown fields are ignored so that versions
+ * can mix.
+ */
+final class Json {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper()
+		.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+	private Json() {
+	}
+
+	static String write(Object value) {
+		try {
+			return MAPPER.writeValueAsString(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("can't write " + value.getClass().getSimpleName(), ex);
+		}
+	}
+
+	static <T> T read(String text, Class<T> type) {
+		try {
+			return MAPPER.readValue(text, type);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("not a valid " + type.getSimpleName(), ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/LogChain.java
@@ -0,0 +1,105 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.ProgramId;
+
+/**
+ * The log of one program as one instance holds it.
+ */
+final class LogChain {
+
+	private final ProgramId program;
+
+	private final List<LogEntry> entries = new ArrayList<>();
+
+	LogChain(ProgramId program) {
+		this.program = program;
+	}
+
+	ProgramId program() {
+		return this.program;
+	}
+
+	int size() {
+		return this.entries.size();
+	}
+
+	List<LogEntry> entries() {
+		return Collections.unmodifiableList(this.entries);
+	}
+
+	List<LogEntry> after(int sequence, int limit) {
+		int end = (int) Math.min(this.entries.size(), (long) sequence + limit);
+		return new ArrayList<>(this.entries.subList(Math.min(sequence, end), end));
+	}
+
+	@Nullable LogEntry last() {
+		return this.entries.isEmpty() ? null : this.entries.get(this.entries.size() - 1);
+	}
+
+	LogEntry add(long epoch, EntryType type, String body) {
+		LogEntry entry = LogEntry.following(this.program, last(), epoch, type, body);
+		this.entries.add(entry);
+		return entry;
+	}
+
+	/**
+	 * Takes an entry from the owner; an entry that differs from the held one replaces it
+	 * and everything after it.
+	 * @param entry the entry
+	 * @return {@code false} if the entry does not continue this chain
+	 */
+	boolean accept(LogEntry entry) {
+		int sequence = entry.sequence();
+		if (sequence < 1 || sequence > this.entries.size() + 1 || !entry.isIntact()) {
+			return false;
+		}
+		if (sequence <= this.entries.size() && this.entries.get(sequence - 1).hash() == entry.hash()) {
+			return true;
+		}
+		long previousHash = (sequence == 1) ? 0 : this.entries.get(sequence - 2).hash();
+		if (previousHash != entry.previousHash()) {
+			return false;
+		}
+		this.entries.subList(sequence - 1, this.entries.size()).clear();
+		this.entries.add(entry);
+		return true;
+	}
+
+	/**
+	 * Returns whether this chain is to be adopted rather than another one: the higher
+	 * epoch of the last entry wins, then the longer chain.
+	 * @param other chain of the same program from another replica
+	 * @return {@code true} if this one is newer
+	 */
+	boolean isNewerThan(LogChain other) {
+		LogEntry mine = last();
+		LogEntry theirs = other.last();
+		if (mine == null || theirs == null) {
+			return mine != null;
+		}
+		if (mine.epoch() != theirs.epoch()) {
+			return mine.epoch() > theirs.epoch();
+		}
+		return size() > other.size();
+	}
+
+	/**
+	 * Returns how many entries from the start two chains share.
+	 * @param other chain of the same program
+	 * @return number of equal entries
+	 */
+	int commonLength(LogChain other) {
+		int length = Math.min(size(), other.size());
+		while (length > 0 && this.entries.get(length - 1).hash() != other.entries.get(length - 1).hash()) {
+			length--;
+		}
+		return length;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceCall.java
@@ -0,0 +1,18 @@
+package dev.nutmegdoor.core.program;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.OnceState;
+
+/**
+ * An operation that runs at most once, as its log describes it.
+ *
+ * @param intended the intent
+ * @param state state
+ * @param result answer of the service, if known
+ * @param changedMs wall-clock time of the last change
+ */
+record OnceCall(IntendedBody intended, OnceState state, @Nullable CallResult result, long changedMs) {
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceCallRunner.java
@@ -0,0 +1,249 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.Locale;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.call.OnceState;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.explain.DecisionKind;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.invariant.Invariant;
+
+/**
+ * Runs operations that may run at most once: the intent is durable on the replicas before
+ * the operation is sent, and an operation whose outcome is unknown is never sent again.
+ */
+final class OnceCallRunner {
+
+	/**
+	 * Keys that carry a time start with it: milliseconds since the epoch and a hyphen.
+	 */
+	private static final java.util.regex.Pattern DATED_KEY = java.util.regex.Pattern.compile("(\\d{13})-.*");
+
+	/** Largest difference between the clocks of callers and instances. */
+	private static final long SKEW_MS = 60_000;
+
+	private static final CallHandle NO_HANDLE = () -> {
+	};
+
+	private final ProgramDependencies dependencies;
+
+	private final HomeCalls calls;
+
+	private final CallRunner lower;
+
+	private final OnceOutcomes outcomes;
+
+	private final boolean isIntentFirst;
+
+	OnceCallRunner(ProgramDependencies dependencies, HomeCalls calls, CallRunner lower, OnceOutcomes outcomes,
+			boolean isIntentFirst) {
+		this.dependencies = dependencies;
+		this.calls = calls;
+		this.lower = lower;
+		this.outcomes = outcomes;
+		this.isIntentFirst = isIntentFirst;
+	}
+
+	/**
+	 * Returns the time that a key carries.
+	 * @param key idempotency key
+	 * @return milliseconds since the epoch, or -1 if it carries none
+	 */
+	static long carriedMs(String key) {
+		java.util.regex.Matcher matcher = DATED_KEY.matcher(key);
+		return matcher.matches() ? Long.parseLong(matcher.group(1)) : -1;
+	}
+
+	static String keyOf(CallRequest request, ServiceCall call) {
+		String key = call.idempotencyKey();
+		return (key != null) ? key : "turn-" + request.turn();
+	}
+
+	CallHandle run(PartitionHome home, ProgramId program, CallRequest request, CallListener listener,
+			Runnable whenEnded) {
+		ServiceCall call = (ServiceCall) request.payload();
+		String key = keyOf(request, call);
+		ProgramState state = home.program(program);
+		OnceCall known = (state != null) ? state.onceCalls().get(key) : null;
+		RunningCall running = this.calls.find(program, key);
+		OnceInputs inputs = inputs(request, key, known, running != null);
+		OnceDecision decision = OnceRule.decide(inputs);
+		boolean isRefusal = decision.name().startsWith("REFUSE");
+		this.calls.record(request, DecisionKind.AT_MOST_ONCE, isRefusal, inputs, decision,
+				isRefusal ? "a new idempotency key would be sent" : "");
+		if (decision == OnceDecision.ATTACH && running != null) {
+			return running.attach(listener);
+		}
+		if (decision == OnceDecision.STORED && known != null && known.result() != null) {
+			this.dependencies.invariants()
+				.check(Invariant.ANSWER_MATCH, known.intended().requestHash() == Hashes.ofPayload(call),
+						() -> "answer of key " + key + " belongs to another request");
+			listener.completed(known.result());
+			return NO_HANDLE;
+		}
+		if (decision != OnceDecision.SEND) {
+			listener.refused(refusal(decision));
+			return NO_HANDLE;
+		}
+		return send(home, program, request, key, listener, whenEnded);
+	}
+
+	private OnceInputs inputs(CallRequest request, String key, @Nullable OnceCall known, boolean isRunning) {
+		long nowMs = this.dependencies.timer().wallClockMs();
+		long carriedMs = carriedMs(key);
+		long ageMs = (known != null) ? Math.max(0, nowMs - known.intended().wallClockMs()) : 0;
+		if (carriedMs >= 0) {
+			ageMs = nowMs - carriedMs;
+		}
+		boolean isSame = known != null && known.intended().requestHash() == Hashes.ofPayload(request.payload())
+				&& known.intended().workspace().equals(request.workspace());
+		return new OnceInputs((known != null) ? known.state() : null, isSame, isRunning, ageMs,
+				this.dependencies.settings().keyRetentionMs(), SKEW_MS);
+	}
+
+	private CallHandle send(PartitionHome home, ProgramId program, CallRequest request, String key,
+			CallListener listener, Runnable whenEnded) {
+		ServiceCall call = (ServiceCall) request.payload();
+		RunningCall running = this.calls.start(home, program, request.turn(), key);
+		CallHandle detach = running.attach(listener);
+		IntendedBody body = new IntendedBody(request.turn(), key, Hashes.ofPayload(call), request.workspace(), call,
+				this.dependencies.timer().wallClockMs());
+		long startMs = this.dependencies.timer().nowMs();
+		if (!this.isIntentFirst) {
+			dispatch(home, program, request, key, running, startMs, whenEnded);
+			home.append(program, EntryType.CALL_INTENDED, body, true);
+			return detach;
+		}
+		CompletableFuture<LogEntry> intent = home.append(program, EntryType.CALL_INTENDED, body, true);
+		this.dependencies.timer().schedule(request.timeoutMs(), () -> {
+			if (!running.isDispatched() && !running.isEnded()) {
+				running.abandon();
+				Refusal refusal = Refusal.notRun(RefusalReason.HOME_UNREACHABLE,
+						"the intent could not be recorded on enough instances", 1_000);
+				settle(home, running, key, OnceState.NOT_SENT, null, refusal, whenEnded);
+			}
+		});
+		intent.whenComplete((entry, error) -> {
+			if (running.isAbandoned() || running.isEnded()) {
+				return;
+			}
+			if (error != null || !this.dependencies.lease().isValid()) {
+				end(home, running, key, whenEnded);
+				running.refuse(HomeCalls.notOwner(RunState.NOT_RUN));
+				return;
+			}
+			dispatch(home, program, request, key, running, startMs, whenEnded);
+		});
+		return detach;
+	}
+
+	private void dispatch(PartitionHome home, ProgramId program, CallRequest request, String key, RunningCall running,
+			long startMs, Runnable whenEnded) {
+		ProgramState state = home.program(program);
+		OnceCall intended = (state != null) ? state.onceCalls().get(key) : null;
+		this.dependencies.invariants()
+			.check(Invariant.AT_MOST_ONCE, intended != null && intended.state() == OnceState.INTENDED,
+					() -> "operation with key " + key + " is sent without an intent");
+		running.dispatching();
+		long remainingMs = Math.max(1, request.timeoutMs() - (this.dependencies.timer().nowMs() - startMs));
+		CallRequest dispatched = new CallRequest(request.decision(), request.workspace(), request.key(),
+				request.program(), request.turn(), request.workKind(), request.payload(), remainingMs);
+		this.dependencies.steps().reached(Step.DISPATCH);
+		running.dispatched(this.lower.run(dispatched, new CallListener() {
+
+			@Override
+			public void generated(int offset, String text) {
+				running.generated(offset, text);
+			}
+
+			@Override
+			public void completed(CallResult result) {
+				if (result.status() >= 500) {
+					unknown(home, running, key, "the service answered with status " + result.status(), whenEnded);
+				}
+				else {
+					settle(home, running, key, OnceState.SETTLED, result, null, whenEnded);
+				}
+			}
+
+			@Override
+			public void refused(Refusal refusal) {
+				if (refusal.run() == RunState.NOT_RUN) {
+					settle(home, running, key, OnceState.NOT_SENT, null, refusal, whenEnded);
+				}
+				else {
+					unknown(home, running, key, refusal.detail(), whenEnded);
+				}
+			}
+
+		}));
+	}
+
+	private void unknown(PartitionHome home, RunningCall running, String key, String detail, Runnable whenEnded) {
+		ProgramState state = home.program(running.program());
+		OnceCall call = (state != null) ? state.onceCalls().get(key) : null;
+		if (call == null || home.isLost()) {
+			end(home, running, key, whenEnded);
+			running.refuse(HomeCalls.notOwner(RunState.UNKNOWN));
+			return;
+		}
+		this.outcomes.ask(call.intended().call()).thenAccept((outcome) -> {
+			Refusal refusal = (outcome.state() == OnceState.SETTLED) ? null
+					: (outcome.state() == OnceState.NOT_SENT)
+							? Refusal.notRun(RefusalReason.UPSTREAM_FAILED, detail, HomeCalls.RETRY_AFTER_MS)
+							: new Refusal(RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN, detail, 0);
+			settle(home, running, key, outcome.state(), outcome.result(), refusal, whenEnded);
+		});
+	}
+
+	private void settle(PartitionHome home, RunningCall running, String key, OnceState state,
+			@Nullable CallResult result, @Nullable Refusal refusal, Runnable whenEnded) {
+		this.dependencies.steps().reached(Step.SETTLE);
+		SettledBody body = new SettledBody(key, state, result, state.name().toLowerCase(Locale.ROOT),
+				this.dependencies.timer().wallClockMs());
+		home.append(running.program(), EntryType.CALL_SETTLED, body, false).whenComplete((entry, error) -> {
+			end(home, running, key, whenEnded);
+			if (error != null) {
+				running.refuse(HomeCalls.notOwner((state == OnceState.NOT_SENT) ? RunState.NOT_RUN : RunState.UNKNOWN));
+			}
+			else if (refusal != null) {
+				running.refuse(refusal);
+			}
+			else {
+				running.complete(Objects.requireNonNull(result));
+			}
+		});
+	}
+
+	private void end(PartitionHome home, RunningCall running, String key, Runnable whenEnded) {
+		this.calls.end(home, running, key);
+		whenEnded.run();
+	}
+
+	private static Refusal refusal(OnceDecision decision) {
+		return switch (decision) {
+			case REFUSE_REUSED -> Refusal.notRun(RefusalReason.IDEMPOTENCY_KEY_REUSED,
+					"the idempotency key came with another request before", 0);
+			case REFUSE_EXPIRED -> new Refusal(RefusalReason.IDEMPOTENCY_KEY_EXPIRED, RunState.UNKNOWN,
+					"the idempotency key is too old", 0);
+			case REFUSE_MALFORMED ->
+				Refusal.notRun(RefusalReason.MALFORMED_REQUEST, "the idempotency key carries a time in the future", 0);
+			default -> new Refusal(RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN,
+					"the outcome of the operation is unknown until an operator resolves it", 0);
+		};
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceOutcomes.java
@@ -0,0 +1,65 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.Comparator;
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.OnceState;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ServiceOperation;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.upstream.ServiceAnswer;
+import dev.nutmegdoor.core.upstream.ServiceClient;
+
+/**
+ * Asks a service for the outcome of an interrupted operation, if it can be asked.
+ */
+final class OnceOutcomes {
+
+	private static final long QUERY_TIMEOUT_MS = 2_000;
+
+	private final ProgramDependencies dependencies;
+
+	private final ServiceClient services;
+
+	OnceOutcomes(ProgramDependencies dependencies, ServiceClient services) {
+		this.dependencies = dependencies;
+		this.services = services;
+	}
+
+	/**
+	 * Asks for the outcome.
+	 * @param call the operation
+	 * @return the outcome; unknown if the service can't be asked or doesn't answer
+	 */
+	CompletableFuture<OnceOutcome> ask(ServiceCall call) {
+		Configuration configuration = this.dependencies.configuration().current();
+		ServiceOperation operation = configuration.operations().get(call.service() + "/" + call.operation());
+		Upstream upstream = configuration.upstreams()
+			.values()
+			.stream()
+			.filter((candidate) -> candidate.kind() == UpstreamKind.SERVICE
+					&& candidate.serves().contains(call.service()))
+			.min(Comparator.comparing(Upstream::id))
+			.orElse(null);
+		if (operation == null || !operation.isQueryable() || call.idempotencyKey() == null || upstream == null) {
+			return CompletableFuture.completedFuture(OnceOutcome.UNKNOWN);
+		}
+		return this.services.query(upstream, call, QUERY_TIMEOUT_MS)
+			.handle((answer, error) -> (error != null) ? OnceOutcome.UNKNOWN : outcome(upstream, answer));
+	}
+
+	private static OnceOutcome outcome(Upstream upstream, ServiceAnswer answer) {
+		if (answer.status() == 404) {
+			return new OnceOutcome(OnceState.NOT_SENT, null);
+		}
+		if (answer.status() >= 500) {
+			return OnceOutcome.UNKNOWN;
+		}
+		return new OnceOutcome(OnceState.SETTLED,
+				new CallResult(upstream.id(), answer.status(), answer.body(), 0, 0, 0));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionHome.java
@@ -0,0 +1,113 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.ProgramId;
+
+/**
+ * A partition that this instance owns: its log and the programs in it.
+ */
+final class PartitionHome {
+
+	private final String name;
+
+	private final PartitionLog log;
+
+	private final Map<ProgramId, ProgramState> programs = new TreeMap<>((a, b) -> a.toString().compareTo(b.toString()));
+
+	private PartitionHint hint;
+
+	private boolean isFrozen;
+
+	private int runningCalls;
+
+	PartitionHome(PartitionHint hint, PartitionLog log) {
+		this.name = hint.partition();
+		this.hint = hint;
+		this.log = log;
+		log.chains().forEach((program, chain) -> {
+			ProgramState state = new ProgramState(program);
+			chain.entries().forEach(state::apply);
+			this.programs.put(program, state);
+		});
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	PartitionLog log() {
+		return this.log;
+	}
+
+	PartitionHint hint() {
+		return this.hint;
+	}
+
+	void setHint(PartitionHint hint) {
+		this.hint = hint;
+	}
+
+	Map<ProgramId, ProgramState> programs() {
+		return this.programs;
+	}
+
+	@Nullable ProgramState program(ProgramId id) {
+		return this.programs.get(id);
+	}
+
+	boolean isLost() {
+		return this.log.lostReason() != null;
+	}
+
+	boolean isFrozen() {
+		return this.isFrozen;
+	}
+
+	/**
+	 * Stops or continues to take new calls.
+	 * @param isFrozen whether new calls are refused
+	 */
+	void setFrozen(boolean isFrozen) {
+		this.isFrozen = isFrozen;
+	}
+
+	boolean isIdle() {
+		return this.runningCalls == 0;
+	}
+
+	void callStarted() {
+		this.runningCalls++;
+	}
+
+	void callEnded() {
+		this.runningCalls--;
+	}
+
+	/**
+	 * Adds an entry to a program's log.
+	 * @param program the program
+	 * @param type type of the entry
+	 * @param body body of the type
+	 * @param isStrict whether all replicas of the record must hold it
+	 * @return completes when the entry is durable; fails with {@link HomeLostException}
+	 */
+	CompletableFuture<LogEntry> append(ProgramId program, EntryType type, Object body, boolean isStrict) {
+		if (isLost()) {
+			return CompletableFuture.failedFuture(new HomeLostException("partition " + this.name + " was lost"));
+		}
+		LogEntry entry = this.log.add(program, type, body);
+		this.programs.computeIfAbsent(program, ProgramState::new).apply(entry);
+		return this.log.acknowledged(entry, isStrict);
+	}
+
+	void remove(ProgramId program) {
+		this.programs.remove(program);
+		this.log.remove(program);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionTable.java
@@ -0,0 +1,136 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Cached partition records. Reads the store with one list call per refresh and learns
+ * newer records from peers in between.
+ */
+public final class PartitionTable {
+
+	/** Bounds the list calls that stale routes can cause. */
+	private static final long EARLY_REFRESH_MS = 1_000;
+
+	private final ObjectStore store;
+
+	private final TimerService timer;
+
+	private final long refreshMs;
+
+	private final Map<String, PartitionHint> records = new TreeMap<>();
+
+	private boolean isLoaded;
+
+	private boolean isLoading;
+
+	private long lastRefreshMs;
+
+	PartitionTable(ObjectStore store, TimerService timer, long refreshMs) {
+		this.store = store;
+		this.timer = timer;
+		this.refreshMs = refreshMs;
+		this.lastRefreshMs = timer.nowMs() - refreshMs;
+	}
+
+	/**
+	 * Returns the owner of a partition as far as known.
+	 * @param partition name of the partition
+	 * @return the owner, or {@code null} if no record is known
+	 */
+	public @Nullable InstanceId owner(String partition) {
+		PartitionHint hint = this.records.get(partition);
+		return (hint != null) ? hint.record().owner() : null;
+	}
+
+	/**
+	 * Returns the newest known record of a partition.
+	 * @param partition name of the partition
+	 * @return the record with its version, or {@code null} if none is known
+	 */
+	public @Nullable PartitionHint find(String partition) {
+		return this.records.get(partition);
+	}
+
+	/**
+	 * Returns the partitions that have a record.
+	 * @return names, in order
+	 */
+	public List<String> names() {
+		return List.copyOf(this.records.keySet());
+	}
+
+	boolean isLoaded() {
+		return this.isLoaded;
+	}
+
+	Map<String, PartitionHint> snapshot() {
+		return Map.copyOf(this.records);
+	}
+
+	/**
+	 * Takes a record if it is newer than the cached one.
+	 * @param hint the record
+	 */
+	public void learn(PartitionHint hint) {
+		this.records.merge(hint.partition(), hint,
+				(known, other) -> (other.version() > known.version()) ? other : known);
+	}
+
+	void learn(StoredObject object) {
+		learn(new PartitionHint(object.name(), object.version(), Json.read(object.value(), PartitionRecord.class)));
+	}
+
+	/**
+	 * Reads the store if the table is old.
+	 */
+	void refreshIfDue() {
+		refreshAfter(this.refreshMs);
+	}
+
+	/**
+	 * Reads the store soon, because a route turned out to be stale.
+	 */
+	public void refreshEarly() {
+		refreshAfter(EARLY_REFRESH_MS);
+	}
+
+	private void refreshAfter(long ageMs) {
+		if (this.isLoading || this.timer.nowMs() - this.lastRefreshMs < ageMs) {
+			return;
+		}
+		this.isLoading = true;
+		this.lastRefreshMs = this.timer.nowMs();
+		this.store.list(PartitionRecord.KIND, "").whenComplete((page, error) -> {
+			this.isLoading = false;
+			if (error == null) {
+				page.objects().forEach(this::learn);
+				this.isLoaded = true;
+			}
+		});
+	}
+
+	/**
+	 * Reads one record.
+	 * @param partition name of the partition
+	 * @return completes when the table has what the store answered; never fails
+	 */
+	CompletableFuture<Void> reload(String partition) {
+		return this.store.get(PartitionRecord.KIND, partition).handle((object, error) -> {
+			if (error == null) {
+				learn(object);
+			}
+			return null;
+		});
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PlacementRecordingEngineClient.java
@@ -0,0 +1,100 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.upstream.EngineClient;
+import dev.nutmegdoor.core.upstream.EngineRequest;
+import dev.nutmegdoor.core.upstream.EngineResult;
+import dev.nutmegdoor.core.upstream.TokenListener;
+import dev.nutmegdoor.core.upstream.UpstreamException;
+
+/**
+ * Client of engines for the layers below the home: records in the program's log which
+ * engine is about to hold a prefix before that engine gets the request, so that a new
+ * owner can release it.
+ */
+final class PlacementRecordingEngineClient implements EngineClient {
+
+	private final EngineClient target;
+
+	private final PartitionController controller;
+
+	private final ProgramLifecycle lifecycle;
+
+	PlacementRecordingEngineClient(EngineClient target, PartitionController controller, ProgramLifecycle lifecycle) {
+		this.target = target;
+		this.controller = controller;
+		this.lifecycle = lifecycle;
+	}
+
+	@Override
+	public CompletableFuture<EngineResult> generate(Upstream upstream, EngineRequest request, TokenListener listener) {
+		ProgramId program = request.program();
+		if (program == null) {
+			return this.target.generate(upstream, request, listener);
+		}
+		return placed(upstream, program, () -> this.target.generate(upstream, request, listener)
+			.whenComplete((result, error) -> releaseIfStray(upstream, program)));
+	}
+
+	private <T> CompletableFuture<T> placed(Upstream upstream, ProgramId program,
+			Supplier<CompletableFuture<T>> action) {
+		ProgramState state = state(program);
+		PartitionHome home = this.controller.serving(program.partitionName());
+		if (home == null || state == null || state.closed() != null) {
+			return notOwner(program);
+		}
+		if (state.upstreams().contains(upstream.id())) {
+			return action.get();
+		}
+		return home.append(program, EntryType.TURN_PLACED, new PlacedBody(upstream.id()), false)
+			.handle((entry, error) -> (error == null && state.closed() == null) ? action.get()
+					: PlacementRecordingEngineClient.<T>notOwner(program))
+			.thenCompose((future) -> future);
+	}
+
+	private void releaseIfStray(Upstream upstream, ProgramId program) {
+		ProgramState state = state(program);
+		if (state == null || state.isReleased()) {
+			this.lifecycle.releaseStray(upstream.id(), program);
+		}
+	}
+
+	private @Nullable ProgramState state(ProgramId program) {
+		PartitionHome home = this.controller.serving(program.partitionName());
+		return (home != null) ? home.program(program) : null;
+	}
+
+	private static <T> CompletableFuture<T> notOwner(ProgramId program) {
+		return CompletableFuture
+			.failedFuture(new UpstreamException(RunState.NOT_RUN, "program " + program + " is not served here"));
+	}
+
+	@Override
+	public CompletableFuture<Void> cancel(Upstream upstream, String streamId) {
+		return this.target.cancel(upstream, streamId);
+	}
+
+	@Override
+	public CompletableFuture<Void> release(Upstream upstream, ProgramId program) {
+		return this.target.release(upstream, program);
+	}
+
+	@Override
+	public CompletableFuture<Integer> copyCache(Upstream source, Upstream copyTarget, ProgramId program) {
+		return placed(copyTarget, program, () -> this.target.copyCache(source, copyTarget, program)
+			.whenComplete((tokens, error) -> releaseIfStray(copyTarget, program)));
+	}
+
+	@Override
+	public CompletableFuture<Void> loadModel(Upstream upstream, String model, long fencingNumber, long timeoutMs) {
+		return this.target.loadModel(upstream, model, fencingNumber, timeoutMs);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramException.java
@@ -0,0 +1,23 @@
+package dev.nutmegdoor.core.program;
+
+import dev.nutmegdoor.core.call.Refusal;
+
+/**
+ * A program could not be opened or closed.
+ */
+public class ProgramException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final transient Refusal refusal;
+
+	public ProgramException(Refusal refusal) {
+		super(refusal.detail());
+		this.refusal = refusal;
+	}
+
+	public Refusal refusal() {
+		return this.refusal;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramHomes.java
@@ -0,0 +1,238 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.call.OnceState;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.upstream.EngineClient;
+import dev.nutmegdoor.core.upstream.ServiceClient;
+
+/**
+ * The programs whose home is this instance. Create it, build the layers below over
+ * {@link #engineClient()}, then set them with {@link #setLower}.
+ */
+public final class ProgramHomes implements CallRunner {
+
+	private final ProgramDependencies dependencies;
+
+	private final PartitionController controller;
+
+	private final HomeCalls calls;
+
+	private final ProgramLifecycle lifecycle;
+
+	private final OnceOutcomes outcomes;
+
+	private final EngineClient engineClient;
+
+	private final HomeCallRunner runner;
+
+	private CallRunner lower = (request, listener) -> {
+		throw new IllegalStateException("the layer below is not set");
+	};
+
+	/**
+	 * Creates the homes of an instance.
+	 * @param dependencies what the controllers work with
+	 * @param engines client of engines
+	 * @param services client of plain services
+	 * @param safeguards {@link Safeguards#ALL} but in mutation checks
+	 */
+	public ProgramHomes(ProgramDependencies dependencies, EngineClient engines, ServiceClient services,
+			Safeguards safeguards) {
+		this.dependencies = dependencies;
+		this.controller = new PartitionController(dependencies, safeguards);
+		this.calls = new HomeCalls(dependencies);
+		this.lifecycle = new ProgramLifecycle(dependencies, this.calls, engines);
+		this.outcomes = new OnceOutcomes(dependencies, services);
+		this.engineClient = new PlacementRecordingEngineClient(engines, this.controller, this.lifecycle);
+		CallRunner delegate = (request, listener) -> this.lower.run(request, listener);
+		TurnRunner turns = new TurnRunner(dependencies, this.calls, delegate);
+		OnceCallRunner onceCalls = new OnceCallRunner(dependencies, this.calls, delegate, this.outcomes,
+				safeguards.isIntentFirst());
+		this.runner = new HomeCallRunner(dependencies, this.controller, this.calls, turns, onceCalls, delegate);
+		this.controller.subscribe(new Listener());
+		dependencies.timer().subscribe(dependencies.settings().retryMs(), this::tick);
+	}
+
+	/**
+	 * Returns the client of engines for the layers below, which records placements.
+	 * @return the client
+	 */
+	public EngineClient engineClient() {
+		return this.engineClient;
+	}
+
+	public void setLower(CallRunner lower) {
+		this.lower = lower;
+	}
+
+	public PartitionController controller() {
+		return this.controller;
+	}
+
+	/**
+	 * Returns the log that a call belongs to, which names the partition of its home.
+	 * @param request the call
+	 * @return the program, the log of the idempotency key, or {@code null} if the call
+	 * runs where it arrived
+	 */
+	public @Nullable ProgramId logOf(CallRequest request) {
+		return this.runner.logOf(request);
+	}
+
+	@Override
+	public CallHandle run(CallRequest request, CallListener listener) {
+		return this.runner.run(request, listener);
+	}
+
+	public boolean isServing(String partition) {
+		return this.controller.serving(partition) != null;
+	}
+
+	/**
+	 * Returns the partitions that this instance serves and in which programs may be
+	 * opened.
+	 * @return names, in order
+	 */
+	public List<String> openPartitions() {
+		return this.controller.homes()
+			.stream()
+			.filter((home) -> !home.isFrozen() && isServing(home.name()))
+			.map(PartitionHome::name)
+			.toList();
+	}
+
+	/**
+	 * Opens a program; opening it again has no further effect.
+	 * @param id identifier chosen by the entry instance
+	 * @param workspace workspace of the program
+	 * @param parent program whose sub-agent it is, in the same partition, or {@code null}
+	 * @return the identifier; fails with {@link ProgramException} or
+	 * {@link HomeLostException}
+	 */
+	public CompletableFuture<ProgramId> open(ProgramId id, WorkspaceId workspace, @Nullable ProgramId parent) {
+		PartitionHome home = this.controller.serving(id.partitionName());
+		if (home == null || home.isFrozen()) {
+			return CompletableFuture.failedFuture(new ProgramException(HomeCalls.notOwner(RunState.NOT_RUN)));
+		}
+		return this.lifecycle.open(home, id, workspace, parent);
+	}
+
+	/**
+	 * Ends a program, its sub-agents and its calls.
+	 * @param id the program
+	 * @param workspace workspace of the program
+	 * @return completes when the end is durable; what upstreams hold is released later
+	 */
+	public CompletableFuture<Void> close(ProgramId id, WorkspaceId workspace) {
+		PartitionHome home = this.controller.serving(id.partitionName());
+		if (home == null) {
+			return CompletableFuture.failedFuture(new ProgramException(HomeCalls.notOwner(RunState.NOT_RUN)));
+		}
+		return this.lifecycle.close(home, id, workspace);
+	}
+
+	/**
+	 * Lists the operations of this home whose outcome is unknown.
+	 * @return a copy
+	 */
+	public List<UnresolvedCall> unresolved() {
+		List<UnresolvedCall> found = new ArrayList<>();
+		for (PartitionHome home : this.controller.homes()) {
+			for (ProgramState state : home.programs().values()) {
+				for (OnceCall call : state.onceCalls().values()) {
+					if (call.state() == OnceState.UNKNOWN) {
+						found.add(new UnresolvedCall(state.id(), call.intended().key(), call.intended().workspace(),
+								call.intended().call().service(), call.intended().call().operation(),
+								call.intended().wallClockMs()));
+					}
+				}
+			}
+		}
+		return found;
+	}
+
+	/**
+	 * Records an operator's finding about an operation whose outcome is unknown. Of two
+	 * operators the first decides.
+	 * @param log program or log of the key
+	 * @param key idempotency key
+	 * @param result answer to give from now on, or {@code null} if the operation did not
+	 * run and may be sent again
+	 * @param operator who resolves it
+	 * @return whether this finding counts; {@code false} if the operation is not
+	 * unresolved
+	 */
+	public CompletableFuture<Boolean> resolve(ProgramId log, String key, @Nullable CallResult result, String operator) {
+		PartitionHome home = this.controller.serving(log.partitionName());
+		ProgramState state = (home != null) ? home.program(log) : null;
+		OnceCall call = (state != null) ? state.onceCalls().get(key) : null;
+		if (home == null || call == null || call.state() != OnceState.UNKNOWN) {
+			return CompletableFuture.completedFuture(false);
+		}
+		OnceState resolved = (result != null) ? OnceState.SETTLED : OnceState.NOT_SENT;
+		SettledBody body = new SettledBody(key, resolved, result, "operator " + operator,
+				this.dependencies.timer().wallClockMs());
+		return home.append(log, EntryType.CALL_SETTLED, body, false).thenApply((entry) -> true);
+	}
+
+	/**
+	 * Returns the state of the homes.
+	 * @return an immutable copy
+	 */
+	public ProgramDump dump() {
+		return new ProgramDump(this.controller.dump(), this.calls.size(), unresolved());
+	}
+
+	private void tick() {
+		for (PartitionHome home : this.controller.homes()) {
+			if (this.controller.serving(home.name()) == home) {
+				this.lifecycle.tick(home);
+			}
+		}
+	}
+
+	private void settleInterrupted(PartitionHome home, ProgramState state, OnceCall call) {
+		this.outcomes.ask(call.intended().call()).thenAccept((outcome) -> {
+			OnceCall current = state.onceCalls().get(call.intended().key());
+			boolean isOpen = current != null && current.state() == OnceState.INTENDED;
+			if (isOpen && !home.isLost()) {
+				home.append(state.id(), EntryType.CALL_SETTLED, new SettledBody(call.intended().key(), outcome.state(),
+						outcome.result(), "takeover", this.dependencies.timer().wallClockMs()), false);
+			}
+		});
+	}
+
+	private final class Listener implements HomeListener {
+
+		@Override
+		public void opened(PartitionHome home) {
+			for (ProgramState state : home.programs().values()) {
+				List.copyOf(state.onceCalls().values())
+					.stream()
+					.filter((call) -> call.state() == OnceState.INTENDED)
+					.forEach((call) -> settleInterrupted(home, state, call));
+			}
+		}
+
+		@Override
+		public void lost(PartitionHome home) {
+			ProgramHomes.this.runner.lost(home);
+			ProgramHomes.this.calls.abandonAll(home.name());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramLifecycle.java
@@ -0,0 +1,226 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.OnceState;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.configuration.ProgramBudget;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.upstream.EngineClient;
+
+/**
+ * Opens, ends and expires programs at their home, and releases what upstreams hold of
+ * ended ones, again and again until each has acknowledged.
+ */
+final class ProgramLifecycle {
+
+	/** Time for which an ended program still gives its stored answers. */
+	private static final long KEPT_AFTER_RELEASE_MS = 60_000;
+
+	/** Keys without a time are recognised as too old for this many retention times. */
+	private static final int UNDATED_RETENTIONS = 7;
+
+	private final ProgramDependencies dependencies;
+
+	private final HomeCalls calls;
+
+	private final EngineClient engines;
+
+	private final Set<String> releasing = new HashSet<>();
+
+	private final Set<ProgramId> finishing = new HashSet<>();
+
+	ProgramLifecycle(ProgramDependencies dependencies, HomeCalls calls, EngineClient engines) {
+		this.dependencies = dependencies;
+		this.calls = calls;
+		this.engines = engines;
+	}
+
+	CompletableFuture<ProgramId> open(PartitionHome home, ProgramId id, WorkspaceId workspace,
+			@Nullable ProgramId parent) {
+		ProgramState existing = home.program(id);
+		if (existing != null) {
+			OpenedBody opened = existing.opened();
+			return (opened != null && opened.workspace().equals(workspace)) ? CompletableFuture.completedFuture(id)
+					: failed(RefusalReason.NOT_FOUND, "the program id is taken");
+		}
+		int depth = 0;
+		Workspace settings = this.dependencies.configuration().current().workspaces().get(workspace);
+		ProgramBudget budget = (settings != null) ? settings.budget() : ProgramBudget.DEFAULT;
+		long nowMs = this.dependencies.timer().wallClockMs();
+		if (parent != null) {
+			ProgramState parentState = home.program(parent);
+			OpenedBody opened = (parentState != null) ? parentState.opened() : null;
+			if (parentState == null || opened == null || !opened.workspace().equals(workspace)) {
+				return failed(RefusalReason.NOT_FOUND, "the workspace has no program " + parent);
+			}
+			if (parentState.closed() != null) {
+				return failed(RefusalReason.PROGRAM_CLOSED, "the parent program has ended");
+			}
+			depth = opened.depth() + 1;
+			budget = opened.budget();
+			BudgetDecision decision = BudgetRule.decide(BudgetLedger.inputs(home, parentState, 0, 0, depth, nowMs));
+			if (decision != BudgetDecision.GRANTED) {
+				return failed(RefusalReason.BUDGET_EXHAUSTED, decision.detail());
+			}
+		}
+		return home.append(id, EntryType.OPENED, new OpenedBody(workspace, parent, depth, budget, nowMs), false)
+			.thenApply((entry) -> id);
+	}
+
+	CompletableFuture<Void> close(PartitionHome home, ProgramId id, WorkspaceId workspace) {
+		ProgramState state = home.program(id);
+		OpenedBody opened = (state != null) ? state.opened() : null;
+		if (state == null || opened == null || !opened.workspace().equals(workspace)) {
+			return failed(RefusalReason.NOT_FOUND, "the workspace has no program " + id);
+		}
+		return end(home, state, "closed by the caller");
+	}
+
+	private CompletableFuture<Void> end(PartitionHome home, ProgramState state, String reason) {
+		if (state.closed() != null) {
+			return CompletableFuture.completedFuture(null);
+		}
+		CompletableFuture<Void> closed = home
+			.append(state.id(), EntryType.CLOSED, new ClosedBody(reason, this.dependencies.timer().wallClockMs()),
+					false)
+			.thenApply((entry) -> null);
+		for (ProgramState child : new ArrayList<>(home.programs().values())) {
+			if (BudgetLedger.isChild(child, state.id())) {
+				end(home, child, "the parent program ended");
+			}
+		}
+		for (RunningCall call : this.calls.of(state.id())) {
+			call.abandon();
+		}
+		return closed;
+	}
+
+	void tick(PartitionHome home) {
+		long nowMs = this.dependencies.timer().wallClockMs();
+		for (ProgramState state : new ArrayList<>(home.programs().values())) {
+			OpenedBody opened = state.opened();
+			if (opened == null) {
+				forgetKey(home, state, nowMs);
+			}
+			else if (state.closed() == null) {
+				expire(home, state, opened, nowMs);
+			}
+			else if (!state.isReleased()) {
+				release(home, state);
+			}
+			else if (opened.parent() == null && nowMs - state.closed().wallClockMs() > KEPT_AFTER_RELEASE_MS) {
+				remove(home, state);
+			}
+		}
+	}
+
+	private void expire(PartitionHome home, ProgramState state, OpenedBody opened, long nowMs) {
+		if (nowMs - opened.wallClockMs() > opened.budget().maxDurationMs()) {
+			end(home, state, "the program's time is used up");
+		}
+		else if (this.calls.of(state.id()).isEmpty()
+				&& nowMs - state.lastActivityMs() > this.dependencies.settings().idleExpiryMs()
+				&& !hasChildren(home, state)) {
+			end(home, state, "no call for " + this.dependencies.settings().idleExpiryMs() + " ms");
+		}
+	}
+
+	private static boolean hasChildren(PartitionHome home, ProgramState state) {
+		return home.programs()
+			.values()
+			.stream()
+			.anyMatch((child) -> child.closed() == null && BudgetLedger.isChild(child, state.id()));
+	}
+
+	private void forgetKey(PartitionHome home, ProgramState state, long nowMs) {
+		long retentionMs = this.dependencies.settings().keyRetentionMs();
+		boolean isOver = state.onceCalls().values().stream().allMatch((call) -> {
+			boolean isDated = OnceCallRunner.carriedMs(call.intended().key()) >= 0;
+			long keptMs = isDated ? 2 * retentionMs : UNDATED_RETENTIONS * retentionMs;
+			return call.state() != OnceState.INTENDED && call.state() != OnceState.UNKNOWN
+					&& nowMs - call.changedMs() > keptMs;
+		});
+		if (isOver && this.calls.of(state.id()).isEmpty()) {
+			home.remove(state.id());
+		}
+	}
+
+	private void release(PartitionHome home, ProgramState state) {
+		if (!this.calls.of(state.id()).isEmpty()) {
+			this.calls.of(state.id()).forEach(RunningCall::abandon);
+			return;
+		}
+		if (!this.finishing.add(state.id())) {
+			return;
+		}
+		List<CompletableFuture<Void>> all = new ArrayList<>();
+		for (UpstreamId upstream : state.upstreams()) {
+			all.add(release(upstream, state.id()));
+		}
+		CompletableFuture.allOf(all.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
+			this.finishing.remove(state.id());
+			// After a failure the next tick starts again.
+			if (error == null && !home.isLost() && this.dependencies.lease().isValid() && !state.isReleased()) {
+				home.append(state.id(), EntryType.RELEASED, new ReleasedBody(this.dependencies.timer().wallClockMs()),
+						false);
+				this.dependencies.invariants()
+					.check(Invariant.ENGINE_CACHE_RELEASED, this.calls.of(state.id()).isEmpty(),
+							() -> "program " + state.id() + " is released while a call runs");
+			}
+		});
+	}
+
+	private CompletableFuture<Void> release(UpstreamId upstream, ProgramId program) {
+		Upstream target = this.dependencies.configuration().current().upstreams().get(upstream);
+		return (target != null) ? this.engines.release(target, program) : CompletableFuture.completedFuture(null);
+	}
+
+	/**
+	 * Releases what a stream of this instance left on an engine although the program is
+	 * no longer served here; repeated until acknowledged.
+	 * @param upstream the engine
+	 * @param program the program
+	 */
+	void releaseStray(UpstreamId upstream, ProgramId program) {
+		if (!this.releasing.add(upstream + "/" + program)) {
+			return;
+		}
+		release(upstream, program).whenComplete((ignored, error) -> {
+			this.releasing.remove(upstream + "/" + program);
+			if (error != null) {
+				this.dependencies.timer()
+					.schedule(this.dependencies.settings().retryMs(), () -> releaseStray(upstream, program));
+			}
+		});
+	}
+
+	private void remove(PartitionHome home, ProgramState root) {
+		List<ProgramState> tree = new ArrayList<>(List.of(root));
+		for (int i = 0; i < tree.size(); i++) {
+			ProgramId parent = tree.get(i).id();
+			home.programs().values().stream().filter((child) -> BudgetLedger.isChild(child, parent)).forEach(tree::add);
+		}
+		if (tree.stream().allMatch(ProgramState::isReleased)) {
+			tree.forEach((program) -> home.remove(program.id()));
+		}
+	}
+
+	private static <T> CompletableFuture<T> failed(RefusalReason reason, String detail) {
+		return CompletableFuture.failedFuture(new ProgramException(new Refusal(reason, RunState.NOT_RUN, detail, 0)));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ReleasedBody.java
@@ -0,0 +1,10 @@
+package dev.nutmegdoor.core.program;
+
+/**
+ * Body of {@link EntryType#RELEASED}.
+ *
+ * @param wallClockMs time of the last acknowledgement
+ */
+record ReleasedBody(long wallClockMs) {
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/RunningCall.java
@@ -0,0 +1,134 @@
+package dev.nutmegdoor.core.program;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.id.ProgramId;
+
+/**
+ * A call that runs at its home, with all callers that wait for its answer.
+ */
+final class RunningCall {
+
+	private final ProgramId program;
+
+	private final int turn;
+
+	private final List<CallListener> listeners = new ArrayList<>();
+
+	private final StringBuilder text = new StringBuilder();
+
+	private CallHandle handle = () -> {
+	};
+
+	private boolean isDispatched;
+
+	private boolean isEnded;
+
+	private boolean isAbandoned;
+
+	private @Nullable Runnable whenDetached;
+
+	RunningCall(ProgramId program, int turn) {
+		this.program = program;
+		this.turn = turn;
+	}
+
+	ProgramId program() {
+		return this.program;
+	}
+
+	int turn() {
+		return this.turn;
+	}
+
+	boolean isDispatched() {
+		return this.isDispatched;
+	}
+
+	boolean isEnded() {
+		return this.isEnded;
+	}
+
+	boolean isAbandoned() {
+		return this.isAbandoned;
+	}
+
+	boolean isDetached() {
+		return this.listeners.isEmpty();
+	}
+
+	void setWhenDetached(Runnable whenDetached) {
+		this.whenDetached = whenDetached;
+	}
+
+	void dispatching() {
+		this.isDispatched = true;
+	}
+
+	void dispatched(CallHandle newHandle) {
+		this.handle = newHandle;
+	}
+
+	/**
+	 * Adds a caller, who first gets what was generated so far.
+	 * @param listener the caller
+	 * @return a handle that removes the caller
+	 */
+	CallHandle attach(CallListener listener) {
+		this.listeners.add(listener);
+		if (!this.text.isEmpty()) {
+			listener.generated(0, this.text.toString());
+		}
+		return () -> {
+			if (this.listeners.remove(listener) && this.listeners.isEmpty() && this.whenDetached != null) {
+				this.whenDetached.run();
+			}
+		};
+	}
+
+	void generated(int offset, String piece) {
+		if (this.isEnded || offset > this.text.length() || offset + piece.length() <= this.text.length()) {
+			return;
+		}
+		String fresh = piece.substring(this.text.length() - offset);
+		int start = this.text.length();
+		this.text.append(fresh);
+		new ArrayList<>(this.listeners).forEach((listener) -> listener.generated(start, fresh));
+	}
+
+	/**
+	 * Gives up the call; before the dispatch this prevents it.
+	 */
+	void abandon() {
+		this.isAbandoned = true;
+		this.handle.cancel();
+	}
+
+	void complete(CallResult result) {
+		if (!this.isEnded) {
+			this.isEnded = true;
+			take().forEach((listener) -> listener.completed(result));
+		}
+	}
+
+	void refuse(Refusal refusal) {
+		if (!this.isEnded) {
+			this.isEnded = true;
+			take().forEach((listener) -> listener.refused(refusal));
+		}
+	}
+
+	private List<CallListener> take() {
+		List<CallListener> taken = new ArrayList<>(this.listeners);
+		this.listeners.clear();
+		return taken;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/WaitingCall.java
@@ -0,0 +1,54 @@
+package dev.nutmegdoor.core.program;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+
+/**
+ * A call at its home before it is decided whether it runs.
+ */
+final class WaitingCall {
+
+	private final CallRequest request;
+
+	private final CallListener listener;
+
+	private final long sinceMs;
+
+	private CallHandle handle = () -> {
+	};
+
+	private boolean isCancelled;
+
+	WaitingCall(CallRequest request, CallListener listener, long sinceMs) {
+		this.request = request;
+		this.listener = listener;
+		this.sinceMs = sinceMs;
+	}
+
+	CallRequest request() {
+		return this.request;
+	}
+
+	CallListener listener() {
+		return this.listener;
+	}
+
+	long sinceMs() {
+		return this.sinceMs;
+	}
+
+	boolean isCancelled() {
+		return this.isCancelled;
+	}
+
+	void setHandle(CallHandle handle) {
+		this.handle = handle;
+	}
+
+	void cancel() {
+		this.isCancelled = true;
+		this.handle.cancel();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/program/RulesTests.java
@@ -0,0 +1,90 @@
+package dev.nutmegdoor.core.program;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.call.OnceState;
+import dev.nutmegdoor.core.configuration.ProgramBudget;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class RulesTests {
+
+	@Nested
+	class Order {
+
+		private OrderDecision decide(int turn, int completed, int running, boolean isKnown, boolean isSame,
+				long waitedMs) {
+			return OrderRule.decide(new OrderInputs(turn, completed, running, isKnown, isSame, waitedMs, 100, false));
+		}
+
+		// Guards against a duplicate that runs a second time.
+		@Test
+		void attachesADuplicateToTheRunningCall() {
+			assertThat(decide(2, 1, 2, true, true, 0), is(OrderDecision.ATTACH));
+			assertThat(decide(1, 1, 0, true, true, 0), is(OrderDecision.STORED));
+		}
+
+		// Guards against an answer that belongs to another request.
+		@Test
+		void refusesANumberThatWasUsedForAnotherRequest() {
+			assertThat(decide(1, 1, 0, true, false, 0), is(OrderDecision.REFUSE_REUSED));
+		}
+
+		// Guards against a call that waits for ever for a lost predecessor.
+		@Test
+		void letsAnEarlyCallWaitForABoundedTime() {
+			assertThat(decide(3, 1, 0, false, false, 99), is(OrderDecision.WAIT));
+			assertThat(decide(3, 1, 0, false, false, 100), is(OrderDecision.REFUSE_EARLY));
+		}
+
+	}
+
+	@Nested
+	class Budget {
+
+		// Guards against a reservation that only fits because nothing is settled yet.
+		@Test
+		void countsReservedTokens() {
+			ProgramBudget budget = new ProgramBudget(100, 2, 1_000, 1);
+			assertThat(BudgetRule.decide(new BudgetInputs(budget, 60, 0, 0, 41, 1, 0)),
+					is(BudgetDecision.TOKENS_EXHAUSTED));
+			assertThat(BudgetRule.decide(new BudgetInputs(budget, 60, 0, 0, 40, 1, 0)), is(BudgetDecision.GRANTED));
+			assertThat(BudgetRule.decide(new BudgetInputs(budget, 0, 2, 0, 0, 1, 0)),
+					is(BudgetDecision.CALLS_EXHAUSTED));
+		}
+
+	}
+
+	@Nested
+	class AtMostOnce {
+
+		private OnceDecision decide(OnceState state, boolean isSame, long ageMs) {
+			return OnceRule.decide(new OnceInputs(state, isSame, false, ageMs, 1_000, 10));
+		}
+
+		// Guards against a second run of an operation that may have run.
+		@Test
+		void neverSendsAnUnknownOperationAgain() {
+			assertThat(decide(OnceState.UNKNOWN, true, 0), is(OnceDecision.REFUSE_UNKNOWN));
+			assertThat(decide(OnceState.INTENDED, true, 0), is(OnceDecision.REFUSE_UNKNOWN));
+			assertThat(decide(OnceState.NOT_SENT, true, 0), is(OnceDecision.SEND));
+		}
+
+		// Guards against a key that outlives its record and runs again.
+		@Test
+		void refusesKeysOutsideTheRememberedTime() {
+			assertThat(decide(null, false, 1_001), is(OnceDecision.REFUSE_EXPIRED));
+			assertThat(decide(null, false, -11), is(OnceDecision.REFUSE_MALFORMED));
+		}
+
+		// Guards against an answer to a different request under the same key.
+		@Test
+		void refusesAKeyWithAnotherRequest() {
+			assertThat(decide(OnceState.SETTLED, false, 0), is(OnceDecision.REFUSE_REUSED));
+		}
+
+	}
+
+}
