--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
@@ -0,0 +1,132 @@
+package dev.nutmegdoor.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.UpstreamId;
+
+/**
+ * Chooses the replica for a call. Pure: equal inputs give equal decisions, so that a
+ * recorded decision can be verified.
+ */
+public final class Placement {
+
+	/** Time until a replica without tokens to generate has a place again. */
+	private static final double SERVICE_CALL_MS = 50;
+
+	/**
+	 * Waiting counts double after this time, so that no call waits for ever for one
+	 * replica.
+	 */
+	private static final double WAIT_DOUBLING_MS = 1_000;
+
+	/** Spread of the tie-breaking term; below the cost of two decode steps. */
+	private static final double TIE_BREAK_MS = 40;
+
+	/** Crossing zones also makes a copy slower, in milliseconds for each token. */
+	private static final double ZONE_COPY_PER_TOKEN_MS = 0.01;
+
+	private static final Comparator<ScoredReplica> BY_SCORE = Comparator.comparingDouble(ScoredReplica::scoreMs)
+		.thenComparing(ScoredReplica::id);
+
+	private Placement() {
+	}
+
+	/**
+	 * Decides where a call runs.
+	 * @param input everything that is known
+	 * @return the decision with all candidates and their costs
+	 */
+	public static PlacementDecision decide(PlacementInput input) {
+		ReplicaView holder = findHolder(input.replicas());
+		List<ScoredReplica> scored = new ArrayList<>(input.replicas().size());
+		for (ReplicaView replica : input.replicas()) {
+			if (!replica.isEjected()) {
+				scored.add(score(input, replica, holder));
+			}
+		}
+		if (scored.isEmpty()) {
+			return new PlacementDecision(PlacementRule.NO_REPLICA, null, scored);
+		}
+		scored.sort(BY_SCORE);
+		ScoredReplica best = scored.get(0);
+		PlacementRule rule = best.hasPlace() ? PlacementRule.LOWEST_COST : PlacementRule.WAIT_FOR_LOWEST_COST;
+		return new PlacementDecision(rule, best, scored);
+	}
+
+	private static @Nullable ReplicaView findHolder(List<ReplicaView> replicas) {
+		ReplicaView holder = null;
+		for (ReplicaView replica : replicas) {
+			if (replica.cachedTokens() > ((holder != null) ? holder.cachedTokens() : 0)) {
+				holder = replica;
+			}
+		}
+		return holder;
+	}
+
+	private static ScoredReplica score(PlacementInput input, ReplicaView replica, @Nullable ReplicaView holder) {
+		PlacementCosts costs = input.costs();
+		int inFlight = replica.inFlight();
+		int running = Math.min(inFlight, replica.maxConcurrentCalls());
+		double stepMs = (costs.stepBaseMs() + costs.stepPerCallMs() * (running + 1)) * replica.slowFactor();
+		double perTokenMs = costs.prefillPerTokenMs() * replica.slowFactor();
+		int uncached = Math.max(0, input.promptTokens() - replica.cachedTokens());
+		double ownPrefillMs = uncached * perTokenMs;
+		double interferenceMs = ownPrefillMs * costs.interference() * running;
+		UpstreamId copyFrom = null;
+		if (holder != null && holder.cachedTokens() > replica.cachedTokens()) {
+			double copyMs = copyMs(costs, holder, replica);
+			double restMs = (input.promptTokens() - holder.cachedTokens()) * perTokenMs;
+			if (copyMs + restMs * (1 + costs.interference() * running) < ownPrefillMs + interferenceMs) {
+				copyFrom = holder.id();
+				ownPrefillMs = copyMs + restMs;
+				interferenceMs = restMs * costs.interference() * running;
+			}
+		}
+		double prefillMs = ownPrefillMs + interferenceMs + replica.backlogTokens() * perTokenMs;
+		double decodeMs = input.answerTokens() * stepMs;
+		double evictionMs = Math.max(0, uncached + input.answerTokens() - replica.freeCacheTokens()) * perTokenMs * 0.5;
+		double waitMs = waitMs(input, replica, stepMs);
+		double scoreMs = waitMs + prefillMs + decodeMs + evictionMs + replica.crossingMs()
+				+ tieBreak(input.seed(), replica.id()) * TIE_BREAK_MS;
+		return new ScoredReplica(replica.id(), scoreMs, waitMs, prefillMs + evictionMs, decodeMs, replica.crossingMs(),
+				copyFrom, hasPlace(input, replica));
+	}
+
+	private static double copyMs(PlacementCosts costs, ReplicaView holder, ReplicaView target) {
+		boolean isCrossing = holder.crossingMs() != target.crossingMs();
+		double perTokenMs = costs.copyPerTokenMs() + (isCrossing ? ZONE_COPY_PER_TOKEN_MS : 0);
+		return costs.copyFixedMs() + holder.cachedTokens() * perTokenMs;
+	}
+
+	private static double waitMs(PlacementInput input, ReplicaView replica, double stepMs) {
+		int excess = replica.inFlight() - replica.maxConcurrentCalls() + 1;
+		if (excess <= 0) {
+			return 0;
+		}
+		double callMs = (input.answerTokens() > 0) ? input.answerTokens() * stepMs : SERVICE_CALL_MS;
+		return excess * callMs / replica.maxConcurrentCalls() * (1 + input.waitedMs() / WAIT_DOUBLING_MS);
+	}
+
+	private static boolean hasPlace(PlacementInput input, ReplicaView replica) {
+		PlacementCosts costs = input.costs();
+		int free = replica.maxConcurrentCalls() + costs.slack() - replica.inFlight();
+		int equalPart = Math.max(1, replica.maxConcurrentCalls() / Math.max(1, input.instances()));
+		if (replica.ownInFlight() < equalPart) {
+			return free > -costs.reservedSlots();
+		}
+		return free > ((input.instances() > 1) ? costs.reservedSlots() : 0);
+	}
+
+	// Returns a number from 0 to 1 that depends on the seed and the replica.
+	private static double tieBreak(long seed, UpstreamId id) {
+		long mixed = (seed ^ id.hashCode()) * 0x9E3779B97F4A7C15L;
+		mixed ^= mixed >>> 32;
+		mixed *= 0xD6E8FEB86659FD93L;
+		return (mixed >>> 11) * 0x1.0p-53;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -0,0 +1,297 @@
+package dev.nutmegdoor.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * What an instance knows of all replicas, indexed by pool, and the source of the inputs
+ * of {@link Placement}. The cost of an input does not grow with the number of replicas:
+ * of a large pool it holds the replicas with the program's prefix and a sample.
+ */
+public final class ReplicaIndex {
+
+	/** Pools up to this size are weighed whole; of larger ones this many are sampled. */
+	private static final int SAMPLE_SIZE = 12;
+
+	/** Typical age of a cache event; own knowledge younger than that has precedence. */
+	private static final long EVENT_LAG_MS = 1_500;
+
+	private final Map<UpstreamId, ReplicaState> replicas = new LinkedHashMap<>();
+
+	private final Map<String, List<ReplicaState>> byPool = new HashMap<>();
+
+	private final CacheView cache = new CacheView();
+
+	private final OutlierDetector outliers = new OutlierDetector();
+
+	private final AvailabilityZone ownZone;
+
+	private final double zoneCrossingMs;
+
+	private final PlacementCosts costs;
+
+	private final TimerService timer;
+
+	private final UniformRandomProvider random;
+
+	private int instances = 1;
+
+	/**
+	 * Creates an empty index.
+	 * @param ownZone zone of this instance
+	 * @param zoneCrossingMs additional round trip to another zone in milliseconds
+	 * @param costs cost model
+	 * @param timer source of time
+	 * @param random seeded generator of samples and tie-breaking seeds
+	 */
+	public ReplicaIndex(AvailabilityZone ownZone, double zoneCrossingMs, PlacementCosts costs, TimerService timer,
+			UniformRandomProvider random) {
+		this.ownZone = ownZone;
+		this.zoneCrossingMs = zoneCrossingMs;
+		this.costs = costs;
+		this.timer = timer;
+		this.random = random;
+	}
+
+	/**
+	 * Takes over the upstreams of a configuration; leaving ones get no new calls.
+	 * @param upstreams upstreams by identifier
+	 */
+	public void setUpstreams(Map<UpstreamId, Upstream> upstreams) {
+		this.replicas.keySet().retainAll(upstreams.keySet());
+		for (Upstream upstream : upstreams.values()) {
+			this.replicas.computeIfAbsent(upstream.id(), (id) -> new ReplicaState(upstream)).setUpstream(upstream);
+		}
+		this.byPool.clear();
+		List<UpstreamId> ordered = new ArrayList<>(this.replicas.keySet());
+		ordered.sort(null);
+		for (UpstreamId id : ordered) {
+			ReplicaState state = this.replicas.get(id);
+			if (state == null || state.upstream().isLeaving()) {
+				continue;
+			}
+			for (String name : state.upstream().serves()) {
+				this.byPool.computeIfAbsent(poolOf(state.upstream().kind(), name), (key) -> new ArrayList<>())
+					.add(state);
+			}
+		}
+	}
+
+	/**
+	 * Returns the name of a pool of replicas that can run the same calls.
+	 * @param kind kind of the replicas
+	 * @param name model or service
+	 * @return the name
+	 */
+	public static String poolOf(UpstreamKind kind, String name) {
+		return ((kind == UpstreamKind.MODEL_ENGINE) ? "model:" : "service:") + name;
+	}
+
+	public void setInstances(int instances) {
+		this.instances = Math.max(1, instances);
+	}
+
+	public boolean hasPool(String pool) {
+		return this.byPool.containsKey(pool);
+	}
+
+	/**
+	 * Collects what decides the placement of a call.
+	 * @param pool pool of the call
+	 * @param owner owner of the prompt's prefix, empty if nothing of it is cached
+	 * @param promptTokens tokens of the prompt
+	 * @param answerTokens expected tokens of the answer
+	 * @param waitedMs time in the queue in milliseconds
+	 * @param excluded replicas that have failed the call already
+	 * @return an immutable input
+	 */
+	public PlacementInput collect(String pool, String owner, int promptTokens, int answerTokens, long waitedMs,
+			Set<UpstreamId> excluded) {
+		List<ReplicaState> members = this.byPool.getOrDefault(pool, List.of());
+		List<ReplicaState> candidates = sample(members, owner);
+		List<ReplicaView> views = new ArrayList<>(candidates.size());
+		for (ReplicaState state : candidates) {
+			if (!excluded.contains(state.upstream().id())) {
+				views.add(view(state, owner, promptTokens));
+			}
+		}
+		return new PlacementInput(pool, promptTokens, answerTokens, waitedMs, this.instances, this.random.nextLong(),
+				this.costs, views, members.size() - candidates.size());
+	}
+
+	/**
+	 * Reserves a place for a call that is about to be sent.
+	 * @param id the replica
+	 * @param prefillTokens prompt tokens that are not expected to be cached
+	 * @return the place, or {@code null} if the replica is unknown
+	 */
+	public @Nullable Reservation reserve(UpstreamId id, int prefillTokens) {
+		ReplicaState state = this.replicas.get(id);
+		return (state != null) ? new Reservation(state, state.start(this.timer.nowMs(), prefillTokens)) : null;
+	}
+
+	/**
+	 * Ends a call that the replica has answered.
+	 * @param reservation place of the call
+	 * @param owner owner of the prompt's prefix, empty if nothing of it is cached
+	 * @param cachedTokens tokens that the replica now has cached
+	 * @param actualMs time that the answer took
+	 * @param expectedMs time that it was expected to take
+	 */
+	public void answered(Reservation reservation, String owner, int cachedTokens, double actualMs, double expectedMs) {
+		Upstream upstream = release(reservation);
+		if (!owner.isEmpty()) {
+			this.cache.sent(owner, upstream.id(), cachedTokens, this.timer.nowMs());
+		}
+		this.outliers.answered(upstream.id(), actualMs, expectedMs, poolSize(upstream), this.timer.nowMs());
+	}
+
+	/**
+	 * Ends a call that the replica has failed.
+	 * @param reservation place of the call
+	 */
+	public void failed(Reservation reservation) {
+		Upstream upstream = release(reservation);
+		this.outliers.failed(upstream.id(), poolSize(upstream), this.timer.nowMs());
+	}
+
+	/**
+	 * Ends a call without a judgement on the replica.
+	 * @param reservation place of the call
+	 * @return the replica
+	 */
+	public Upstream release(Reservation reservation) {
+		reservation.replica().end(reservation.call(), this.timer.nowMs());
+		return reservation.upstream();
+	}
+
+	/**
+	 * Applies a load report.
+	 * @param id the replica
+	 * @param report the report
+	 */
+	public void reportReceived(UpstreamId id, LoadReport report) {
+		ReplicaState state = this.replicas.get(id);
+		if (state != null) {
+			state.report(report, this.timer.nowMs());
+		}
+	}
+
+	/**
+	 * Applies cache events.
+	 * @param id the replica
+	 * @param events events in their order
+	 */
+	public void eventsReceived(UpstreamId id, List<CacheEvent> events) {
+		this.cache.apply(id, events, this.timer.nowMs(), EVENT_LAG_MS);
+	}
+
+	/**
+	 * Applies the sum of all peers' in-flight calls of a replica.
+	 * @param id the replica
+	 * @param calls number of calls
+	 * @param ageMs age of the oldest count in the sum in milliseconds
+	 */
+	public void peersInFlight(UpstreamId id, int calls, long ageMs) {
+		ReplicaState state = this.replicas.get(id);
+		if (state != null) {
+			state.setOthers(calls, this.timer.nowMs() - ageMs);
+		}
+	}
+
+	/**
+	 * Returns the own in-flight calls for the heartbeats to peers.
+	 * @return calls by replica, without replicas that have none
+	 */
+	public Map<UpstreamId, Integer> inFlight() {
+		Map<UpstreamId, Integer> counts = new HashMap<>();
+		this.replicas.forEach((id, state) -> {
+			if (state.ownInFlight() > 0) {
+				counts.put(id, state.ownInFlight());
+			}
+		});
+		return counts;
+	}
+
+	public List<UpstreamId> holders(String owner) {
+		return this.cache.holders(owner);
+	}
+
+	public int cachedTokens(String owner, UpstreamId id) {
+		return this.cache.tokens(owner, id);
+	}
+
+	public long lastEventSequence(UpstreamId id) {
+		return this.cache.lastSequence(id);
+	}
+
+	public void forgetOwner(String owner) {
+		this.cache.forget(owner);
+	}
+
+	public @Nullable Upstream upstream(UpstreamId id) {
+		ReplicaState state = this.replicas.get(id);
+		return (state != null) ? state.upstream() : null;
+	}
+
+	/**
+	 * Describes the state for {@code dump}.
+	 * @return one line of figures
+	 */
+	public String dump() {
+		return "replicas=" + this.replicas.size() + " pools=" + this.byPool.size() + " inFlight="
+				+ this.replicas.values().stream().mapToInt(ReplicaState::ownInFlight).sum() + " ejected="
+				+ this.outliers.ejectedReplicas(this.timer.nowMs()) + " cachedPrograms=" + this.cache.owners()
+				+ " lostCacheEvents=" + this.cache.lostEvents();
+	}
+
+	private int poolSize(Upstream upstream) {
+		String name = upstream.serves().isEmpty() ? "" : upstream.serves().get(0);
+		return this.byPool.getOrDefault(poolOf(upstream.kind(), name), List.of()).size();
+	}
+
+	private List<ReplicaState> sample(List<ReplicaState> members, String owner) {
+		if (members.size() <= SAMPLE_SIZE) {
+			return members;
+		}
+		List<ReplicaState> sampled = new ArrayList<>(SAMPLE_SIZE + 2);
+		for (UpstreamId holder : this.cache.holders(owner)) {
+			ReplicaState state = this.replicas.get(holder);
+			if (state != null && !state.upstream().isLeaving()) {
+				sampled.add(state);
+			}
+		}
+		for (int i = 0; i < SAMPLE_SIZE; i++) {
+			ReplicaState state = members.get(this.random.nextInt(members.size()));
+			if (!sampled.contains(state)) {
+				sampled.add(state);
+			}
+		}
+		return sampled;
+	}
+
+	private ReplicaView view(ReplicaState state, String owner, int promptTokens) {
+		Upstream upstream = state.upstream();
+		long nowMs = this.timer.nowMs();
+		int cached = owner.isEmpty() ? 0 : Math.min(promptTokens, this.cache.tokens(owner, upstream.id()));
+		double crossingMs = upstream.availabilityZone().equals(this.ownZone) ? 0 : this.zoneCrossingMs;
+		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.others(), state.othersAgeMs(nowMs),
+				state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()), cached, state.freeCacheTokens(),
+				upstream.maxConcurrentCalls(), this.outliers.slowFactor(upstream.id()),
+				this.outliers.isEjected(upstream.id(), nowMs));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallClassifier.java
@@ -0,0 +1,67 @@
+package dev.nutmegdoor.core.schedule;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.WorkKind;
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.id.ProgramId;
+
+/**
+ * Derives the order of a call from its workspace, kind of work and program.
+ */
+final class CallClassifier {
+
+	/** Priority of calls that name no known kind of work. */
+	private static final int DEFAULT_PRIORITY = 5;
+
+	private final ScheduleSettings settings;
+
+	private final ConfigurationView configuration;
+
+	private final ProgramFactsSource programs;
+
+	private final ProgramAccounts accounts;
+
+	CallClassifier(ScheduleSettings settings, ConfigurationView configuration, ProgramFactsSource programs,
+			ProgramAccounts accounts) {
+		this.settings = settings;
+		this.configuration = configuration;
+		this.programs = programs;
+		this.accounts = accounts;
+	}
+
+	CallOrder classify(CallRequest request, long nowMs) {
+		Configuration current = this.configuration.current();
+		Workspace workspace = current.workspaces().get(request.workspace());
+		int priority = priorityOf(current, workspace, request.workKind());
+		ProgramId program = request.program();
+		String account = (program != null) ? program.toString() : request.decision().value();
+		double elapsedMs = 0;
+		if (program != null) {
+			ProgramFacts facts = this.programs.factsOf(program);
+			if (facts != null) {
+				account = facts.root().toString();
+				elapsedMs = nowMs - facts.openedAtMs();
+			}
+		}
+		double orderMs = nowMs + priority * this.settings.priorityStepMs()
+				+ this.accounts.receivedMs(account) * this.settings.receivedWeight()
+				- elapsedMs * this.settings.elapsedWeight();
+		return new CallOrder(priority, (workspace != null) ? workspace.weight() : 1, account, orderMs);
+	}
+
+	private static int priorityOf(Configuration current, @Nullable Workspace workspace, String workKind) {
+		if (workspace != null) {
+			Integer override = workspace.workPriorities().get(workKind);
+			if (override != null) {
+				return override;
+			}
+		}
+		WorkKind kind = current.workKinds().get(workKind);
+		return (kind != null) ? kind.priority() : DEFAULT_PRIORITY;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/FairQueue.java
@@ -0,0 +1,165 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * Weighted start-time fair queue of one pool. The workspace with the lowest start tag is
+ * served first; a tag rises by the service that the workspace receives divided by its
+ * weight. A workspace that was idle starts at the virtual time, so idling earns nothing.
+ */
+final class FairQueue {
+
+	/** Smoothing of the dispatch gap; averages over about ten dispatches. */
+	private static final double SMOOTHING = 0.1;
+
+	private final Map<WorkspaceId, WorkspaceQueue> workspaces = new HashMap<>();
+
+	private final TreeSet<WorkspaceQueue> active = new TreeSet<>();
+
+	private double virtualTime;
+
+	private int size;
+
+	void add(QueuedCall call) {
+		WorkspaceQueue queue = queueOf(call);
+		if (queue.calls.isEmpty()) {
+			queue.startTag = Math.max(queue.startTag, this.virtualTime);
+			this.active.add(queue);
+		}
+		if (queue.calls.add(call)) {
+			this.size++;
+		}
+	}
+
+	boolean remove(QueuedCall call) {
+		WorkspaceQueue queue = queueOf(call);
+		if (!queue.calls.remove(call)) {
+			return false;
+		}
+		this.size--;
+		if (queue.calls.isEmpty()) {
+			this.active.remove(queue);
+		}
+		return true;
+	}
+
+	/**
+	 * Offers waiting calls in their order until none is taken or too many are passed
+	 * over.
+	 * @param lookahead calls that may be passed over
+	 * @param dispatch sends a call if its replica has a place; must not add calls
+	 * @param nowMs present time in milliseconds
+	 */
+	void offer(int lookahead, Predicate<QueuedCall> dispatch, long nowMs) {
+		boolean isTaken = true;
+		while (isTaken && this.size > 0) {
+			isTaken = false;
+			for (QueuedCall call : head(lookahead)) {
+				if (dispatch.test(call)) {
+					dispatched(call, nowMs);
+					isTaken = true;
+					break;
+				}
+			}
+		}
+	}
+
+	/**
+	 * Corrects the service charged to a workspace.
+	 * @param call a call that was dispatched
+	 * @param serviceMs service to add, negative if too much was charged
+	 */
+	void charge(QueuedCall call, double serviceMs) {
+		WorkspaceQueue queue = queueOf(call);
+		boolean isActive = this.active.remove(queue);
+		queue.startTag += serviceMs / Math.max(1, call.weight);
+		if (isActive) {
+			this.active.add(queue);
+		}
+	}
+
+	/**
+	 * Returns the expected wait of a call that is added now.
+	 * @param workspace workspace of the call
+	 * @return milliseconds
+	 */
+	double expectedWaitMs(WorkspaceId workspace) {
+		WorkspaceQueue queue = this.workspaces.get(workspace);
+		return (queue != null) ? queue.calls.size() * queue.dispatchGapMs : 0;
+	}
+
+	int queued(WorkspaceId workspace) {
+		WorkspaceQueue queue = this.workspaces.get(workspace);
+		return (queue != null) ? queue.calls.size() : 0;
+	}
+
+	int size() {
+		return this.size;
+	}
+
+	/**
+	 * Returns calls that cannot be served before their deadline.
+	 * @param minServiceMs time that a call needs at least once it is dispatched
+	 * @param nowMs present time in milliseconds
+	 * @return calls whose expected wait is longer than the time they have
+	 */
+	List<QueuedCall> hopeless(double minServiceMs, long nowMs) {
+		List<QueuedCall> calls = new ArrayList<>();
+		for (WorkspaceQueue queue : this.active) {
+			int ahead = 0;
+			for (QueuedCall call : queue.calls) {
+				if (call.deadlineMs - nowMs < ahead * queue.dispatchGapMs + minServiceMs) {
+					calls.add(call);
+				}
+				else {
+					ahead++;
+				}
+			}
+		}
+		return calls;
+	}
+
+	private List<QueuedCall> head(int lookahead) {
+		List<QueuedCall> calls = new ArrayList<>(lookahead);
+		// Each workspace may pass over its share only, so that calls of one workspace
+		// that all wait for the same replica don't hide those of the others.
+		int perWorkspace = Math.max(1, lookahead / Math.max(1, this.active.size()));
+		for (WorkspaceQueue queue : this.active) {
+			int taken = 0;
+			for (QueuedCall call : queue.calls) {
+				if (taken++ == perWorkspace) {
+					break;
+				}
+				calls.add(call);
+			}
+			if (calls.size() >= lookahead) {
+				break;
+			}
+		}
+		return calls;
+	}
+
+	private void dispatched(QueuedCall call, long nowMs) {
+		WorkspaceQueue queue = queueOf(call);
+		this.virtualTime = Math.max(this.virtualTime, queue.startTag);
+		boolean isBacklogged = queue.lastDispatchMs > 0 && call.queuedAtMs <= queue.lastDispatchMs;
+		if (isBacklogged) {
+			queue.dispatchGapMs += SMOOTHING * (nowMs - queue.lastDispatchMs - queue.dispatchGapMs);
+		}
+		queue.lastDispatchMs = nowMs;
+		remove(call);
+		charge(call, call.chargedMs);
+	}
+
+	private WorkspaceQueue queueOf(QueuedCall call) {
+		return this.workspaces.computeIfAbsent(call.request.workspace(), WorkspaceQueue::new);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ProgramAccounts.java
@@ -0,0 +1,41 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Service that programs have received, sub-agents included, in milliseconds.
+ */
+final class ProgramAccounts {
+
+	/** Programs without a call for longest are dropped beyond this number. */
+	private static final int MAX_PROGRAMS = 50_000;
+
+	private final Map<String, Double> received = new LinkedHashMap<>(64, 0.75f, true) {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+			return size() > MAX_PROGRAMS;
+		}
+
+	};
+
+	double receivedMs(String account) {
+		return this.received.getOrDefault(account, 0.0);
+	}
+
+	void charge(String account, double serviceMs) {
+		this.received.merge(account, serviceMs, Double::sum);
+	}
+
+	void close(String account) {
+		this.received.remove(account);
+	}
+
+	int size() {
+		return this.received.size();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueuedCall.java
@@ -0,0 +1,89 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.id.UpstreamId;
+
+/**
+ * A call between its acceptance and its outcome.
+ */
+final class QueuedCall implements Comparable<QueuedCall> {
+
+	final CallRequest request;
+
+	final CallListener listener;
+
+	final String pool;
+
+	final String owner;
+
+	final int priority;
+
+	final int weight;
+
+	final String account;
+
+	final double orderMs;
+
+	final long sequence;
+
+	final long acceptedAtMs;
+
+	final long deadlineMs;
+
+	final List<Long> prefixHashes;
+
+	final Set<UpstreamId> failedReplicas = new HashSet<>(2);
+
+	final StringBuilder delivered = new StringBuilder();
+
+	long queuedAtMs;
+
+	int attempts;
+
+	double chargedMs;
+
+	boolean isEnded;
+
+	@Nullable Runnable cancellation;
+
+	QueuedCall(CallRequest request, CallListener listener, String pool, CallOrder order, List<Long> prefixHashes,
+			long sequence, long nowMs) {
+		this.request = request;
+		this.listener = listener;
+		this.pool = pool;
+		this.owner = (request.program() != null) ? request.program().toString() : "";
+		this.priority = order.priority();
+		this.weight = order.weight();
+		this.account = order.account();
+		this.orderMs = order.orderMs();
+		this.sequence = sequence;
+		this.acceptedAtMs = nowMs;
+		this.queuedAtMs = nowMs;
+		this.deadlineMs = nowMs + request.timeoutMs();
+		this.prefixHashes = prefixHashes;
+	}
+
+	@Override
+	public int compareTo(QueuedCall other) {
+		int byOrder = Double.compare(this.orderMs, other.orderMs);
+		return (byOrder != 0) ? byOrder : Long.compare(this.sequence, other.sequence);
+	}
+
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return this == other;
+	}
+
+	@Override
+	public int hashCode() {
+		return Long.hashCode(this.sequence);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/WorkspaceQueue.java
@@ -0,0 +1,45 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.TreeSet;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * Waiting calls of one workspace with its start tag.
+ */
+final class WorkspaceQueue implements Comparable<WorkspaceQueue> {
+
+	final WorkspaceId workspace;
+
+	final TreeSet<QueuedCall> calls = new TreeSet<>();
+
+	double startTag;
+
+	/** Average time between two dispatches while calls wait, in milliseconds. */
+	double dispatchGapMs = 100;
+
+	long lastDispatchMs;
+
+	WorkspaceQueue(WorkspaceId workspace) {
+		this.workspace = workspace;
+	}
+
+	@Override
+	public int compareTo(WorkspaceQueue other) {
+		int byTag = Double.compare(this.startTag, other.startTag);
+		return (byTag != 0) ? byTag : this.workspace.compareTo(other.workspace);
+	}
+
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return this == other;
+	}
+
+	@Override
+	public int hashCode() {
+		return this.workspace.hashCode();
+	}
+
+}
