--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
@@ -0,0 +1,47 @@
+package dev.nutmegdoor.core.schedule;
+
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.ReplicaIndex;
+
+/**
+ * Pool and cost of calls.
+ */
+final class CallCosts {
+
+	/** Calls that share a step of a busy engine. */
+	private static final int BATCH = 32;
+
+	/** No engine decodes faster than half the base time of a step for each token. */
+	private static final double FASTEST_STEP_SHARE = 0.5;
+
+	private final PlacementCosts costs;
+
+	CallCosts(PlacementCosts costs) {
+		this.costs = costs;
+	}
+
+	// Service of a call: time that an engine spends on it, with decoding shared by a
+	// full batch.
+	double serviceMs(int uncachedTokens, int answerTokens) {
+		double perTokenMs = this.costs.stepBaseMs() / BATCH + this.costs.stepPerCallMs();
+		return Math.max(0, uncachedTokens) * this.costs.prefillPerTokenMs() + answerTokens * perTokenMs;
+	}
+
+	double minServiceMs(CallRequest request) {
+		return (request.payload() instanceof ModelCall model)
+				? model.maxTokens() * this.costs.stepBaseMs() * FASTEST_STEP_SHARE : 1;
+	}
+
+	static String poolOf(CallRequest request) {
+		if (request.payload() instanceof ModelCall model) {
+			return ReplicaIndex.poolOf(UpstreamKind.MODEL_ENGINE, model.model());
+		}
+		ServiceCall service = (ServiceCall) request.payload();
+		return ReplicaIndex.poolOf(UpstreamKind.SERVICE, service.service());
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/DecisionLog.java
@@ -0,0 +1,64 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.explain.DecisionAlternative;
+import dev.nutmegdoor.core.explain.DecisionKind;
+import dev.nutmegdoor.core.explain.DecisionRecord;
+import dev.nutmegdoor.core.explain.DecisionRecorder;
+import dev.nutmegdoor.core.placement.PlacementDecision;
+import dev.nutmegdoor.core.placement.PlacementInput;
+import dev.nutmegdoor.core.placement.ScoredReplica;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Turns decisions of the scheduler into records. The inputs and outcome of a placement
+ * are those of the pure function, which can be run again on them.
+ */
+final class DecisionLog {
+
+	private final DecisionRecorder recorder;
+
+	private final TimerService timer;
+
+	DecisionLog(DecisionRecorder recorder, TimerService timer) {
+		this.recorder = recorder;
+		this.timer = timer;
+	}
+
+	void placed(CallRequest request, PlacementInput input, PlacementDecision decision) {
+		placement(DecisionKind.PLACEMENT, request, input, decision);
+	}
+
+	void delayed(CallRequest request, PlacementInput input, PlacementDecision decision) {
+		placement(DecisionKind.QUEUE, request, input, decision);
+	}
+
+	void refused(CallRequest request, QueueInput input, Refusal refusal) {
+		if (this.recorder == DecisionRecorder.NONE) {
+			return;
+		}
+		this.recorder.record(new DecisionRecord(request.decision(), DecisionKind.QUEUE, this.timer.wallClockMs(),
+				request.workspace(), true, refusal.reason().typeName(), input, refusal, List.of(),
+				"fewer queued calls or more time before the deadline would have let the call wait"));
+	}
+
+	private void placement(DecisionKind kind, CallRequest request, PlacementInput input, PlacementDecision decision) {
+		if (this.recorder == DecisionRecorder.NONE) {
+			return;
+		}
+		List<DecisionAlternative> alternatives = new ArrayList<>(decision.alternatives().size());
+		for (ScoredReplica replica : decision.alternatives()) {
+			alternatives.add(new DecisionAlternative(replica.id().value(), replica.scoreMs(), "ms",
+					"wait " + Math.round(replica.waitMs()) + ", prefill " + Math.round(replica.prefillMs())
+							+ ", decode " + Math.round(replica.decodeMs()) + ", crossing "
+							+ Math.round(replica.crossingMs()) + (replica.hasPlace() ? "" : ", no place")));
+		}
+		this.recorder.record(new DecisionRecord(request.decision(), kind, this.timer.wallClockMs(), request.workspace(),
+				false, decision.rule().name(), input, decision, alternatives, decision.counterfactual()));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
@@ -0,0 +1,120 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.Repeatability;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.ServiceOperation;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.placement.Placement;
+import dev.nutmegdoor.core.placement.PlacementDecision;
+import dev.nutmegdoor.core.placement.PlacementInput;
+import dev.nutmegdoor.core.placement.PlacementRule;
+import dev.nutmegdoor.core.placement.ReplicaIndex;
+import dev.nutmegdoor.core.placement.Reservation;
+import dev.nutmegdoor.core.placement.ScoredReplica;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Places a queued call and sends it if its replica has a place.
+ */
+final class Dispatcher {
+
+	private final ScheduledCallRunner runner;
+
+	private final ReplicaIndex index;
+
+	private final TimerService timer;
+
+	private final ConfigurationView configuration;
+
+	private final DecisionLog decisions;
+
+	private final DrainWatch drains;
+
+	Dispatcher(ScheduledCallRunner runner, TimerService timer, ConfigurationView configuration, DecisionLog decisions,
+			DrainWatch drains) {
+		this.runner = runner;
+		this.index = runner.index();
+		this.timer = timer;
+		this.configuration = configuration;
+		this.decisions = decisions;
+		this.drains = drains;
+	}
+
+	boolean dispatch(QueuedCall call) {
+		PlacementInput input = collect(call);
+		PlacementDecision decision = Placement.decide(input);
+		ScoredReplica chosen = decision.chosen();
+		if (chosen == null) {
+			// All replicas have failed the call once: any of them may try again.
+			call.failedReplicas.clear();
+			return false;
+		}
+		if (decision.rule() != PlacementRule.LOWEST_COST) {
+			if (!call.isDelayRecorded) {
+				call.isDelayRecorded = true;
+				this.decisions.delayed(call.request, input, decision);
+			}
+			return false;
+		}
+		int uncached = Math.max(0, input.promptTokens() - this.index.cachedTokens(call.owner, chosen.id()));
+		Reservation reservation = this.index.reserve(chosen.id(), uncached);
+		if (reservation == null) {
+			return false;
+		}
+		this.decisions.placed(call.request, input, decision);
+		this.drains.sending(chosen.id(), this.timer.nowMs());
+		this.runner.reached(Step.DISPATCH);
+		call.attempts++;
+		send(call, reservation, chosen, uncached);
+		return true;
+	}
+
+	// Reserves a place on another replica, or returns null if none has a place.
+	@Nullable Reservation reserveForHedge(QueuedCall call) {
+		PlacementDecision decision = Placement.decide(collect(call));
+		ScoredReplica chosen = decision.chosen();
+		if (chosen == null || decision.rule() != PlacementRule.LOWEST_COST) {
+			return null;
+		}
+		return this.index.reserve(chosen.id(), 0);
+	}
+
+	private PlacementInput collect(QueuedCall call) {
+		int promptTokens = 0;
+		int answerTokens = 0;
+		if (call.request.payload() instanceof ModelCall model) {
+			promptTokens = model.promptTokens();
+			answerTokens = model.maxTokens();
+		}
+		return this.index.collect(call.pool, call.owner, promptTokens, answerTokens,
+				this.timer.nowMs() - call.queuedAtMs, Set.copyOf(call.failedReplicas));
+	}
+
+	private void send(QueuedCall call, Reservation reservation, ScoredReplica chosen, int uncached) {
+		if (call.request.payload() instanceof ModelCall model) {
+			call.chargedMs = this.runner.serviceMs(uncached, model.maxTokens());
+			new ModelAttempt(this.runner, this.timer, call, model, reservation, chosen).start();
+		}
+		else if (call.request.payload() instanceof ServiceCall service) {
+			call.chargedMs = this.runner.settings().serviceCallCostMs();
+			Repeatability repeatability = repeatabilityOf(service);
+			call.isInterruptible = repeatability.isRetryable();
+			new ServiceAttempt(this.runner, this.timer, call, service, repeatability).start(reservation);
+		}
+	}
+
+	// An operation that the configuration does not list must not be repeated.
+	private Repeatability repeatabilityOf(ServiceCall service) {
+		ServiceOperation operation = this.configuration.current()
+			.operations()
+			.get(service.service() + "/" + service.operation());
+		return (operation != null) ? operation.repeatability() : Repeatability.AT_MOST_ONCE;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/DrainWatch.java
@@ -0,0 +1,44 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+
+/**
+ * Asserts that leaving upstreams get no new calls.
+ */
+final class DrainWatch {
+
+	private static final long DRAIN_LIMIT_MS = 3_000;
+
+	private final Map<UpstreamId, Long> leavingSinceMs = new HashMap<>();
+
+	private final InvariantRegistry invariants;
+
+	DrainWatch(InvariantRegistry invariants) {
+		this.invariants = invariants;
+	}
+
+	void apply(Map<UpstreamId, Upstream> upstreams, long nowMs) {
+		this.leavingSinceMs.keySet().retainAll(upstreams.keySet());
+		for (Upstream upstream : upstreams.values()) {
+			if (upstream.isLeaving()) {
+				this.leavingSinceMs.putIfAbsent(upstream.id(), nowMs);
+			}
+			else {
+				this.leavingSinceMs.remove(upstream.id());
+			}
+		}
+	}
+
+	void sending(UpstreamId id, long nowMs) {
+		Long sinceMs = this.leavingSinceMs.get(id);
+		this.invariants.check(Invariant.UPSTREAM_DRAIN, sinceMs == null || nowMs - sinceMs <= DRAIN_LIMIT_MS,
+				() -> "call sent to " + id + ", which has been leaving since " + sinceMs + " ms, at " + nowMs + " ms");
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Failures.java
@@ -0,0 +1,32 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.concurrent.CompletionException;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.upstream.UpstreamException;
+
+/**
+ * Reads what the failure of an upstream's future says about the effect of the call.
+ */
+final class Failures {
+
+	private Failures() {
+	}
+
+	static RunState runStateOf(@Nullable Throwable failure) {
+		return (unwrap(failure) instanceof UpstreamException ex) ? ex.run() : RunState.UNKNOWN;
+	}
+
+	static String messageOf(@Nullable Throwable failure) {
+		Throwable cause = unwrap(failure);
+		String message = (cause != null) ? cause.getMessage() : null;
+		return (message != null) ? message : "upstream failed";
+	}
+
+	private static @Nullable Throwable unwrap(@Nullable Throwable failure) {
+		return (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause() : failure;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueueInput.java
@@ -0,0 +1,50 @@
+package dev.nutmegdoor.core.schedule;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+
+/**
+ * What decides whether a call may wait in the queue.
+ *
+ * @param hasPool whether any replica serves the pool
+ * @param queuedCalls calls of the workspace that wait already
+ * @param maxQueuedCalls calls of a workspace that may wait
+ * @param expectedWaitMs expected time until the call is dispatched in milliseconds
+ * @param expectedServiceMs time that the call needs at least once it is dispatched
+ * @param timeLeftMs time until the deadline of the call in milliseconds
+ */
+public record QueueInput(boolean hasPool, int queuedCalls, int maxQueuedCalls, double expectedWaitMs,
+		double expectedServiceMs, long timeLeftMs) {
+
+	/** A pool without replicas seldom recovers sooner. */
+	private static final long NO_POOL_RETRY_MS = 5_000;
+
+	/**
+	 * Decides whether the call is refused at once. Pure, so that a recorded refusal can
+	 * be verified.
+	 * @return the refusal, or {@code null} if the call may wait
+	 */
+	public @Nullable Refusal decide() {
+		if (!this.hasPool) {
+			return Refusal.notRun(RefusalReason.NO_UPSTREAM, "no replica serves this model or service",
+					NO_POOL_RETRY_MS);
+		}
+		if (this.queuedCalls >= this.maxQueuedCalls) {
+			return Refusal.notRun(RefusalReason.QUEUE_FULL, this.queuedCalls + " calls of the workspace wait already",
+					retryAfterMs());
+		}
+		if (this.expectedWaitMs + this.expectedServiceMs > this.timeLeftMs) {
+			return Refusal.notRun(RefusalReason.DEADLINE_EXCEEDED,
+					"expected wait of " + Math.round(this.expectedWaitMs) + " ms exceeds the time left",
+					retryAfterMs());
+		}
+		return null;
+	}
+
+	private long retryAfterMs() {
+		return Math.max(1_000, Math.round(this.expectedWaitMs));
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueuedCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueuedCall.java
@@ -51,6 +51,12 @@
 
 	boolean isEnded;
 
+	boolean isDelayRecorded;
+
+	boolean isInterruptible = true;
+
+	boolean mayHaveRun;
+
 	@Nullable Runnable cancellation;
 
 	QueuedCall(CallRequest request, CallListener listener, String pool, CallOrder order, List<Long> prefixHashes,
