--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationArchive.java
@@ -0,0 +1,72 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.distribution.LocalPersistence;
+
+/**
+ * Keeps the version in force in the data folder. The head is written last, so that a
+ * crash leaves either the old version or the new one, or an unusable one that is ignored.
+ */
+final class ConfigurationArchive {
+
+	private static final String HEAD = "configuration-head";
+
+	private static final String SHARD = "configuration-shard.";
+
+	private final LocalPersistence persistence;
+
+	private final Set<String> written = new HashSet<>();
+
+	ConfigurationArchive(LocalPersistence persistence) {
+		this.persistence = persistence;
+	}
+
+	/**
+	 * Reads the archived version.
+	 * @return the document, or the empty one if there is none or it is damaged
+	 */
+	CompletableFuture<ConfigurationDocument> load() {
+		return this.persistence.load().thenApply(this::read).exceptionally((ex) -> ConfigurationDocument.EMPTY);
+	}
+
+	void save(ConfigurationDocument document) {
+		Set<String> names = new HashSet<>();
+		for (ConfigurationShard shard : document.shards()) {
+			if (shard != ConfigurationShard.EMPTY) {
+				names.add(SHARD + shard.name());
+				if (this.written.add(SHARD + shard.name())) {
+					this.persistence.put(SHARD + shard.name(), shard.text());
+				}
+			}
+		}
+		this.persistence.put(HEAD, document.head().text());
+		this.written.removeIf((name) -> {
+			boolean isUnused = !names.contains(name);
+			if (isUnused) {
+				this.persistence.remove(name);
+			}
+			return isUnused;
+		});
+	}
+
+	private ConfigurationDocument read(Map<String, String> entries) {
+		entries.keySet().stream().filter((name) -> name.startsWith(SHARD)).forEach(this.written::add);
+		String text = entries.get(HEAD);
+		if (text == null) {
+			return ConfigurationDocument.EMPTY;
+		}
+		ConfigurationHead head = ConfigurationHead.parse(text);
+		List<ConfigurationShard> shards = new ArrayList<>();
+		for (String name : head.shards()) {
+			shards.add(ConfigurationShard.verified(name, entries.getOrDefault(SHARD + name, "")));
+		}
+		return ConfigurationDocument.of(head, shards);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationCommitter.java
@@ -0,0 +1,298 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.distribution.StoreRetry;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Commits changes, one at a time: shards and the entry of the history are written first
+ * under names of their own, then one conditional update of the head decides. A change is
+ * never half visible, and a committer that dies leaves at most unused objects.
+ */
+final class ConfigurationCommitter {
+
+	/** Attempts to commit a change on a head that others keep changing. */
+	private static final int MAX_ROUNDS = 5;
+
+	/** Attempts to write the head or to find out whether it was written. */
+	private static final int MAX_WRITES = 6;
+
+	private static final long RETRY_DELAY_MS = 100;
+
+	/** Entries of the history that a rejected change is answered with. */
+	private static final int MAX_LOST_ENTRIES = 50;
+
+	/**
+	 * Time until replaced shards are deleted; an instance that has just read the old head
+	 * can still load them.
+	 */
+	private static final long DISCARD_DELAY_MS = 60_000;
+
+	private final ConfigurationStore store;
+
+	private final TimerService timer;
+
+	private final UniformRandomProvider random;
+
+	private final StepListener steps;
+
+	private final Supplier<ConfigurationDocument> current;
+
+	private final Consumer<ConfigurationDocument> committed;
+
+	private CompletableFuture<?> last = CompletableFuture.completedFuture(null);
+
+	ConfigurationCommitter(ConfigurationStore store, TimerService timer, UniformRandomProvider random,
+			StepListener steps, Supplier<ConfigurationDocument> current, Consumer<ConfigurationDocument> committed) {
+		this.store = store;
+		this.timer = timer;
+		this.random = random;
+		this.steps = steps;
+		this.current = current;
+		this.committed = committed;
+	}
+
+	CompletableFuture<ConfigurationChangeResult> commit(ConfigurationChange change) {
+		CompletableFuture<ConfigurationChangeResult> result = new CompletableFuture<>();
+		Runnable start = () -> begin(new Attempt(change, changeId(), result), 1);
+		if (this.last.isDone()) {
+			start.run();
+		}
+		else {
+			this.last.whenComplete((ignored, error) -> start.run());
+		}
+		this.last = result;
+		return result;
+	}
+
+	private String changeId() {
+		return String.format("%016x", this.random.nextLong());
+	}
+
+	private void begin(Attempt attempt, int round) {
+		this.store.readHeadWithRetry()
+			.thenCompose((stored) -> this.store.load(stored.head(), this.current.get())
+				.thenAccept((base) -> prepare(attempt, round, stored, base)))
+			.whenComplete((ignored, error) -> {
+				if (error != null) {
+					fail(attempt, round, error);
+				}
+			});
+	}
+
+	private void fail(Attempt attempt, int round, Throwable error) {
+		StoreFailure failure = StoreRetry.failureOf(error);
+		if (failure == null) {
+			attempt.result.completeExceptionally(error);
+		}
+		else if (failure == StoreFailure.NOT_FOUND && round < MAX_ROUNDS) {
+			// The head was replaced while its shards were read.
+			begin(attempt, round + 1);
+		}
+		else {
+			attempt.finish(ConfigurationChangeOutcome.UNAVAILABLE, 0, List.of());
+		}
+	}
+
+	private void prepare(Attempt attempt, int round, StoredHead stored, ConfigurationDocument base) {
+		ConfigurationChange change = attempt.change;
+		Long expected = change.expectedVersion();
+		if (expected == null) {
+			if (attempt.base != null && isTouched(change, attempt.base.differencesTo(base))) {
+				lose(attempt, base, attempt.base.version());
+				return;
+			}
+		}
+		else if (expected != base.version()) {
+			lose(attempt, base, expected);
+			return;
+		}
+		attempt.base = base;
+		ConfigurationDocument next;
+		try {
+			next = base.next(change.edits(), attempt.changeId, change.author(), this.timer.wallClockMs());
+		}
+		catch (IllegalArgumentException ex) {
+			attempt.reject(base.version(),
+					List.of(new ConfigurationError("edits", String.valueOf(ex.getMessage()), "JSON objects")));
+			return;
+		}
+		List<ConfigurationError> errors = ConfigurationValidator.validate(next, change.edits());
+		if (!errors.isEmpty()) {
+			attempt.reject(base.version(), errors);
+		}
+		else if (next.version() == base.version()) {
+			attempt.finish(ConfigurationChangeOutcome.UNCHANGED, base.version(), List.of());
+		}
+		else {
+			writeParts(attempt, round, stored, base, next);
+		}
+	}
+
+	private void writeParts(Attempt attempt, int round, StoredHead stored, ConfigurationDocument base,
+			ConfigurationDocument next) {
+		List<CompletableFuture<Void>> writes = new ArrayList<>();
+		for (ConfigurationShard shard : newShards(base, next)) {
+			writes.add(this.store.createOnce(ConfigurationStore.SHARD_KIND, shard.name(), shard.text()));
+		}
+		String entry = ConfigurationJson.write(ConfigurationChangeRecord.of(base, next, attempt.change.reason()));
+		writes.add(this.store.createOnce(ConfigurationStore.CHANGE_KIND, attempt.changeId, entry));
+		CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
+			if (error != null) {
+				discardParts(attempt, base, next);
+				fail(attempt, MAX_ROUNDS, error);
+			}
+			else {
+				this.steps.reached(Step.CONFIGURATION_COMMIT);
+				writeHead(attempt, round, stored, base, next, 1, false);
+			}
+		});
+	}
+
+	private void writeHead(Attempt attempt, int round, StoredHead stored, ConfigurationDocument base,
+			ConfigurationDocument next, int write, boolean isMaybeWritten) {
+		this.store.writeHead(stored.objectVersion(), next.head()).whenComplete((object, error) -> {
+			if (error == null) {
+				accept(attempt, base, next);
+				return;
+			}
+			StoreFailure failure = StoreRetry.failureOf(error);
+			boolean isMaybe = isMaybeWritten || failure == StoreFailure.OUTCOME_UNKNOWN;
+			if (failure == StoreFailure.CONFLICT || failure == StoreFailure.NOT_FOUND) {
+				resolveConflict(attempt, round, base, next, isMaybe);
+			}
+			else if (failure != null && failure.isRetryable() && write < MAX_WRITES) {
+				// A repeated write can't take effect twice: its condition fails once any
+				// of them did.
+				long delayMs = 1 + this.random.nextLong(RETRY_DELAY_MS << write);
+				this.timer.schedule(delayMs, () -> writeHead(attempt, round, stored, base, next, write + 1, isMaybe));
+			}
+			else if (isMaybe) {
+				attempt.finish(ConfigurationChangeOutcome.UNKNOWN, 0, List.of());
+			}
+			else {
+				discardParts(attempt, base, next);
+				fail(attempt, MAX_ROUNDS, error);
+			}
+		});
+	}
+
+	private void resolveConflict(Attempt attempt, int round, ConfigurationDocument base, ConfigurationDocument next,
+			boolean isMaybe) {
+		this.store.readHeadWithRetry().whenComplete((stored, error) -> {
+			if (error != null) {
+				attempt.finish(isMaybe ? ConfigurationChangeOutcome.UNKNOWN : ConfigurationChangeOutcome.UNAVAILABLE, 0,
+						List.of());
+			}
+			else if (stored.head().recentChangeIds().contains(attempt.changeId)) {
+				accept(attempt, base, next);
+			}
+			else {
+				discardParts(attempt, base, next);
+				if (round < MAX_ROUNDS) {
+					begin(attempt.again(changeId()), round + 1);
+				}
+				else {
+					lose(attempt, base, base.version());
+				}
+			}
+		});
+	}
+
+	private void accept(Attempt attempt, ConfigurationDocument base, ConfigurationDocument next) {
+		this.committed.accept(next);
+		List<ConfigurationShard> replaced = newShards(next, base);
+		this.timer.schedule(DISCARD_DELAY_MS,
+				() -> replaced.forEach((shard) -> this.store.discard(ConfigurationStore.SHARD_KIND, shard.name())));
+		attempt.finish(ConfigurationChangeOutcome.ACCEPTED, next.version(), base.differencesTo(next));
+	}
+
+	private void lose(Attempt attempt, ConfigurationDocument base, long seenVersion) {
+		this.store.history(base.head().changeId(), seenVersion, MAX_LOST_ENTRIES).whenComplete((entries, error) -> {
+			List<ConfigurationDifference> differences = new ArrayList<>();
+			if (error == null) {
+				for (int i = entries.size() - 1; i >= 0; i--) {
+					differences.addAll(entries.get(i).differences());
+				}
+			}
+			attempt.finish(ConfigurationChangeOutcome.LOST, base.version(), differences);
+		});
+	}
+
+	private void discardParts(Attempt attempt, ConfigurationDocument base, ConfigurationDocument next) {
+		newShards(base, next).forEach((shard) -> this.store.discard(ConfigurationStore.SHARD_KIND, shard.name()));
+		this.store.discard(ConfigurationStore.CHANGE_KIND, attempt.changeId);
+	}
+
+	private static boolean isTouched(ConfigurationChange change, List<ConfigurationDifference> differences) {
+		Set<String> paths = new HashSet<>();
+		differences.forEach((difference) -> paths.add(difference.path()));
+		return change.edits().stream().anyMatch((edit) -> paths.contains(edit.path()));
+	}
+
+	private static List<ConfigurationShard> newShards(ConfigurationDocument before, ConfigurationDocument after) {
+		List<ConfigurationShard> shards = new ArrayList<>();
+		for (int i = 0; i < after.shards().size(); i++) {
+			ConfigurationShard shard = after.shards().get(i);
+			if (shard != ConfigurationShard.EMPTY && !shard.name().equals(before.shards().get(i).name())) {
+				shards.add(shard);
+			}
+		}
+		return shards;
+	}
+
+	private static final class Attempt {
+
+		private final ConfigurationChange change;
+
+		private final String changeId;
+
+		private final CompletableFuture<ConfigurationChangeResult> result;
+
+		private @Nullable ConfigurationDocument base;
+
+		private Attempt(ConfigurationChange change, String changeId,
+				CompletableFuture<ConfigurationChangeResult> result) {
+			this.change = change;
+			this.changeId = changeId;
+			this.result = result;
+		}
+
+		/**
+		 * Starts over with a new identifier, because objects of the old one were
+		 * discarded.
+		 * @param newChangeId the new identifier
+		 * @return the new attempt
+		 */
+		private Attempt again(String newChangeId) {
+			Attempt attempt = new Attempt(this.change, newChangeId, this.result);
+			attempt.base = this.base;
+			return attempt;
+		}
+
+		private void reject(long version, List<ConfigurationError> errors) {
+			this.result.complete(new ConfigurationChangeResult(ConfigurationChangeOutcome.INVALID, this.changeId,
+					version, errors, List.of()));
+		}
+
+		private void finish(ConfigurationChangeOutcome outcome, long version,
+				List<ConfigurationDifference> differences) {
+			this.result.complete(ConfigurationChangeResult.of(outcome, this.changeId, version, differences));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
@@ -0,0 +1,330 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.distribution.FanOut;
+import dev.nutmegdoor.core.distribution.LocalPersistence;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Keeps the newest accepted configuration in force on this instance and spreads it: the
+ * committer and the watchers of each zone announce a new version to a few peers, which
+ * fetch it from the announcer and announce it in turn. Heartbeats repair what
+ * announcements miss, through {@link #onPeerVersion(InstanceId, long)}.
+ */
+public final class ConfigurationController implements ConfigurationView {
+
+	/**
+	 * Time in which a version must be in force once a reachable peer has announced it.
+	 */
+	private static final long IN_FORCE_MS = 3_000;
+
+	private final ConfigurationSettings settings;
+
+	private final TimerService timer;
+
+	private final PeerTransport transport;
+
+	private final MembershipView membership;
+
+	private final InvariantRegistry invariants;
+
+	private final StepListener steps;
+
+	private final EventLog events;
+
+	private final ConfigurationStore store;
+
+	private final ConfigurationArchive archive;
+
+	private final ConfigurationFetcher fetcher;
+
+	private final ConfigurationWatcher watcher;
+
+	private final ConfigurationCommitter committer;
+
+	private final ConfigurationStarter starter;
+
+	private final UniformRandomProvider random;
+
+	private final List<Consumer<Configuration>> listeners = new ArrayList<>();
+
+	private final RecentEdits recentEdits = new RecentEdits();
+
+	/** Announced versions by peer, in the order of the announcements. */
+	private final Map<InstanceId, Long> announced = new LinkedHashMap<>();
+
+	private volatile ConfigurationDocument document = ConfigurationDocument.EMPTY;
+
+	private @Nullable ConfigurationHead storeHead;
+
+	private boolean fetching;
+
+	private long heardMs = -1;
+
+	private long lastApplyMs;
+
+	private long applied;
+
+	/**
+	 * Creates a controller; it does nothing until {@link #start()}.
+	 * @param settings settings
+	 * @param timer time
+	 * @param transport messages between instances
+	 * @param store the platform's store
+	 * @param membership the members
+	 * @param persistence data folder
+	 * @param random source of jitter and of identifiers of changes
+	 * @param invariants counts checks
+	 * @param steps called at the steps of the protocol
+	 * @param events receives {@code configuration.*}
+	 */
+	public ConfigurationController(ConfigurationSettings settings, TimerService timer, PeerTransport transport,
+			ObjectStore store, MembershipView membership, LocalPersistence persistence, UniformRandomProvider random,
+			InvariantRegistry invariants, StepListener steps, EventLog events) {
+		this.settings = settings;
+		this.timer = timer;
+		this.transport = transport;
+		this.membership = membership;
+		this.random = random;
+		this.invariants = invariants;
+		this.steps = steps;
+		this.events = events;
+		this.store = new ConfigurationStore(store, timer, random);
+		this.archive = new ConfigurationArchive(persistence);
+		this.fetcher = new ConfigurationFetcher(transport, settings.peerTimeoutMs());
+		this.watcher = new ConfigurationWatcher(this.store, timer, membership, random, settings, this::version,
+				this::onStoreHead);
+		this.committer = new ConfigurationCommitter(this.store, timer, random, steps, () -> this.document, this::apply);
+		this.starter = new ConfigurationStarter(settings, timer, membership, this.store, this.archive, this.fetcher,
+				() -> this.document, this::apply);
+	}
+
+	/**
+	 * Starts to serve peers and learns the newest version. The membership should know
+	 * other instances by then, since they are asked for their versions.
+	 * @return completes when this instance may report ready
+	 */
+	public CompletableFuture<Void> start() {
+		this.transport.subscribe(ConfigurationAnnouncement.class, (from, message) -> {
+			onPeerVersion(from, message.version());
+			return null;
+		});
+		this.transport.subscribe(ConfigurationFetch.class, (from, message) -> CompletableFuture
+			.completedFuture(ConfigurationFetcher.answer(message, this.document, this.recentEdits)));
+		return this.starter.start().thenRun(this.watcher::start);
+	}
+
+	@Override
+	public Configuration current() {
+		return this.document.configuration();
+	}
+
+	@Override
+	public void subscribe(Consumer<Configuration> listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Returns the version in force; may be called from any thread.
+	 * @return the version, for heartbeats
+	 */
+	public long version() {
+		return this.document.version();
+	}
+
+	public boolean isReady() {
+		return this.starter.isReady();
+	}
+
+	/**
+	 * Receives the version that a peer has in force, from its heartbeat or announcement.
+	 * @param peer the peer
+	 * @param version its version
+	 */
+	public void onPeerVersion(InstanceId peer, long version) {
+		if (version <= version()) {
+			return;
+		}
+		hear();
+		this.announced.remove(peer);
+		this.announced.put(peer, version);
+		fetch();
+	}
+
+	/**
+	 * Commits a change.
+	 * @param change the change
+	 * @return the outcome; never fails for a reason that
+	 * {@link ConfigurationChangeOutcome} lists
+	 */
+	public CompletableFuture<ConfigurationChangeResult> change(ConfigurationChange change) {
+		return this.committer.commit(change).whenComplete((result, error) -> {
+			if (result != null) {
+				this.events.record("configuration.change", "outcome", result.outcome(), "changeId", result.changeId(),
+						"version", result.version(), "author", change.author(), "errors", result.errors().size());
+			}
+		});
+	}
+
+	/**
+	 * Reads the history from the store.
+	 * @param limit largest number of entries
+	 * @return entries, latest first; fails with
+	 * {@link dev.nutmegdoor.core.store.StoreException}
+	 */
+	public CompletableFuture<List<ConfigurationChangeRecord>> history(int limit) {
+		return this.store.readHead().thenCompose((stored) -> this.store.history(stored.head().changeId(), 0, limit));
+	}
+
+	/**
+	 * Waits until a version or a later one is in force on this instance.
+	 * @param version the version
+	 * @param timeoutMs longest wait in milliseconds
+	 * @return the version in force, which is older than the wanted one after a timeout
+	 */
+	public CompletableFuture<Long> awaitVersion(long version, long timeoutMs) {
+		CompletableFuture<Long> result = new CompletableFuture<>();
+		if (version() >= version) {
+			result.complete(version());
+			return result;
+		}
+		Consumer<Configuration> listener = (configuration) -> {
+			if (configuration.version() >= version) {
+				result.complete(configuration.version());
+			}
+		};
+		this.listeners.add(listener);
+		this.timer.schedule(timeoutMs, () -> result.complete(version()));
+		return result.whenComplete((ignored, error) -> this.timer.schedule(0, () -> this.listeners.remove(listener)));
+	}
+
+	public ConfigurationDump dump() {
+		Configuration configuration = current();
+		long known = this.announced.values().stream().mapToLong(Long::longValue).max().orElse(0);
+		return new ConfigurationDump(configuration.version(), this.document.head().changeId(),
+				Math.max(known, configuration.version()), isReady(), this.watcher.isWatching(),
+				configuration.workspaces().size(), configuration.keys().size(), configuration.upstreams().size(),
+				this.applied, this.lastApplyMs, this.document.errors().size());
+	}
+
+	private void hear() {
+		if (this.heardMs < 0) {
+			this.heardMs = this.timer.nowMs();
+		}
+	}
+
+	private void onStoreHead(ConfigurationHead head) {
+		hear();
+		this.storeHead = head;
+		fetch();
+	}
+
+	/**
+	 * Fetches the newest announced version from the peer that announced it last, or from
+	 * the store if this instance has seen a newer head there.
+	 */
+	private void fetch() {
+		if (this.fetching) {
+			return;
+		}
+		this.announced.values().removeIf((version) -> version <= version());
+		ConfigurationHead head = this.storeHead;
+		if (head != null && head.version() <= version()) {
+			head = null;
+			this.storeHead = null;
+		}
+		InstanceId peer = null;
+		for (Map.Entry<InstanceId, Long> entry : this.announced.entrySet()) {
+			if (peer == null || entry.getValue() >= this.announced.getOrDefault(peer, 0L)) {
+				peer = entry.getKey();
+			}
+		}
+		if (peer == null && head == null) {
+			return;
+		}
+		this.fetching = true;
+		ConfigurationDocument base = this.document;
+		if (head != null) {
+			this.storeHead = null;
+			this.store.load(head, base).whenComplete(this::fetched);
+		}
+		else if (peer != null) {
+			// A peer that doesn't answer is not asked again until it announces again.
+			this.announced.remove(peer);
+			this.fetcher.fetch(peer, base).whenComplete(this::fetched);
+		}
+	}
+
+	private void fetched(@Nullable ConfigurationDocument fetched, @Nullable Throwable error) {
+		this.fetching = false;
+		if (fetched != null) {
+			apply(fetched);
+			fetch();
+			return;
+		}
+		this.events.record("configuration.fetch-failed", "cause", String.valueOf(error));
+		if (this.announced.isEmpty() && this.heardMs >= 0) {
+			// The announcer is gone; the store has what it announced.
+			long delayMs = 1 + this.random.nextLong(this.settings.retryMs());
+			this.timer.schedule(delayMs, this::fetchFromStore);
+			// The bound holds only while an announcer or the store can be reached.
+			this.heardMs = -1;
+		}
+		fetch();
+	}
+
+	private void fetchFromStore() {
+		this.store.readHead().whenComplete((stored, error) -> {
+			if (stored != null && stored.head().version() > version()) {
+				onStoreHead(stored.head());
+			}
+		});
+	}
+
+	private void apply(ConfigurationDocument next) {
+		ConfigurationDocument before = this.document;
+		if (next.version() <= before.version()) {
+			return;
+		}
+		this.steps.reached(Step.CONFIGURATION_APPLY);
+		this.recentEdits.add(before, next);
+		this.document = next;
+		this.applied++;
+		this.lastApplyMs = (this.heardMs < 0) ? 0 : this.timer.nowMs() - this.heardMs;
+		this.heardMs = -1;
+		check(before, next);
+		this.events.record("configuration.applied", "version", next.version(), "changeId", next.head().changeId(),
+				"applyMs", this.lastApplyMs, "ignoredItems", next.errors().size());
+		List.copyOf(this.listeners).forEach((listener) -> listener.accept(next.configuration()));
+		this.archive.save(next);
+		ConfigurationAnnouncement announcement = new ConfigurationAnnouncement(next.version());
+		FanOut.targets(this.membership).forEach((peer) -> this.transport.send(peer, announcement));
+	}
+
+	private void check(ConfigurationDocument before, ConfigurationDocument next) {
+		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC,
+				next.version() > before.version() && current().version() == next.version(),
+				() -> "version " + next.version() + " follows " + before.version());
+		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC, this.lastApplyMs <= IN_FORCE_MS,
+				() -> "version " + next.version() + " was applied " + this.lastApplyMs + " ms after it was announced");
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationFetcher.java
@@ -0,0 +1,125 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerTransport;
+
+/**
+ * Fetches the configuration of a peer, as edits if possible and otherwise in pages of
+ * shards.
+ */
+final class ConfigurationFetcher {
+
+	/**
+	 * Most shard text in a page in characters; with the head it stays below the 4 MB of a
+	 * frame even if each character takes three bytes.
+	 */
+	private static final int PAGE_CHARS = 1_000_000;
+
+	private final PeerTransport transport;
+
+	private final long timeoutMs;
+
+	ConfigurationFetcher(PeerTransport transport, long timeoutMs) {
+		this.transport = transport;
+		this.timeoutMs = timeoutMs;
+	}
+
+	/**
+	 * Builds the answer to a peer.
+	 * @param request the request
+	 * @param document the document in force
+	 * @param recent edits between the latest versions
+	 * @return the page
+	 */
+	static ConfigurationPage answer(ConfigurationFetch request, ConfigurationDocument document, RecentEdits recent) {
+		ConfigurationHead head = document.head();
+		List<ConfigurationEdit> edits = request.areEditsWanted() ? recent.since(request.version()) : null;
+		if (edits != null) {
+			return new ConfigurationPage(head.text(), edits, List.of(), true);
+		}
+		List<ConfigurationShardText> shards = new ArrayList<>();
+		int chars = 0;
+		for (int i = 0; i < document.shards().size(); i++) {
+			ConfigurationShard shard = document.shards().get(i);
+			boolean isKnown = i < request.shards().size() && request.shards().get(i).equals(shard.name());
+			if (isKnown || shard == ConfigurationShard.EMPTY) {
+				continue;
+			}
+			if (chars > 0 && chars + shard.text().length() > PAGE_CHARS) {
+				return new ConfigurationPage(head.text(), List.of(), shards, false);
+			}
+			chars += shard.text().length();
+			shards.add(new ConfigurationShardText(i, shard.text()));
+		}
+		return new ConfigurationPage(head.text(), List.of(), shards, true);
+	}
+
+	/**
+	 * Fetches the version in force at a peer.
+	 * @param peer the peer
+	 * @param current the document in force here
+	 * @return the peer's document, or {@code current} if the peer's is not newer; fails
+	 * with {@link dev.nutmegdoor.core.peer.PeerException}, or with
+	 * {@link IllegalArgumentException} if the peer's answer is inconsistent
+	 */
+	CompletableFuture<ConfigurationDocument> fetch(InstanceId peer, ConfigurationDocument current) {
+		return request(peer, current.version(), current.shards(), true).thenCompose((page) -> {
+			ConfigurationHead head = ConfigurationHead.parse(page.head());
+			if (head.version() <= current.version()) {
+				return CompletableFuture.completedFuture(current);
+			}
+			if (!page.edits().isEmpty()) {
+				try {
+					return CompletableFuture.completedFuture(current.advance(page.edits(), head));
+				}
+				catch (IllegalArgumentException ex) {
+					// A peer of another release may write items differently.
+					return fetchShards(peer, current.version(), current.shards());
+				}
+			}
+			return merge(peer, current.version(), current.shards(), head, page);
+		});
+	}
+
+	private CompletableFuture<ConfigurationDocument> fetchShards(InstanceId peer, long version,
+			List<ConfigurationShard> known) {
+		return request(peer, version, known, false)
+			.thenCompose((page) -> merge(peer, version, known, ConfigurationHead.parse(page.head()), page));
+	}
+
+	private CompletableFuture<ConfigurationDocument> merge(InstanceId peer, long version,
+			List<ConfigurationShard> known, ConfigurationHead head, ConfigurationPage page) {
+		List<ConfigurationShard> merged = new ArrayList<>(known);
+		for (ConfigurationShardText shard : page.shards()) {
+			merged.set(shard.index(), ConfigurationShard.verified(head.shards().get(shard.index()), shard.text()));
+		}
+		if (!page.isComplete()) {
+			if (page.shards().isEmpty()) {
+				throw new IllegalArgumentException("peer " + peer + " sent a page without content");
+			}
+			return fetchShards(peer, version, merged);
+		}
+		for (int i = 0; i < merged.size(); i++) {
+			String name = head.shards().get(i);
+			if (name.isEmpty()) {
+				merged.set(i, ConfigurationShard.EMPTY);
+			}
+			else if (!merged.get(i).name().equals(name)) {
+				throw new IllegalArgumentException("peer " + peer + " left out shard " + name);
+			}
+		}
+		return CompletableFuture.completedFuture(ConfigurationDocument.of(head, merged));
+	}
+
+	private CompletableFuture<ConfigurationPage> request(InstanceId peer, long version, List<ConfigurationShard> known,
+			boolean areEditsWanted) {
+		List<String> names = known.stream().map(ConfigurationShard::name).toList();
+		ConfigurationFetch fetch = new ConfigurationFetch(version, names, areEditsWanted);
+		return this.transport.request(peer, fetch, ConfigurationPage.class, this.timeoutMs);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationSection.java
@@ -0,0 +1,173 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.List;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.call.Repeatability;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * Sections of a configuration and the JSON form of their items.
+ */
+public enum ConfigurationSection {
+
+	/** Workspaces by identifier. */
+	WORKSPACES("workspaces") {
+
+		@Override
+		void read(String id, FieldReader fields, ConfigurationItems items) {
+			WorkspaceId workspace = new WorkspaceId(id);
+			items.workspaces.put(workspace,
+					new Workspace(workspace, fields.decimal("ratePerSecond", MIN_RATE, MAX_RATE),
+							(int) fields.whole("burst", 1, 1_000_000, null), (int) fields.whole("weight", 1, 1_000, 1L),
+							fields.wholes("workPriorities", 0, MAX_PRIORITY), readBudget(fields.child("budget"))));
+		}
+
+	},
+
+	/** Callers' keys by identifier. */
+	KEYS("keys") {
+
+		@Override
+		void read(String id, FieldReader fields, ConfigurationItems items) {
+			KeyId key = new KeyId(id);
+			String workspace = fields.text("workspace", "the identifier of a workspace",
+					ConfigurationSection::isIdentifier);
+			String secretHash = fields.text("secretHash", "64 lower-case hexadecimal digits",
+					(text) -> SHA_256.matcher(text).matches());
+			if (!workspace.isEmpty()) {
+				items.keys.put(key, new CallerKey(key, new WorkspaceId(workspace), secretHash));
+			}
+		}
+
+	},
+
+	/** Kinds of work by name. */
+	WORK_KINDS("workKinds") {
+
+		@Override
+		void read(String id, FieldReader fields, ConfigurationItems items) {
+			items.workKinds.put(id, new WorkKind(id, (int) fields.whole("priority", 0, MAX_PRIORITY, null)));
+		}
+
+	},
+
+	/** Operations of services by {@code <service>/<operation>}. */
+	OPERATIONS("operations") {
+
+		@Override
+		void read(String id, FieldReader fields, ConfigurationItems items) {
+			int slash = id.indexOf('/');
+			if (slash < 1 || slash == id.length() - 1) {
+				throw new IllegalArgumentException("must be <service>/<operation>");
+			}
+			items.operations.put(id, new ServiceOperation(id.substring(0, slash), id.substring(slash + 1),
+					fields.constant("repeatability", Repeatability.values()), fields.flag("queryable")));
+		}
+
+	},
+
+	/** Upstreams by identifier. */
+	UPSTREAMS("upstreams") {
+
+		@Override
+		void read(String id, FieldReader fields, ConfigurationItems items) {
+			UpstreamId upstream = new UpstreamId(id);
+			String zone = fields.text("availabilityZone", "the name of a zone", ConfigurationSection::isIdentifier);
+			if (!zone.isEmpty()) {
+				items.upstreams.put(upstream,
+						new Upstream(upstream, fields.constant("kind", UpstreamKind.values()),
+								new AvailabilityZone(zone),
+								fields.text("host", "an IP number", (text) -> IP_NUMBER.matcher(text).matches()),
+								(int) fields.whole("port", 1, 65_535, null), fields.texts("serves"),
+								(int) fields.whole("maxConcurrentCalls", 1, 100_000, null),
+								fields.flag("fencingChecked"), fields.flag("leaving")));
+			}
+		}
+
+	};
+
+	/** Lowest rate: about four requests an hour. */
+	private static final double MIN_RATE = 0.001;
+
+	/** Highest rate; a share of it in micro-tokens a second still fits 64 bits. */
+	private static final double MAX_RATE = 1_000_000;
+
+	private static final int MAX_PRIORITY = 100;
+
+	private static final Pattern SHA_256 = Pattern.compile("[0-9a-f]{64}");
+
+	private static final Pattern IP_NUMBER = Pattern.compile("[0-9.]{7,15}|[0-9a-fA-F:]*:[0-9a-fA-F:.]*");
+
+	private static final Pattern IDENTIFIER = Pattern.compile("[^\\s/\\p{Cntrl}]{1,128}");
+
+	private final String jsonName;
+
+	ConfigurationSection(String jsonName) {
+		this.jsonName = jsonName;
+	}
+
+	/**
+	 * Returns the name of the section in JSON and in paths.
+	 * @return the name
+	 */
+	public String jsonName() {
+		return this.jsonName;
+	}
+
+	static @Nullable ConfigurationSection find(String jsonName) {
+		for (ConfigurationSection section : values()) {
+			if (section.jsonName.equals(jsonName)) {
+				return section;
+			}
+		}
+		return null;
+	}
+
+	abstract void read(String id, FieldReader fields, ConfigurationItems items);
+
+	/**
+	 * Reads one item; if anything is wrong, the item is left out and the errors are
+	 * added.
+	 * @param id identifier of the item
+	 * @param node JSON form of the item
+	 * @param items receives the item
+	 * @param errors receives the errors
+	 */
+	void readItem(String id, JsonNode node, ConfigurationItems items, List<ConfigurationError> errors) {
+		String path = this.jsonName + "/" + id;
+		int before = errors.size();
+		ConfigurationItems single = new ConfigurationItems();
+		try {
+			read(id, new FieldReader(path, node, errors), single);
+		}
+		catch (IllegalArgumentException ex) {
+			errors.add(new ConfigurationError(path, id, "a valid identifier: " + ex.getMessage()));
+		}
+		if (errors.size() == before) {
+			items.addAll(single);
+		}
+	}
+
+	private static boolean isIdentifier(String text) {
+		return IDENTIFIER.matcher(text).matches();
+	}
+
+	private static ProgramBudget readBudget(@Nullable FieldReader fields) {
+		ProgramBudget defaults = ProgramBudget.DEFAULT;
+		if (fields == null) {
+			return defaults;
+		}
+		return new ProgramBudget(fields.whole("maxTokens", 1, Long.MAX_VALUE, defaults.maxTokens()),
+				(int) fields.whole("maxCalls", 1, Integer.MAX_VALUE, (long) defaults.maxCalls()),
+				fields.whole("maxDurationMs", 1, Long.MAX_VALUE, defaults.maxDurationMs()),
+				(int) fields.whole("maxDepth", 0, 100, (long) defaults.maxDepth()));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationWatcher.java
@@ -0,0 +1,122 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import dev.nutmegdoor.core.distribution.Rendezvous;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.store.StoreEvent;
+import dev.nutmegdoor.core.store.StoreWatchResult;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Watches the head in the store while this instance is one of the watchers of its zone.
+ * One watch is pending at a time.
+ */
+final class ConfigurationWatcher {
+
+	private final ConfigurationStore store;
+
+	private final TimerService timer;
+
+	private final MembershipView membership;
+
+	private final UniformRandomProvider random;
+
+	private final ConfigurationSettings settings;
+
+	private final LongSupplier currentVersion;
+
+	private final Consumer<ConfigurationHead> listener;
+
+	private boolean watching;
+
+	ConfigurationWatcher(ConfigurationStore store, TimerService timer, MembershipView membership,
+			UniformRandomProvider random, ConfigurationSettings settings, LongSupplier currentVersion,
+			Consumer<ConfigurationHead> listener) {
+		this.store = store;
+		this.timer = timer;
+		this.membership = membership;
+		this.random = random;
+		this.settings = settings;
+		this.currentVersion = currentVersion;
+		this.listener = listener;
+	}
+
+	void start() {
+		this.timer.subscribe(this.settings.retryMs(), this::check);
+		check();
+	}
+
+	boolean isWatching() {
+		return this.watching;
+	}
+
+	private void check() {
+		if (!this.watching && isChosen()) {
+			this.watching = true;
+			readHead();
+		}
+	}
+
+	private boolean isChosen() {
+		return Rendezvous.isChosen("configuration", this.settings.watchersPerZone(), this.membership);
+	}
+
+	private void readHead() {
+		this.store.readHead().whenComplete((stored, error) -> {
+			if (error != null) {
+				retry();
+				return;
+			}
+			report(stored.head());
+			// A shard may be gone by the time it is read; the watch reports the next
+			// head.
+			watch(stored.objectVersion());
+		});
+	}
+
+	private void watch(long afterVersion) {
+		if (!isChosen()) {
+			this.watching = false;
+			return;
+		}
+		this.store.store()
+			.watch(ConfigurationStore.HEAD_KIND, afterVersion, this.settings.watchTimeoutMs())
+			.whenComplete((result, error) -> {
+				if (error != null) {
+					retry();
+				}
+				else if (result.isReset()) {
+					readHead();
+				}
+				else {
+					report(result);
+					watch(result.version());
+				}
+			});
+	}
+
+	private void report(StoreWatchResult result) {
+		for (StoreEvent event : result.events()) {
+			String value = event.value();
+			if (event.name().equals(ConfigurationStore.HEAD_NAME) && value != null) {
+				report(ConfigurationHead.parse(value));
+			}
+		}
+	}
+
+	private void report(ConfigurationHead head) {
+		if (head.version() > this.currentVersion.getAsLong()) {
+			this.listener.accept(head);
+		}
+	}
+
+	private void retry() {
+		long delayMs = this.settings.retryMs() / 2 + 1 + this.random.nextLong(this.settings.retryMs());
+		this.timer.schedule(delayMs, this::readHead);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/FieldReader.java
@@ -0,0 +1,122 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the fields of one JSON object and collects what is wrong instead of stopping at
+ * the first error. Unknown fields are ignored, because a newer version may have them.
+ */
+final class FieldReader {
+
+	private final String path;
+
+	private final JsonNode node;
+
+	private final List<ConfigurationError> errors;
+
+	FieldReader(String path, JsonNode node, List<ConfigurationError> errors) {
+		this.path = path;
+		this.node = node;
+		this.errors = errors;
+		if (!node.isObject()) {
+			errors.add(new ConfigurationError(path, describe(node), "an object"));
+		}
+	}
+
+	long whole(String field, long min, long max, @Nullable Long defaultValue) {
+		JsonNode value = this.node.path(field);
+		if (value.isMissingNode() && defaultValue != null) {
+			return defaultValue;
+		}
+		boolean isValid = value.isIntegralNumber() && value.canConvertToLong() && value.asLong() >= min
+				&& value.asLong() <= max;
+		if (!isValid) {
+			wrong(field, "a whole number from " + min + " to " + max);
+			return min;
+		}
+		return value.asLong();
+	}
+
+	double decimal(String field, double min, double max) {
+		JsonNode value = this.node.path(field);
+		if (!value.isNumber() || !(value.asDouble() >= min && value.asDouble() <= max)) {
+			wrong(field, String.format(Locale.ROOT, "a number from %s to %s", min, max));
+			return min;
+		}
+		return value.asDouble();
+	}
+
+	String text(String field, String expectation, Predicate<String> test) {
+		JsonNode value = this.node.path(field);
+		if (!value.isTextual() || !test.test(value.asText())) {
+			wrong(field, expectation);
+			return "";
+		}
+		return value.asText();
+	}
+
+	boolean flag(String field) {
+		JsonNode value = this.node.path(field);
+		if (!value.isMissingNode() && !value.isBoolean()) {
+			wrong(field, "true or false");
+		}
+		return value.asBoolean();
+	}
+
+	<E extends Enum<E>> E constant(String field, E[] constants) {
+		for (E constant : constants) {
+			if (constant.name().equals(this.node.path(field).asText())) {
+				return constant;
+			}
+		}
+		wrong(field, "one of " + List.of(constants));
+		return constants[0];
+	}
+
+	List<String> texts(String field) {
+		JsonNode value = this.node.path(field);
+		List<String> texts = new ArrayList<>();
+		value.forEach((element) -> texts.add(element.asText()));
+		if (!value.isArray() || texts.isEmpty() || texts.contains("")) {
+			wrong(field, "a list of one or more names");
+		}
+		return texts;
+	}
+
+	Map<String, Integer> wholes(String field, int min, int max) {
+		JsonNode value = this.node.path(field);
+		Map<String, Integer> result = new TreeMap<>();
+		if (value.isMissingNode()) {
+			return result;
+		}
+		FieldReader reader = new FieldReader(this.path + "/" + field, value, this.errors);
+		for (Iterator<String> names = value.fieldNames(); names.hasNext();) {
+			String name = names.next();
+			result.put(name, (int) reader.whole(name, min, max, null));
+		}
+		return result;
+	}
+
+	@Nullable FieldReader child(String field) {
+		JsonNode value = this.node.path(field);
+		return value.isMissingNode() ? null : new FieldReader(this.path + "/" + field, value, this.errors);
+	}
+
+	void wrong(String field, String expectation) {
+		this.errors.add(new ConfigurationError(this.path + "/" + field, describe(this.node.path(field)), expectation));
+	}
+
+	private static String describe(JsonNode value) {
+		return value.isMissingNode() ? "missing" : value.toString();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/configuration/ConfigurationControllerTests.java
@@ -0,0 +1,316 @@
+package dev.nutmegdoor.core.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.hamcrest.Matcher;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.distribution.ClusterNode;
+import dev.nutmegdoor.core.distribution.TestCluster;
+import dev.nutmegdoor.core.fake.LinkSettings;
+import dev.nutmegdoor.core.fake.StoreFaults;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+class ConfigurationControllerTests {
+
+	/** Longest time from acceptance to force on every reachable instance. */
+	private static final long IN_FORCE_MS = 3_000;
+
+	private final List<TestCluster> clusters = new ArrayList<>();
+
+	private TestCluster cluster(long seed, int zones, int nodesPerZone) {
+		TestCluster cluster = new TestCluster(seed, zones, nodesPerZone);
+		cluster.startHeartbeats((node) -> "", (node, from, heartbeat) -> {
+		});
+		cluster.start();
+		this.clusters.add(cluster);
+		return cluster;
+	}
+
+	private static ConfigurationChange workspace(String id, double rate, Long expectedVersion) {
+		return new ConfigurationChange("ann", "test", expectedVersion, List.of(ConfigurationEdit
+			.merge(ConfigurationSection.WORKSPACES, id, Map.of("ratePerSecond", rate, "burst", 3))));
+	}
+
+	private static ConfigurationChangeResult change(TestCluster cluster, int node, ConfigurationChange change) {
+		return cluster.await(cluster.node(node).configuration.change(change));
+	}
+
+	private static void assertInForce(TestCluster cluster, long version, Matcher<Boolean> isReachable) {
+		for (ClusterNode node : cluster.nodes.values()) {
+			if (!node.host.isCrashed()) {
+				assertThat(node.host.id() + " in " + node.host.availabilityZone(),
+						node.configuration.version() == version, isReachable);
+				assertThat(node.invariants.violations().toString(),
+						node.invariants.violated(Invariant.CONFIGURATION_MONOTONIC), is(0L));
+			}
+		}
+	}
+
+	@Nested
+	class Distribution {
+
+		// Guards against a change that part of a large fleet learns late, with lost,
+		// duplicated and reordered messages.
+		@Test
+		void putsAChangeInForceOnAllOfThreeHundredNinetyInstances() {
+			for (long seed = 1; seed <= 3; seed++) {
+				TestCluster cluster = cluster(seed, 6, 65);
+				cluster.network.setSettings(new LinkSettings(1, 5, 20, 0.05, 0.05));
+				assertThat(change(cluster, 7, workspace("acme", 5, null)).outcome(),
+						is(ConfigurationChangeOutcome.ACCEPTED));
+				cluster.timer.advance(IN_FORCE_MS);
+				assertInForce(cluster, 1, is(true));
+			}
+		}
+
+		// Guards against instances that miss a change whose committer dies before it
+		// announces it.
+		@Test
+		void putsAChangeInForceAlthoughItsCommitterCrashesAfterTheCommit() {
+			TestCluster cluster = cluster(4, 3, 3);
+			cluster.node(0).crashAt = Step.CONFIGURATION_APPLY;
+			cluster.node(0).configuration.change(workspace("acme", 5, null));
+			cluster.timer.advance(IN_FORCE_MS);
+			assertThat(cluster.node(0).host.isCrashed(), is(true));
+			assertInForce(cluster, 1, is(true));
+		}
+
+		// Guards against a partitioned zone that reverts or stays behind after its
+		// return.
+		@Test
+		void reachesAZoneOnceItsPartitionEnds() {
+			TestCluster cluster = cluster(5, 3, 3);
+			change(cluster, 0, workspace("acme", 5, null));
+			cluster.timer.advance(IN_FORCE_MS);
+			cluster.setCut(TestCluster.zone(2), true);
+			change(cluster, 0, workspace("acme", 6, null));
+			cluster.timer.advance(20_000);
+			assertThat(cluster.node(2).configuration.version(), is(1L));
+			cluster.setCut(TestCluster.zone(2), false);
+			cluster.timer.advance(IN_FORCE_MS);
+			assertInForce(cluster, 2, is(true));
+		}
+
+		// Guards against a fetch of many shards that exceeds the size of a frame.
+		@Test
+		void fetchesInPagesWhatDoesNotFitIntoOneMessage() {
+			TestCluster cluster = cluster(6, 1, 1);
+			List<ConfigurationEdit> edits = new ArrayList<>();
+			for (int i = 0; i < 30_000; i++) {
+				edits.add(ConfigurationEdit.merge(ConfigurationSection.WORKSPACES, "workspace-" + i,
+						Map.of("ratePerSecond", 5.5, "burst", 3, "budget", Map.of("maxTokens", 100_000))));
+			}
+			change(cluster, 0, new ConfigurationChange("ann", "test", null, edits));
+			cluster.store.setAvailable(false);
+			ClusterNode late = cluster.add("late", TestCluster.zone(0), new HashMap<>());
+			late.configuration.start();
+			cluster.timer.advance(5_000);
+			assertThat(late.configuration.current().workspaces().size(), is(30_000));
+			ConfigurationPage page = cluster.await(late.transport.request(cluster.node(0).host.id(),
+					new ConfigurationFetch(0, List.of(), false), ConfigurationPage.class, 500));
+			int chars = page.shards().stream().mapToInt((shard) -> shard.text().length()).sum();
+			assertThat(chars, lessThan(1_300_000));
+			assertThat(page.isComplete(), is(false));
+		}
+
+	}
+
+	@Nested
+	class Commits {
+
+		// Guards against two operators that overwrite each other's change unseen.
+		@Test
+		void tellTheLosingOperatorWhatWasChanged() {
+			TestCluster cluster = cluster(7, 3, 3);
+			change(cluster, 0, workspace("acme", 5, null));
+			cluster.timer.advance(IN_FORCE_MS);
+			CompletableFuture<ConfigurationChangeResult> one = cluster.node(1).configuration
+				.change(workspace("acme", 6, 1L));
+			CompletableFuture<ConfigurationChangeResult> two = cluster.node(2).configuration
+				.change(workspace("acme", 7, 1L));
+			ConfigurationChangeResult won = cluster.await(one);
+			ConfigurationChangeResult lost = cluster.await(two);
+			assertThat(won.outcome(), is(ConfigurationChangeOutcome.ACCEPTED));
+			assertThat(lost.outcome(), is(ConfigurationChangeOutcome.LOST));
+			assertThat(lost.differences(), contains(new ConfigurationDifference("workspaces/acme",
+					"{\"burst\":3,\"ratePerSecond\":5.0}", "{\"burst\":3,\"ratePerSecond\":6.0}")));
+		}
+
+		// Guards against a needless rejection of changes of different items, and a
+		// silent overwrite of the same item, when no version is expected.
+		@Test
+		void withoutExpectedVersionLoseOnlyToChangesOfTheSameItem() {
+			TestCluster cluster = cluster(8, 3, 3);
+			CompletableFuture<ConfigurationChangeResult> one = cluster.node(1).configuration
+				.change(workspace("acme", 6, null));
+			CompletableFuture<ConfigurationChangeResult> same = cluster.node(2).configuration
+				.change(workspace("acme", 7, null));
+			CompletableFuture<ConfigurationChangeResult> other = cluster.node(0).configuration
+				.change(workspace("bit", 8, null));
+			assertThat(cluster.await(one).outcome(), is(ConfigurationChangeOutcome.ACCEPTED));
+			assertThat(cluster.await(other).outcome(), is(ConfigurationChangeOutcome.ACCEPTED));
+			assertThat(cluster.await(same).outcome(), is(ConfigurationChangeOutcome.LOST));
+		}
+
+		// Guards against a change that is reported as lost, or made twice, because the
+		// answer to its own write was lost.
+		@Test
+		void recogniseTheirOwnSuccessWhenAnswersAreLost() {
+			for (long seed = 10; seed < 40; seed++) {
+				TestCluster cluster = cluster(seed, 3, 2);
+				cluster.store.setFaults(new StoreFaults(1, 20, 0.5, Integer.MAX_VALUE));
+				List<CompletableFuture<ConfigurationChangeResult>> results = new ArrayList<>();
+				for (int i = 0; i < 6; i++) {
+					results.add(cluster.node(i).configuration.change(workspace("w" + i, 5, null)));
+				}
+				results.forEach(cluster::await);
+				cluster.store.setFaults(StoreFaults.NONE);
+				cluster.timer.advance(2 * IN_FORCE_MS);
+				Configuration inForce = cluster.node(0).configuration.current();
+				long accepted = 0;
+				for (int i = 0; i < 6; i++) {
+					boolean isAccepted = results.get(i).join().outcome().isInForce();
+					boolean isUnknown = results.get(i).join().outcome() == ConfigurationChangeOutcome.UNKNOWN;
+					boolean isPresent = inForce.workspaces().containsKey(new WorkspaceId("w" + i));
+					assertThat("seed " + seed + " change " + i + ": " + results.get(i).join(),
+							isPresent == isAccepted || isUnknown, is(true));
+					accepted += isPresent ? 1 : 0;
+				}
+				assertThat("seed " + seed, inForce.version(), is(accepted));
+				assertInForce(cluster, accepted, is(true));
+			}
+		}
+
+		// Guards against a change of which only part is in force after a crash.
+		@Test
+		void leaveTheOldVersionInForceWhenTheCommitterCrashesBeforeTheHeadIsWritten() {
+			TestCluster cluster = cluster(41, 3, 3);
+			cluster.node(0).crashAt = Step.CONFIGURATION_COMMIT;
+			cluster.node(0).configuration.change(workspace("acme", 5, null));
+			cluster.timer.advance(10_000);
+			assertThat(cluster.node(0).host.isCrashed(), is(true));
+			assertInForce(cluster, 0, is(true));
+			assertThat(change(cluster, 1, workspace("acme", 5, null)).outcome(),
+					is(ConfigurationChangeOutcome.ACCEPTED));
+		}
+
+		// Guards against a report that stops at the first wrong value.
+		@Test
+		void reportAllErrorsAndChangeNothing() {
+			TestCluster cluster = cluster(42, 1, 1);
+			ConfigurationChangeResult result = change(cluster, 0,
+					new ConfigurationChange(
+							"ann", "test", null, List.of(
+									ConfigurationEdit.merge(ConfigurationSection.WORKSPACES, "acme",
+											Map.of("ratePerSecond", -1, "burst", "many", "workPriorities",
+													Map.of("quote", 1))),
+									ConfigurationEdit.merge(ConfigurationSection.KEYS, "k1",
+											Map.of("workspace", "ghost", "secretHash", "0".repeat(64))),
+									ConfigurationEdit.merge(ConfigurationSection.UPSTREAMS, "bad id", Map.of()))));
+			assertThat(result.outcome(), is(ConfigurationChangeOutcome.INVALID));
+			assertThat(result.errors().toString(),
+					result.errors()
+						.stream()
+						.map(ConfigurationError::path)
+						.toList()
+						.containsAll(List.of("workspaces/acme/ratePerSecond", "workspaces/acme/burst",
+								"keys/k1/workspace", "upstreams/bad id")),
+					is(true));
+			assertThat(cluster.node(0).configuration.version(), is(0L));
+		}
+
+		// Guards against an outage that is reported as success.
+		@Test
+		void areRefusedDuringAnOutage() {
+			TestCluster cluster = cluster(43, 3, 3);
+			cluster.store.setAvailable(false);
+			assertThat(change(cluster, 0, workspace("acme", 5, null)).outcome(),
+					is(ConfigurationChangeOutcome.UNAVAILABLE));
+		}
+
+		// Guards against a history without the values before and after, or with hashes.
+		@Test
+		void enterTheHistoryWithoutSecrets() {
+			TestCluster cluster = cluster(44, 1, 1);
+			change(cluster, 0, workspace("acme", 5, null));
+			change(cluster, 0, new ConfigurationChange("bob", "issue", null, List.of(ConfigurationEdit
+				.merge(ConfigurationSection.KEYS, "k1", Map.of("workspace", "acme", "secretHash", "a".repeat(64))))));
+			List<ConfigurationChangeRecord> history = cluster.await(cluster.node(0).configuration.history(10));
+			assertThat(history, hasSize(2));
+			assertThat(history.get(0).author(), is("bob"));
+			assertThat(history.toString(), not(containsString("aaaa")));
+		}
+
+		// Guards against an older release that deletes settings it doesn't know.
+		@Test
+		void keepUnknownFields() {
+			TestCluster cluster = cluster(45, 1, 1);
+			change(cluster, 0,
+					new ConfigurationChange("ann", "test", null,
+							List.of(ConfigurationEdit.merge(ConfigurationSection.WORKSPACES, "acme",
+									Map.of("ratePerSecond", 1, "burst", 1, "colour", "blue")))));
+			ConfigurationChangeResult result = change(cluster, 0, workspace("acme", 2, null));
+			assertThat(result.differences().get(0).after(), containsString("\"colour\":\"blue\""));
+		}
+
+	}
+
+	@Nested
+	class Restarts {
+
+		// Guards against an instance that serves an old configuration after a restart
+		// during an outage, or reports ready with none.
+		@Test
+		void duringAnOutageLearnTheNewestVersionFromPeers() {
+			TestCluster cluster = cluster(50, 3, 3);
+			change(cluster, 0, workspace("acme", 5, null));
+			cluster.timer.advance(IN_FORCE_MS);
+			Map<String, String> staleDisk = new HashMap<>(cluster.node(4).disk);
+			change(cluster, 0, workspace("acme", 6, null));
+			cluster.timer.advance(IN_FORCE_MS);
+			cluster.store.setAvailable(false);
+			ClusterNode restarted = cluster.add("restarted", TestCluster.zone(1), staleDisk);
+			cluster.await(restarted.configuration.start());
+			assertThat(restarted.configuration.version(), is(2L));
+		}
+
+		// Guards against a restarted instance that refuses all callers in an isolated
+		// zone although its disk has the configuration.
+		@Test
+		void withoutStoreAndPeersUseTheDataFolder() {
+			TestCluster cluster = cluster(51, 1, 1);
+			change(cluster, 0, workspace("acme", 5, null));
+			cluster.store.setAvailable(false);
+			cluster.node(0).host.crash();
+			ClusterNode restarted = cluster.add("restarted", TestCluster.zone(0), cluster.node(0).disk);
+			cluster.await(restarted.configuration.start());
+			assertThat(restarted.configuration.version(), is(1L));
+			ClusterNode blank = cluster.add("blank", TestCluster.zone(1), new HashMap<>());
+			restarted.host.crash();
+			blank.configuration.start();
+			cluster.timer.advance(60_000);
+			assertThat(blank.configuration.isReady(), is(false));
+			cluster.store.setAvailable(true);
+			cluster.timer.advance(IN_FORCE_MS);
+			assertThat(blank.configuration.version(), is(1L));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/distribution/TestCluster.java
@@ -0,0 +1,140 @@
+package dev.nutmegdoor.core.distribution;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import org.apache.commons.rng.simple.RandomSource;
+
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.fake.FakeObjectStore;
+import dev.nutmegdoor.core.fake.FakePeerNetwork;
+import dev.nutmegdoor.core.fake.LinkSettings;
+import dev.nutmegdoor.core.fake.StoreFaults;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * Instances in several zones on virtual time with the fakes of the store and the network.
+ */
+public final class TestCluster {
+
+	public final VirtualTimerService timer = new VirtualTimerService(1_700_000_000_000L);
+
+	public final FakeObjectStore store;
+
+	public final FakePeerNetwork network;
+
+	public final Map<InstanceId, ClusterNode> nodes = new TreeMap<>();
+
+	private final Set<String> cutZones = new HashSet<>();
+
+	private final long seed;
+
+	public TestCluster(long seed, int zones, int nodesPerZone) {
+		this.seed = seed;
+		this.store = new FakeObjectStore(this.timer, RandomSource.XO_SHI_RO_256_PP.create(seed), StoreFaults.NONE);
+		this.network = new FakePeerNetwork(RandomSource.XO_SHI_RO_256_PP.create(seed + 1), LinkSettings.RELIABLE);
+		for (int i = 0; i < zones * nodesPerZone; i++) {
+			add(String.format("i-%03d", i), zone(i % zones), new HashMap<>());
+		}
+	}
+
+	public static AvailabilityZone zone(int index) {
+		return new AvailabilityZone("zone-" + index);
+	}
+
+	/**
+	 * Adds an instance that is not started yet.
+	 * @param id identifier
+	 * @param zone zone
+	 * @param disk content of its data folder
+	 * @return the instance
+	 */
+	public ClusterNode add(String id, AvailabilityZone zone, Map<String, String> disk) {
+		FakeHost host = new FakeHost(this.timer, new InstanceId(id), zone, 0);
+		ClusterNode node = new ClusterNode(this, host, this.seed * 1_000 + this.nodes.size(), disk);
+		this.nodes.put(host.id(), node);
+		return node;
+	}
+
+	public void start() {
+		this.nodes.values().forEach((node) -> node.configuration.start());
+		this.timer.advance(2_000);
+	}
+
+	/**
+	 * Sends heartbeats every second to the fan-out of each instance.
+	 * @param digestOf gives the withdrawal digest of an instance
+	 * @param receiver receives the heartbeats of peers
+	 */
+	public void startHeartbeats(Function<ClusterNode, String> digestOf, HeartbeatReceiver receiver) {
+		for (ClusterNode node : this.nodes.values()) {
+			node.transport.subscribe(ClusterHeartbeat.class, (from, message) -> {
+				node.configuration.onPeerVersion(from, message.configurationVersion());
+				receiver.received(node, from, message);
+				return null;
+			});
+			node.host.subscribe(1_000,
+					() -> FanOut.targets(node)
+						.forEach((peer) -> node.transport.send(peer,
+								new ClusterHeartbeat(node.configuration.version(), digestOf.apply(node)))));
+		}
+	}
+
+	public ClusterNode node(int index) {
+		return List.copyOf(this.nodes.values()).get(index);
+	}
+
+	/**
+	 * Cuts or restores all links of a zone to other zones and to the store.
+	 * @param zone the zone
+	 * @param isCut whether they are cut
+	 */
+	public void setCut(AvailabilityZone zone, boolean isCut) {
+		this.store.setCut(zone, isCut);
+		this.nodes.values()
+			.stream()
+			.map((node) -> node.host.availabilityZone())
+			.distinct()
+			.filter((other) -> !other.equals(zone))
+			.forEach((other) -> this.network.setCut(zone, other, isCut));
+		if (isCut) {
+			this.cutZones.add(zone.value());
+		}
+		else {
+			this.cutZones.remove(zone.value());
+		}
+	}
+
+	public <T> T await(CompletableFuture<T> future) {
+		for (int i = 0; i < 60_000 && !future.isDone(); i++) {
+			this.timer.advance(1);
+		}
+		return future.join();
+	}
+
+	boolean isSuspect(ClusterNode observer, ClusterNode node) {
+		boolean isCut = !observer.host.availabilityZone().equals(node.host.availabilityZone())
+				&& (this.cutZones.contains(observer.host.availabilityZone().value())
+						|| this.cutZones.contains(node.host.availabilityZone().value()));
+		return node.host.isCrashed() || isCut;
+	}
+
+	/**
+	 * Receives heartbeats besides the configuration controller.
+	 */
+	@FunctionalInterface
+	public interface HeartbeatReceiver {
+
+		void received(ClusterNode node, InstanceId from, ClusterHeartbeat heartbeat);
+
+	}
+
+}
