--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -1,7 +1,10 @@
 package dev.nutmegdoor.cli;
 
+import java.util.ArrayList;
 import java.util.List;
 
+import dev.nutmegdoor.cli.operator.OperatorCommands;
+
 /**
  * All commands, in the order in which {@code --help} lists them.
  */
@@ -11,7 +14,12 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new EntryCommand(), new StandinCommand("engine"), new StandinCommand("service"));
+		List<Command> commands = new ArrayList<>();
+		commands.add(new EntryCommand());
+		commands.add(new StandinCommand("engine"));
+		commands.add(new StandinCommand("service"));
+		commands.addAll(OperatorCommands.create(System.getenv()));
+		return commands;
 	}
 
 }
--- /dev/null
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/operator/OperatorUnreachableException.java
@@ -0,0 +1,14 @@
+package dev.nutmegdoor.cli.operator;
+
+/**
+ * The operator API gave no answer.
+ */
+class OperatorUnreachableException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	OperatorUnreachableException(String message) {
+		super(message);
+	}
+
+}
