Add key authentication, issue and withdrawal

Cause: keys could be neither checked nor withdrawn. Streams register under their key and are ended; a stream that still runs 3 s later violates KEY_WITHDRAWAL. An isolated instance refuses keys after isolatedKeyAcceptMs with KEY_STATE_UNKNOWN. Maps in edits are written in the order of their keys; the salted order of Map.of made a test fail.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationJson.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationJson.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
@@ -21,7 +22,9 @@
 	 */
 	private static final int HASH_BYTES = 16;
 
-	private static final ObjectMapper MAPPER = new ObjectMapper();
+	/** Writes equal values as equal texts. */
+	private static final ObjectMapper MAPPER = new ObjectMapper()
+		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
 
 	private ConfigurationJson() {
 	}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/KeyStreams.java
@@ -0,0 +1,68 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.time.Subscription;
+
+/**
+ * Running streams by the key that they were started with. May be called from any thread.
+ */
+final class KeyStreams {
+
+	private final Map<KeyId, Set<Entry>> streams = new HashMap<>();
+
+	/**
+	 * Registers a stream.
+	 * @param key the key
+	 * @param end ends the stream; called at most once, and not after it was cancelled
+	 * @return to be cancelled when the stream has ended
+	 */
+	synchronized Subscription open(KeyId key, Runnable end) {
+		Entry entry = new Entry(end);
+		this.streams.computeIfAbsent(key, (id) -> new HashSet<>()).add(entry);
+		return () -> close(key, entry);
+	}
+
+	void end(KeyId key) {
+		List<Entry> entries;
+		synchronized (this) {
+			entries = new ArrayList<>(this.streams.getOrDefault(key, Set.of()));
+		}
+		entries.forEach((entry) -> entry.end.run());
+	}
+
+	synchronized Set<KeyId> keys() {
+		return Set.copyOf(this.streams.keySet());
+	}
+
+	synchronized int count() {
+		return this.streams.values().stream().mapToInt(Set::size).sum();
+	}
+
+	private synchronized void close(KeyId key, Entry entry) {
+		Set<Entry> entries = this.streams.get(key);
+		if (entries != null) {
+			entries.remove(entry);
+			if (entries.isEmpty()) {
+				this.streams.remove(key);
+			}
+		}
+	}
+
+	private static final class Entry {
+
+		private final Runnable end;
+
+		private Entry(Runnable end) {
+			this.end = end;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/KeyWithdrawal.java
@@ -0,0 +1,15 @@
+package dev.nutmegdoor.core.key;
+
+import dev.nutmegdoor.core.id.KeyId;
+
+/**
+ * Withdrawal of a key. It is never taken back; a caller gets a new key instead.
+ *
+ * @param key identifier of the key
+ * @param author who withdrew the key
+ * @param reason why
+ * @param timeMs wall-clock time in milliseconds since the Unix epoch
+ */
+public record KeyWithdrawal(KeyId key, String author, String reason, long timeMs) {
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalArchive.java
@@ -0,0 +1,52 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import dev.nutmegdoor.core.distribution.LocalPersistence;
+
+/**
+ * Keeps the known withdrawals in the data folder, for a restart that reaches neither the
+ * store nor a peer.
+ */
+final class WithdrawalArchive {
+
+	private static final String NAME = "key-withdrawals";
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final LocalPersistence persistence;
+
+	WithdrawalArchive(LocalPersistence persistence) {
+		this.persistence = persistence;
+	}
+
+	CompletableFuture<List<KeyWithdrawal>> load() {
+		return this.persistence.load().thenApply((entries) -> {
+			try {
+				return this.mapper.readValue(entries.getOrDefault(NAME, "[]"),
+						new TypeReference<List<KeyWithdrawal>>() {
+						});
+			}
+			catch (JsonProcessingException ex) {
+				// A damaged archive is worth less than what peers and the store know.
+				return List.of();
+			}
+		});
+	}
+
+	void save(Collection<KeyWithdrawal> withdrawals) {
+		try {
+			this.persistence.put(NAME, this.mapper.writeValueAsString(withdrawals));
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("withdrawals cannot be written as JSON", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalStore.java
@@ -0,0 +1,271 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.commons.rng.UniformRandomProvider;
+
+import dev.nutmegdoor.core.distribution.Rendezvous;
+import dev.nutmegdoor.core.distribution.StoreRetry;
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreEvent;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Keeps the withdrawals in the store and those of the zone in step. The chosen instances
+ * of each zone watch the store, and write what it lacks once it is back after an outage,
+ * whoever accepted the withdrawal.
+ */
+final class WithdrawalStore {
+
+	private static final String KIND = "key-withdrawal";
+
+	private static final long CHECK_MS = 500;
+
+	private static final long WATCH_MS = 10_000;
+
+	/**
+	 * Longest random wait before missing withdrawals are written. The first writer's
+	 * change reaches the others through their watch, so that most have nothing to write.
+	 */
+	private static final long WRITE_SPREAD_MS = 4_000;
+
+	private static final int ATTEMPTS = 6;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final ObjectStore store;
+
+	private final TimerService timer;
+
+	private final MembershipView membership;
+
+	private final UniformRandomProvider random;
+
+	private final int watchersPerZone;
+
+	private final WithdrawalSet withdrawals;
+
+	private final Consumer<List<KeyWithdrawal>> learned;
+
+	private final Runnable contact;
+
+	private final Set<KeyId> stored = new HashSet<>();
+
+	private boolean watching;
+
+	private boolean listed;
+
+	private boolean writing;
+
+	WithdrawalStore(ObjectStore store, TimerService timer, MembershipView membership, UniformRandomProvider random,
+			int watchersPerZone, WithdrawalSet withdrawals, Consumer<List<KeyWithdrawal>> learned, Runnable contact) {
+		this.store = store;
+		this.timer = timer;
+		this.membership = membership;
+		this.random = random;
+		this.watchersPerZone = watchersPerZone;
+		this.withdrawals = withdrawals;
+		this.learned = learned;
+		this.contact = contact;
+	}
+
+	void start() {
+		this.timer.subscribe(CHECK_MS, this::check);
+	}
+
+	boolean isWatching() {
+		return this.watching;
+	}
+
+	int unstored() {
+		return missing().size();
+	}
+
+	/**
+	 * Reads all withdrawals.
+	 * @return version from which to watch
+	 */
+	CompletableFuture<Long> readAll() {
+		return this.store.list(KIND, "").thenApply((page) -> {
+			this.contact.run();
+			page.objects().forEach((object) -> learn(object.value()));
+			return page.version();
+		});
+	}
+
+	/**
+	 * Writes withdrawals. Writing twice does no harm, hence a lost answer is repeated.
+	 * @param added the withdrawals
+	 * @return completes when the store holds them
+	 */
+	CompletableFuture<Void> write(Collection<KeyWithdrawal> added) {
+		Map<Integer, List<KeyWithdrawal>> byBucket = new TreeMap<>();
+		for (KeyWithdrawal withdrawal : added) {
+			byBucket.computeIfAbsent(WithdrawalSet.bucketOf(withdrawal.key()), (key) -> new ArrayList<>())
+				.add(withdrawal);
+		}
+		List<CompletableFuture<Void>> writes = new ArrayList<>();
+		byBucket.forEach((bucket, list) -> {
+			CompletableFuture<Void> write = new CompletableFuture<>();
+			writeBucket(String.format("%02d", bucket), list, 1, write);
+			writes.add(write);
+		});
+		return CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0]));
+	}
+
+	private void writeBucket(String name, List<KeyWithdrawal> added, int attempt, CompletableFuture<Void> result) {
+		this.store.get(KIND, name).whenComplete((object, error) -> {
+			StoreFailure failure = (error != null) ? StoreRetry.failureOf(error) : null;
+			if (error != null && failure != StoreFailure.NOT_FOUND) {
+				retry(name, added, attempt, error, result);
+				return;
+			}
+			ObjectNode content = parse((object != null) ? object.value() : "{}");
+			boolean isChanged = merge(content, added);
+			CompletableFuture<StoredObject> write;
+			if (object == null) {
+				write = this.store.create(KIND, name, content.toString());
+			}
+			else {
+				write = isChanged ? this.store.update(KIND, name, object.version(), content.toString())
+						: CompletableFuture.completedFuture(object);
+			}
+			write.whenComplete((written, writeError) -> {
+				if (writeError != null) {
+					retry(name, added, attempt, writeError, result);
+				}
+				else {
+					this.contact.run();
+					learn(written.value());
+					result.complete(null);
+				}
+			});
+		});
+	}
+
+	private void retry(String name, List<KeyWithdrawal> added, int attempt, Throwable error,
+			CompletableFuture<Void> result) {
+		StoreFailure failure = StoreRetry.failureOf(error);
+		boolean isRetryable = failure != null
+				&& (failure.isRetryable() || failure == StoreFailure.CONFLICT || failure == StoreFailure.NOT_FOUND);
+		if (!isRetryable || attempt >= ATTEMPTS) {
+			result.completeExceptionally(error);
+			return;
+		}
+		long delayMs = 1 + this.random.nextLong(50L << attempt);
+		this.timer.schedule(delayMs, () -> writeBucket(name, added, attempt + 1, result));
+	}
+
+	private void check() {
+		boolean isChosen = Rendezvous.isChosen(KIND, this.watchersPerZone, this.membership);
+		if (!this.watching && isChosen) {
+			this.watching = true;
+			list();
+		}
+		if (!this.watching || !this.listed || this.writing || missing().isEmpty()) {
+			return;
+		}
+		this.writing = true;
+		this.timer.schedule(this.random.nextLong(WRITE_SPREAD_MS),
+				() -> write(missing()).whenComplete((ignored, error) -> this.writing = false));
+	}
+
+	private List<KeyWithdrawal> missing() {
+		return this.withdrawals.all().stream().filter((withdrawal) -> !this.stored.contains(withdrawal.key())).toList();
+	}
+
+	private void list() {
+		readAll().whenComplete((version, error) -> {
+			if (error != null) {
+				relist();
+			}
+			else {
+				this.listed = true;
+				watch(version);
+			}
+		});
+	}
+
+	private void watch(long afterVersion) {
+		if (!Rendezvous.isChosen(KIND, this.watchersPerZone, this.membership)) {
+			this.watching = false;
+			this.listed = false;
+			return;
+		}
+		this.store.watch(KIND, afterVersion, WATCH_MS).whenComplete((result, error) -> {
+			if (error != null) {
+				relist();
+			}
+			else if (result.isReset()) {
+				list();
+			}
+			else {
+				this.contact.run();
+				for (StoreEvent event : result.events()) {
+					String value = event.value();
+					if (value != null) {
+						learn(value);
+					}
+				}
+				watch(result.version());
+			}
+		});
+	}
+
+	private void relist() {
+		this.listed = false;
+		this.timer.schedule(CHECK_MS / 2 + 1 + this.random.nextLong(CHECK_MS), this::list);
+	}
+
+	private void learn(String value) {
+		List<KeyWithdrawal> found = new ArrayList<>();
+		parse(value).properties().forEach((entry) -> {
+			JsonNode fields = entry.getValue();
+			KeyId key = new KeyId(entry.getKey());
+			this.stored.add(key);
+			found.add(new KeyWithdrawal(key, fields.path("author").asText(), fields.path("reason").asText(),
+					fields.path("timeMs").asLong()));
+		});
+		this.learned.accept(found);
+	}
+
+	private static boolean merge(ObjectNode content, List<KeyWithdrawal> added) {
+		boolean isChanged = false;
+		for (KeyWithdrawal withdrawal : added) {
+			if (!content.has(withdrawal.key().value())) {
+				content.putObject(withdrawal.key().value())
+					.put("author", withdrawal.author())
+					.put("reason", withdrawal.reason())
+					.put("timeMs", withdrawal.timeMs());
+				isChanged = true;
+			}
+		}
+		return isChanged;
+	}
+
+	private ObjectNode parse(String value) {
+		try {
+			return (ObjectNode) this.mapper.readTree(value);
+		}
+		catch (JsonProcessingException | ClassCastException ex) {
+			throw new IllegalStateException("stored withdrawals are not a JSON object", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalSync.java
@@ -0,0 +1,18 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.List;
+
+import dev.nutmegdoor.core.peer.PeerMessage;
+
+/**
+ * Asks another instance for the withdrawals that the sender may lack.
+ *
+ * @param bucketDigests digests of the sender's withdrawals by bucket
+ */
+public record WithdrawalSync(List<Long> bucketDigests) implements PeerMessage {
+
+	public WithdrawalSync {
+		bucketDigests = List.copyOf(bucketDigests);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalSyncAnswer.java
@@ -0,0 +1,20 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.List;
+
+import dev.nutmegdoor.core.peer.PeerMessage;
+
+/**
+ * Answer to {@link WithdrawalSync}.
+ *
+ * @param withdrawals withdrawals in differing buckets, as many as fit into one message
+ * @param bucketDigests digests of the sender's withdrawals by bucket
+ */
+public record WithdrawalSyncAnswer(List<KeyWithdrawal> withdrawals, List<Long> bucketDigests) implements PeerMessage {
+
+	public WithdrawalSyncAnswer {
+		withdrawals = List.copyOf(withdrawals);
+		bucketDigests = List.copyOf(bucketDigests);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalZones.java
@@ -0,0 +1,121 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.Member;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.peer.PeerTransport;
+
+/**
+ * Brings withdrawals to all instances, zone by zone, and collects receipts: one instance
+ * of each other zone does it for its zone.
+ */
+final class WithdrawalZones {
+
+	/** Attempts to reach one instance. */
+	private static final int ATTEMPTS = 2;
+
+	/** Instances of another zone that are asked one after the other. */
+	private static final int DELEGATES = 2;
+
+	private final PeerTransport transport;
+
+	private final MembershipView membership;
+
+	private final long pushTimeoutMs;
+
+	WithdrawalZones(PeerTransport transport, MembershipView membership, long pushTimeoutMs) {
+		this.transport = transport;
+		this.membership = membership;
+		this.pushTimeoutMs = pushTimeoutMs;
+	}
+
+	/**
+	 * Brings withdrawals, which this instance has applied, to all other known instances.
+	 * @param withdrawals the withdrawals
+	 * @return answers by zone, {@code null} for a zone of which no instance answered
+	 */
+	CompletableFuture<Map<AvailabilityZone, @Nullable WithdrawalZoneAnswer>> confirm(List<KeyWithdrawal> withdrawals) {
+		Map<AvailabilityZone, List<InstanceId>> zones = new TreeMap<>();
+		for (Member member : this.membership.members()) {
+			List<InstanceId> members = zones.computeIfAbsent(member.availabilityZone(), (zone) -> new ArrayList<>());
+			// Instances that were silent of late are asked last.
+			members.add(member.state().isRoutable() ? 0 : members.size(), member.id());
+		}
+		Map<AvailabilityZone, @Nullable WithdrawalZoneAnswer> answers = new TreeMap<>();
+		List<CompletableFuture<?>> pending = new ArrayList<>();
+		zones.forEach((zone, members) -> {
+			CompletableFuture<@Nullable WithdrawalZoneAnswer> answer = new CompletableFuture<>();
+			if (zone.equals(this.membership.self().availabilityZone())) {
+				confirmOwnZone(withdrawals).thenAccept(answer::complete);
+			}
+			else {
+				delegate(withdrawals, members, 0, answer);
+			}
+			pending.add(answer.thenAccept((value) -> answers.put(zone, value)));
+		});
+		return CompletableFuture.allOf(pending.toArray(new CompletableFuture<?>[0])).thenApply((ignored) -> answers);
+	}
+
+	/**
+	 * Brings withdrawals to the other instances of the own zone.
+	 * @param withdrawals the withdrawals
+	 * @return which instances have applied them, this one included
+	 */
+	CompletableFuture<WithdrawalZoneAnswer> confirmOwnZone(List<KeyWithdrawal> withdrawals) {
+		Member self = this.membership.self();
+		List<InstanceId> confirmed = new ArrayList<>(List.of(self.id()));
+		List<InstanceId> missing = new ArrayList<>();
+		List<CompletableFuture<Void>> pending = new ArrayList<>();
+		for (Member member : this.membership.members()) {
+			if (member.availabilityZone().equals(self.availabilityZone()) && !member.id().equals(self.id())) {
+				CompletableFuture<Void> done = new CompletableFuture<>();
+				push(member.id(), withdrawals, 1, confirmed, missing, done);
+				pending.add(done);
+			}
+		}
+		return CompletableFuture.allOf(pending.toArray(new CompletableFuture<?>[0]))
+			.thenApply((ignored) -> new WithdrawalZoneAnswer(confirmed, missing));
+	}
+
+	private void push(InstanceId peer, List<KeyWithdrawal> withdrawals, int attempt, List<InstanceId> confirmed,
+			List<InstanceId> missing, CompletableFuture<Void> done) {
+		this.transport.request(peer, new WithdrawalPush(withdrawals), WithdrawalReceipt.class, this.pushTimeoutMs)
+			.whenComplete((receipt, error) -> {
+				if (error != null && attempt < ATTEMPTS) {
+					push(peer, withdrawals, attempt + 1, confirmed, missing, done);
+					return;
+				}
+				((error != null) ? missing : confirmed).add(peer);
+				done.complete(null);
+			});
+	}
+
+	private void delegate(List<KeyWithdrawal> withdrawals, List<InstanceId> members, int index,
+			CompletableFuture<@Nullable WithdrawalZoneAnswer> answer) {
+		if (index >= Math.min(DELEGATES, members.size())) {
+			answer.complete(null);
+			return;
+		}
+		long timeoutMs = this.pushTimeoutMs * (ATTEMPTS + 1);
+		this.transport
+			.request(members.get(index), new WithdrawalZoneRequest(withdrawals), WithdrawalZoneAnswer.class, timeoutMs)
+			.whenComplete((value, error) -> {
+				if (error == null) {
+					answer.complete(value);
+				}
+				else {
+					delegate(withdrawals, members, index + 1, answer);
+				}
+			});
+	}
+
+}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/configuration/ConfigurationControllerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/configuration/ConfigurationControllerTests.java
@@ -31,14 +31,9 @@
 	/** Longest time from acceptance to force on every reachable instance. */
 	private static final long IN_FORCE_MS = 3_000;
 
-	private final List<TestCluster> clusters = new ArrayList<>();
-
-	private TestCluster cluster(long seed, int zones, int nodesPerZone) {
+	private static TestCluster cluster(long seed, int zones, int nodesPerZone) {
 		TestCluster cluster = new TestCluster(seed, zones, nodesPerZone);
-		cluster.startHeartbeats((node) -> "", (node, from, heartbeat) -> {
-		});
 		cluster.start();
-		this.clusters.add(cluster);
 		return cluster;
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/distribution/ClusterNode.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/distribution/ClusterNode.java
@@ -19,6 +19,9 @@
 import dev.nutmegdoor.core.fault.Step;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.key.KeyController;
+import dev.nutmegdoor.core.key.KeySettings;
+import dev.nutmegdoor.core.key.WithdrawalController;
 import dev.nutmegdoor.core.membership.Member;
 import dev.nutmegdoor.core.membership.MemberState;
 import dev.nutmegdoor.core.membership.MembershipView;
@@ -26,16 +29,23 @@
 
 /**
  * One instance of the test cluster. Its view of the members is that of an ideal observer:
- * crashed and unreachable instances are suspect at once.
+ * crashed and unreachable instances are suspect within 200 ms.
  */
 public final class ClusterNode implements MembershipView, LocalPersistence {
 
+	/** Age of the view; a new list on each call dominates the time of large runs. */
+	private static final long MEMBERS_AGE_MS = 200;
+
 	public final FakeHost host;
 
 	public final PeerTransport transport;
 
 	public final ConfigurationController configuration;
 
+	public final WithdrawalController withdrawals;
+
+	public final KeyController keys;
+
 	public final InvariantRegistry invariants = new InvariantRegistry();
 
 	public final UniformRandomProvider random;
@@ -46,6 +56,10 @@
 
 	private final TestCluster cluster;
 
+	private List<Member> members = List.of();
+
+	private long membersMs;
+
 	ClusterNode(TestCluster cluster, FakeHost host, long seed, Map<String, String> disk) {
 		this.cluster = cluster;
 		this.host = host;
@@ -54,6 +68,15 @@
 		this.transport = cluster.network.join(host);
 		this.configuration = new ConfigurationController(ConfigurationSettings.DEFAULT, host, this.transport,
 				cluster.store.clientOf(host), this, this, this.random, this.invariants, this::reached, EventLog.NONE);
+		this.withdrawals = new WithdrawalController(KeySettings.DEFAULT, host, this.transport,
+				cluster.store.clientOf(host), this, this, this.random, this.invariants, this::reached, EventLog.NONE);
+		this.keys = new KeyController(this.configuration, this.withdrawals, this.random::nextBytes, host,
+				this.invariants);
+	}
+
+	public void start() {
+		this.configuration.start();
+		this.withdrawals.start();
 	}
 
 	public void reached(Step step) {
@@ -70,6 +93,15 @@
 
 	@Override
 	public List<Member> members() {
+		long nowMs = this.cluster.timer.nowMs();
+		if (this.members.isEmpty() || nowMs - this.membersMs >= MEMBERS_AGE_MS) {
+			this.members = readMembers();
+			this.membersMs = nowMs;
+		}
+		return this.members;
+	}
+
+	private List<Member> readMembers() {
 		List<Member> members = new ArrayList<>();
 		for (ClusterNode node : this.cluster.nodes.values()) {
 			members.add(new Member(node.host.id(), node.host.availabilityZone(), "127.0.0.1", 1,
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/distribution/TestCluster.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/distribution/TestCluster.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Function;
 
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -61,31 +60,25 @@
 		FakeHost host = new FakeHost(this.timer, new InstanceId(id), zone, 0);
 		ClusterNode node = new ClusterNode(this, host, this.seed * 1_000 + this.nodes.size(), disk);
 		this.nodes.put(host.id(), node);
+		heartbeat(node);
 		return node;
 	}
 
 	public void start() {
-		this.nodes.values().forEach((node) -> node.configuration.start());
+		this.nodes.values().forEach(ClusterNode::start);
 		this.timer.advance(2_000);
 	}
 
-	/**
-	 * Sends heartbeats every second to the fan-out of each instance.
-	 * @param digestOf gives the withdrawal digest of an instance
-	 * @param receiver receives the heartbeats of peers
-	 */
-	public void startHeartbeats(Function<ClusterNode, String> digestOf, HeartbeatReceiver receiver) {
-		for (ClusterNode node : this.nodes.values()) {
-			node.transport.subscribe(ClusterHeartbeat.class, (from, message) -> {
-				node.configuration.onPeerVersion(from, message.configurationVersion());
-				receiver.received(node, from, message);
-				return null;
-			});
-			node.host.subscribe(1_000,
-					() -> FanOut.targets(node)
-						.forEach((peer) -> node.transport.send(peer,
-								new ClusterHeartbeat(node.configuration.version(), digestOf.apply(node)))));
-		}
+	private void heartbeat(ClusterNode node) {
+		node.transport.subscribe(ClusterHeartbeat.class, (from, message) -> {
+			node.configuration.onPeerVersion(from, message.configurationVersion());
+			node.withdrawals.onPeerDigest(from, message.withdrawalDigest());
+			return null;
+		});
+		node.host.subscribe(1_000,
+				() -> FanOut.targets(node)
+					.forEach((peer) -> node.transport.send(peer,
+							new ClusterHeartbeat(node.configuration.version(), node.withdrawals.digest()))));
 	}
 
 	public ClusterNode node(int index) {
@@ -127,14 +120,4 @@
 		return node.host.isCrashed() || isCut;
 	}
 
-	/**
-	 * Receives heartbeats besides the configuration controller.
-	 */
-	@FunctionalInterface
-	public interface HeartbeatReceiver {
-
-		void received(ClusterNode node, InstanceId from, ClusterHeartbeat heartbeat);
-
-	}
-
 }
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/key/KeyControllerTests.java
@@ -0,0 +1,223 @@
+package dev.nutmegdoor.core.key;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.configuration.ConfigurationChange;
+import dev.nutmegdoor.core.configuration.ConfigurationEdit;
+import dev.nutmegdoor.core.configuration.ConfigurationSection;
+import dev.nutmegdoor.core.distribution.ClusterNode;
+import dev.nutmegdoor.core.distribution.TestCluster;
+import dev.nutmegdoor.core.fake.LinkSettings;
+import dev.nutmegdoor.core.fake.StoreFaults;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
+
+class KeyControllerTests {
+
+	/** Longest time until a withdrawn key has stopped working on reachable instances. */
+	private static final long IN_FORCE_MS = 3_000;
+
+	private static final WorkspaceId ACME = new WorkspaceId("acme");
+
+	private TestCluster cluster = new TestCluster(1, 1, 1);
+
+	private IssuedKey key = startAndIssue(1, 3, 3);
+
+	private IssuedKey startAndIssue(long seed, int zones, int nodesPerZone) {
+		this.cluster = new TestCluster(seed, zones, nodesPerZone);
+		this.cluster.start();
+		ClusterNode node = this.cluster.node(0);
+		this.cluster
+			.await(node.configuration.change(new ConfigurationChange("ann", "test", null, List.of(ConfigurationEdit
+				.merge(ConfigurationSection.WORKSPACES, "acme", Map.of("ratePerSecond", 5, "burst", 3))))));
+		this.key = this.cluster.await(node.keys.issue(ACME, "ann"));
+		this.cluster.timer.advance(IN_FORCE_MS);
+		return this.key;
+	}
+
+	private RefusalReason refusalAt(ClusterNode node) {
+		return node.keys.authenticate(this.key.key()).refusal();
+	}
+
+	private CompletableFuture<WithdrawalResult> withdrawAt(int node) {
+		return this.cluster.node(node).keys.withdraw(this.key.id(), "bob", "leaked");
+	}
+
+	private void assertWithdrawnEverywhere() {
+		for (ClusterNode node : this.cluster.nodes.values()) {
+			if (!node.host.isCrashed()) {
+				assertThat(node.host.id().value(), refusalAt(node), is(RefusalReason.KEY_WITHDRAWN));
+				assertThat(node.invariants.violated(Invariant.KEY_WITHDRAWAL), is(0L));
+			}
+		}
+	}
+
+	@Nested
+	class Authentications {
+
+		// Guards against a key that works for another workspace, or a wrong secret that
+		// works at all.
+		@Test
+		void acceptOnlyTheWholeKey() {
+			ClusterNode node = KeyControllerTests.this.cluster.node(5);
+			String text = KeyControllerTests.this.key.key();
+			assertThat(node.keys.authenticate(text).workspace(), is(ACME));
+			for (String wrong : List.of("", "nd_", "nd__x", text + "0", text.substring(0, text.length() - 1),
+					"nd_unknown_" + text.substring(20), "nd_" + "x".repeat(100_000) + "_1")) {
+				assertThat(node.keys.authenticate(wrong).refusal(), is(RefusalReason.UNAUTHENTICATED));
+			}
+		}
+
+		// Guards against a secret in a log line or a dump.
+		@Test
+		void leaveNoSecretInTexts() {
+			String secret = KeyControllerTests.this.key.key().substring(20);
+			ClusterNode node = KeyControllerTests.this.cluster.node(0);
+			assertThat(KeyControllerTests.this.key.toString(), not(containsString(secret)));
+			assertThat(node.keys.list(ACME).toString() + node.keys.dump() + node.configuration.dump(),
+					not(containsString(secret)));
+		}
+
+		// Guards against an isolated instance that accepts withdrawn keys for ever, and
+		// against one that refuses its callers as soon as it is alone.
+		@Test
+		void endAfterALongIsolation() {
+			ClusterNode alone = KeyControllerTests.this.cluster.node(2);
+			TestCluster cluster = KeyControllerTests.this.cluster;
+			cluster.setCut(alone.host.availabilityZone(), true);
+			cluster.nodes.values()
+				.stream()
+				.filter((node) -> node != alone)
+				.forEach((node) -> cluster.network.setCut(node.host.id(), alone.host.id(), true));
+			cluster.timer.advance(KeySettings.DEFAULT.isolatedKeyAcceptMs() - 10_000);
+			assertThat(refusalAt(alone), is(nullValue()));
+			cluster.timer.advance(20_000);
+			assertThat(refusalAt(alone), is(RefusalReason.KEY_STATE_UNKNOWN));
+			cluster.store.setCut(alone.host.availabilityZone(), false);
+			cluster.timer.advance(IN_FORCE_MS);
+			assertThat(refusalAt(alone), is(nullValue()));
+		}
+
+	}
+
+	@Nested
+	class Withdrawals {
+
+		// Guards against a key that still works somewhere in a large fleet, with a store
+		// outage, lost, duplicated and reordered messages.
+		@Test
+		void takeEffectOnThreeHundredNinetyInstancesDuringAnOutage() {
+			startAndIssue(2, 6, 65);
+			KeyControllerTests.this.cluster.store.setAvailable(false);
+			KeyControllerTests.this.cluster.network.setSettings(new LinkSettings(1, 5, 20, 0.05, 0.05));
+			CompletableFuture<WithdrawalResult> result = withdrawAt(17);
+			KeyControllerTests.this.cluster.timer.advance(IN_FORCE_MS);
+			assertWithdrawnEverywhere();
+			assertThat(result.join().isDurable(), is(true));
+			assertThat(result.join().isStored(), is(false));
+		}
+
+		// Guards against a stream that goes on after its key was withdrawn.
+		@Test
+		void endRunningStreams() {
+			List<String> ended = new ArrayList<>();
+			ClusterNode node = KeyControllerTests.this.cluster.node(7);
+			node.keys.openStream(KeyControllerTests.this.key.id(), () -> ended.add("7"));
+			withdrawAt(0);
+			KeyControllerTests.this.cluster.timer.advance(IN_FORCE_MS);
+			assertThat(ended, contains("7"));
+			KeyControllerTests.this.cluster.timer.advance(IN_FORCE_MS);
+			assertThat("a stream that ignores its end is reported", node.invariants.violated(Invariant.KEY_WITHDRAWAL),
+					is(1L));
+			node.keys.openStream(KeyControllerTests.this.key.id(), () -> ended.add("late"));
+			assertThat(ended, contains("7", "late"));
+		}
+
+		// Guards against an operator who believes that a key is dead in a zone that was
+		// not reached, and against a zone that keeps the key after its return.
+		@Test
+		void nameTheZonesThatCouldNotBeReached() {
+			TestCluster cluster = KeyControllerTests.this.cluster;
+			cluster.setCut(TestCluster.zone(2), true);
+			long startMs = cluster.timer.nowMs();
+			WithdrawalResult result = cluster.await(withdrawAt(0));
+			assertThat(cluster.timer.nowMs() - startMs, lessThanOrEqualTo(IN_FORCE_MS));
+			assertThat(result.unreachableZones(), contains(TestCluster.zone(2)));
+			assertThat(result.confirmedZones(), contains(TestCluster.zone(0), TestCluster.zone(1)));
+			cluster.setCut(TestCluster.zone(2), false);
+			cluster.timer.advance(IN_FORCE_MS);
+			assertWithdrawnEverywhere();
+		}
+
+		// Guards against a withdrawal that dies with the instance that accepted it, or
+		// with an instance that passes it on.
+		@Test
+		void surviveACrashAfterTheConfirmation() {
+			for (long seed = 10; seed < 15; seed++) {
+				startAndIssue(seed, 3, 3);
+				TestCluster cluster = KeyControllerTests.this.cluster;
+				cluster.store.setAvailable(false);
+				cluster.network.setSettings(new LinkSettings(1, 5, 20, 0.3, 0));
+				cluster.node((int) seed % 8 + 1).crashAt = Step.KEY_WITHDRAW_APPLY;
+				assertThat(cluster.await(withdrawAt(0)).isDurable(), is(true));
+				cluster.node(0).host.crash();
+				cluster.timer.advance(IN_FORCE_MS);
+				assertWithdrawnEverywhere();
+				cluster.store.setAvailable(true);
+				cluster.store.setFaults(new StoreFaults(1, 5, 0.3, Integer.MAX_VALUE));
+				cluster.timer.advance(30_000);
+				cluster.nodes.values().forEach((node) -> node.host.crash());
+				ClusterNode successor = cluster.add("successor", TestCluster.zone(0), new HashMap<>());
+				successor.start();
+				cluster.timer.advance(IN_FORCE_MS);
+				assertThat("seed " + seed, refusalAt(successor), is(RefusalReason.KEY_WITHDRAWN));
+			}
+		}
+
+		// Guards against a withdrawal that is half accepted: in force on an instance that
+		// dies before it tells any other.
+		@Test
+		void areNotAcceptedByAnInstanceThatCrashesFirst() {
+			KeyControllerTests.this.cluster.node(0).crashAt = Step.KEY_WITHDRAW_APPLY;
+			KeyControllerTests.this.cluster.timer.schedule(0,
+					() -> KeyControllerTests.this.cluster.node(0).host.run(() -> withdrawAt(0)));
+			KeyControllerTests.this.cluster.timer.advance(IN_FORCE_MS);
+			assertThat(KeyControllerTests.this.cluster.node(0).host.isCrashed(), is(true));
+			assertThat(refusalAt(KeyControllerTests.this.cluster.node(1)), is(nullValue()));
+			KeyControllerTests.this.cluster.await(withdrawAt(1));
+			assertWithdrawnEverywhere();
+		}
+
+		// Guards against an instance that starts during an outage and accepts keys that
+		// were withdrawn before.
+		@Test
+		void areLearnedByAnInstanceThatStartsDuringAnOutage() {
+			TestCluster cluster = KeyControllerTests.this.cluster;
+			cluster.await(withdrawAt(0));
+			cluster.store.setAvailable(false);
+			ClusterNode late = cluster.add("late", TestCluster.zone(1), new HashMap<>());
+			late.start();
+			cluster.timer.advance(2_000);
+			assertThat(refusalAt(late), is(RefusalReason.KEY_WITHDRAWN));
+		}
+
+	}
+
+}
