Add randomised run of program homes

Nine simulated instances run the real controllers on virtual time over the in-memory ports; faults come from the seed. An observer checks the invariants that span instances.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -11,7 +11,7 @@
 	}
 
 	static List<Command> all() {
-		return List.of();
+		return List.of(new SoakCommand());
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.store.ObjectStore;
@@ -99,6 +100,16 @@
 		}
 	}
 
+	/**
+	 * Returns the stored object without a call, for checks of whole runs.
+	 * @param kind kind of the object
+	 * @param name name within the kind
+	 * @return the object, or {@code null} if it does not exist
+	 */
+	public @Nullable StoredObject peek(String kind, String name) {
+		return kind(kind).get(name);
+	}
+
 	public long calls() {
 		return this.calls;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionRecord.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionRecord.java
@@ -31,6 +31,15 @@
 		return new AvailabilityZone(partition.substring(0, partition.lastIndexOf('.')));
 	}
 
+	/**
+	 * Reads the content of a store object.
+	 * @param value JSON of the record
+	 * @return the record
+	 */
+	public static PartitionRecord parse(String value) {
+		return Json.read(value, PartitionRecord.class);
+	}
+
 	PartitionRecord withOwner(InstanceId newOwner, long newLeaseEpoch) {
 		return new PartitionRecord(newOwner, newLeaseEpoch, this.partitionEpoch + 1, this.replicas);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramHomes.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramHomes.java
@@ -13,6 +13,7 @@
 import dev.nutmegdoor.core.call.CallRunner;
 import dev.nutmegdoor.core.call.OnceState;
 import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.ProgramId;
 import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.upstream.EngineClient;
@@ -156,7 +157,7 @@
 					if (call.state() == OnceState.UNKNOWN) {
 						found.add(new UnresolvedCall(state.id(), call.intended().key(), call.intended().workspace(),
 								call.intended().call().service(), call.intended().call().operation(),
-								call.intended().wallClockMs()));
+								call.intended().call().body(), call.intended().wallClockMs()));
 					}
 				}
 			}
@@ -188,6 +189,28 @@
 		return home.append(log, EntryType.CALL_SETTLED, body, false).thenApply((entry) -> true);
 	}
 
+	/**
+	 * Returns whether this instance holds an entry in a place that a new owner would ask,
+	 * for checks of whole runs.
+	 * @param program the program
+	 * @param sequence position of the entry
+	 * @param hash hash of the entry
+	 * @param record stored record of the partition
+	 * @return whether the entry is held
+	 */
+	public boolean holds(ProgramId program, int sequence, long hash, PartitionRecord record) {
+		PartitionHome home = this.controller.serving(program.partitionName());
+		InstanceId self = this.dependencies.transport().self();
+		LogChain chain = null;
+		if (home != null && record.owner().equals(self)) {
+			chain = home.log().chains().get(program);
+		}
+		else if (record.replicas().contains(self)) {
+			chain = this.controller.replicaLog().chain(program);
+		}
+		return chain != null && chain.size() >= sequence && chain.entries().get(sequence - 1).hash() == hash;
+	}
+
 	/**
 	 * Returns the state of the homes.
 	 * @return an immutable copy
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramLifecycle.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramLifecycle.java
@@ -155,10 +155,15 @@
 					&& nowMs - call.changedMs() > keptMs;
 		});
 		if (isOver && this.calls.of(state.id()).isEmpty()) {
-			home.remove(state.id());
+			forget(home, state.id());
 		}
 	}
 
+	private void forget(PartitionHome home, ProgramId program) {
+		home.remove(program);
+		this.dependencies.events().record("program.forgotten", "program", program);
+	}
+
 	private void release(PartitionHome home, ProgramState state) {
 		if (!this.calls.of(state.id()).isEmpty()) {
 			this.calls.of(state.id()).forEach(RunningCall::abandon);
@@ -215,7 +220,7 @@
 			home.programs().values().stream().filter((child) -> BudgetLedger.isChild(child, parent)).forEach(tree::add);
 		}
 		if (tree.stream().allMatch(ProgramState::isReleased)) {
-			tree.forEach((program) -> home.remove(program.id()));
+			tree.forEach((program) -> forget(home, program.id()));
 		}
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/UnresolvedCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/UnresolvedCall.java
@@ -11,9 +11,10 @@
  * @param workspace workspace of the call
  * @param service name of the service
  * @param operation name of the operation
+ * @param body body of the request
  * @param sinceMs wall-clock time at which the key was first seen
  */
 public record UnresolvedCall(ProgramId log, String key, WorkspaceId workspace, String service, String operation,
-		long sinceMs) {
+		String body, long sinceMs) {
 
 }
--- /dev/null
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimCluster.java
@@ -0,0 +1,207 @@
+package dev.nutmegdoor.experiment.soak;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.fake.FakeObjectStore;
+import dev.nutmegdoor.core.fake.FakePeerNetwork;
+import dev.nutmegdoor.core.fake.LinkSettings;
+import dev.nutmegdoor.core.fake.StoreFaults;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.program.PartitionRecord;
+import dev.nutmegdoor.core.program.ProgramSettings;
+import dev.nutmegdoor.core.program.Safeguards;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * Nine instances in three zones with their store, links and upstreams on virtual time.
+ */
+public final class SimCluster {
+
+	private static final int INSTANCES_PER_ZONE = 3;
+
+	private static final long WALL_CLOCK_ORIGIN_MS = 1_700_000_000_000L;
+
+	private static final long SKEW_MS = 20_000;
+
+	private final VirtualTimerService timer = new VirtualTimerService(WALL_CLOCK_ORIGIN_MS);
+
+	private final EventTrace trace = new EventTrace(this.timer);
+
+	private final Observer observer = new Observer(new InvariantRegistry(), this.trace);
+
+	private final List<AvailabilityZone> zones = List.of(new AvailabilityZone("a"), new AvailabilityZone("b"),
+			new AvailabilityZone("c"));
+
+	private final SimConfiguration configuration = new SimConfiguration(this.zones);
+
+	private final ProgramSettings programSettings = new ProgramSettings(2, this.zones, 500, 5_000, 300, 2_000, 100,
+			2_000, 5_000, 60_000, 1_000, 3_600_000, 2, 5_000);
+
+	private final UniformRandomProvider random;
+
+	private final FakeObjectStore store;
+
+	private final FakePeerNetwork peers;
+
+	private final SimNetwork network;
+
+	private final SimLeases leases;
+
+	private final SimEngines engines;
+
+	private final SimServices services;
+
+	private final Safeguards safeguards;
+
+	private final boolean isClockSkewed;
+
+	private final Set<InstanceId> leaving = new HashSet<>();
+
+	private final List<SimInstance> instances = new ArrayList<>();
+
+	private int restarts;
+
+	public SimCluster(long seed, Safeguards safeguards, boolean isClockSkewed) {
+		this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+		this.safeguards = safeguards;
+		this.isClockSkewed = isClockSkewed;
+		this.store = new FakeObjectStore(this.timer, split(), StoreFaults.NONE);
+		this.peers = new FakePeerNetwork(split(), LinkSettings.RELIABLE);
+		this.network = new SimNetwork(this.timer, this.peers, this.store, this.zones);
+		this.leases = new SimLeases(this.network);
+		this.engines = new SimEngines(this.timer, split(), this.observer);
+		this.services = new SimServices(this.timer, split(), this.observer);
+		for (AvailabilityZone zone : this.zones) {
+			for (int i = 0; i < INSTANCES_PER_ZONE; i++) {
+				start("i-" + zone + i, zone);
+			}
+		}
+	}
+
+	private UniformRandomProvider split() {
+		return RandomSource.XO_SHI_RO_256_PP.create(this.random.nextLong());
+	}
+
+	private SimInstance start(String id, AvailabilityZone zone) {
+		long offsetMs = this.isClockSkewed ? this.random.nextLong(2 * SKEW_MS) : SKEW_MS;
+		FakeHost host = new FakeHost(this.timer, new InstanceId(id), zone, offsetMs);
+		this.network.add(host);
+		SimInstance instance = new SimInstance(this, host, split(), this.safeguards);
+		this.instances.add(instance);
+		this.trace.add(id + " started");
+		return instance;
+	}
+
+	/**
+	 * Starts a new process in place of one that has ended.
+	 * @param ended the ended process
+	 */
+	void restart(SimInstance ended) {
+		this.instances.remove(ended);
+		start(ended.host().id().value().replaceAll("-r\\d+$", "") + "-r" + ++this.restarts,
+				ended.host().availabilityZone());
+	}
+
+	/**
+	 * Returns whether every acknowledged entry survives the loss of an instance: another
+	 * running instance that a new owner would ask, or the owner, holds it.
+	 * @param lost instance to be lost
+	 * @return {@code false} if the loss would exceed the promised durability
+	 */
+	boolean isLossCovered(SimInstance lost) {
+		for (Map.Entry<ProgramId, Integer> head : this.observer.acknowledgedHeads().entrySet()) {
+			ProgramId program = head.getKey();
+			StoredObject object = this.store.peek(PartitionRecord.KIND, program.partitionName());
+			if (object == null) {
+				continue;
+			}
+			PartitionRecord record = PartitionRecord.parse(object.value());
+			Long hash = this.observer.acknowledgedHash(program, head.getValue());
+			boolean isHeld = this.instances.stream()
+				.filter((other) -> other != lost && other.isRunning() && !other.isArmed())
+				.anyMatch((other) -> hash != null && other.homes().holds(program, head.getValue(), hash, record));
+			if (!isHeld) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	List<SimInstance> running() {
+		return this.instances.stream().filter(SimInstance::isRunning).toList();
+	}
+
+	List<SimInstance> instances() {
+		return this.instances;
+	}
+
+	SimInstance anyRunning(UniformRandomProvider choice) {
+		List<SimInstance> running = running();
+		return running.isEmpty() ? this.instances.get(0) : running.get(choice.nextInt(running.size()));
+	}
+
+	VirtualTimerService timer() {
+		return this.timer;
+	}
+
+	EventTrace trace() {
+		return this.trace;
+	}
+
+	Observer observer() {
+		return this.observer;
+	}
+
+	List<AvailabilityZone> zones() {
+		return this.zones;
+	}
+
+	SimConfiguration configuration() {
+		return this.configuration;
+	}
+
+	ProgramSettings programSettings() {
+		return this.programSettings;
+	}
+
+	FakeObjectStore store() {
+		return this.store;
+	}
+
+	FakePeerNetwork peers() {
+		return this.peers;
+	}
+
+	SimNetwork network() {
+		return this.network;
+	}
+
+	SimLeases leases() {
+		return this.leases;
+	}
+
+	SimEngines engines() {
+		return this.engines;
+	}
+
+	SimServices services() {
+		return this.services;
+	}
+
+	Set<InstanceId> leaving() {
+		return this.leaving;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimStore.java
@@ -0,0 +1,55 @@
+package dev.nutmegdoor.experiment.soak;
+
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StorePage;
+import dev.nutmegdoor.core.store.StoreWatchResult;
+import dev.nutmegdoor.core.store.StoredObject;
+
+/**
+ * Store client of a simulated instance; see {@link Outbound}.
+ */
+final class SimStore implements ObjectStore {
+
+	private final FakeHost host;
+
+	private final ObjectStore target;
+
+	SimStore(FakeHost host, ObjectStore target) {
+		this.host = host;
+		this.target = target;
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> get(String kind, String name) {
+		return Outbound.call(this.host, () -> this.target.get(kind, name));
+	}
+
+	@Override
+	public CompletableFuture<StorePage> list(String kind, String prefix) {
+		return Outbound.call(this.host, () -> this.target.list(kind, prefix));
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> create(String kind, String name, String value) {
+		return Outbound.call(this.host, () -> this.target.create(kind, name, value));
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> update(String kind, String name, long expectedVersion, String value) {
+		return Outbound.call(this.host, () -> this.target.update(kind, name, expectedVersion, value));
+	}
+
+	@Override
+	public CompletableFuture<Void> delete(String kind, String name, long expectedVersion) {
+		return Outbound.call(this.host, () -> this.target.delete(kind, name, expectedVersion));
+	}
+
+	@Override
+	public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
+		return Outbound.call(this.host, () -> this.target.watch(kind, afterVersion, timeoutMs));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimTransport.java
@@ -0,0 +1,47 @@
+package dev.nutmegdoor.experiment.soak;
+
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerHandler;
+import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.peer.PeerTransport;
+
+/**
+ * Transport of a simulated instance: what it sends while it is paused leaves when it
+ * resumes, and nothing leaves after a crash.
+ */
+final class SimTransport implements PeerTransport {
+
+	private final FakeHost host;
+
+	private final PeerTransport target;
+
+	SimTransport(FakeHost host, PeerTransport target) {
+		this.host = host;
+		this.target = target;
+	}
+
+	@Override
+	public InstanceId self() {
+		return this.target.self();
+	}
+
+	@Override
+	public void send(InstanceId to, PeerMessage message) {
+		Outbound.run(this.host, () -> this.target.send(to, message));
+	}
+
+	@Override
+	public <A extends PeerMessage> CompletableFuture<A> request(InstanceId to, PeerMessage message, Class<A> answerType,
+			long timeoutMs) {
+		return Outbound.call(this.host, () -> this.target.request(to, message, answerType, timeoutMs));
+	}
+
+	@Override
+	public <M extends PeerMessage> void subscribe(Class<M> type, PeerHandler<M> handler) {
+		this.target.subscribe(type, handler);
+	}
+
+}
