--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -18,6 +18,7 @@
 		commands.add(new EntryCommand());
 		commands.add(new StandinCommand("engine"));
 		commands.add(new StandinCommand("service"));
+		commands.add(new SoakCommand());
 		commands.addAll(OperatorCommands.create(System.getenv()));
 		return commands;
 	}
