--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/Deployment.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/Deployment.java
@@ -8,7 +8,7 @@
  */
 public enum Deployment {
 
-	RIFT(4, 1, List.of("quote", "follow-up", "stock")), SAUTIWAZI(5, 3, List.of("tuning", "assembly", "status"));
+	RIFT(4, 1, "quote,follow-up,stock"), SAUTIWAZI(5, 3, "tuning,assembly,status");
 
 	static final int ZONES = 3;
 
@@ -28,9 +28,9 @@
 
 	private final int clientMs;
 
-	private final List<String> workKinds;
+	private final String workKinds;
 
-	Deployment(int zoneCrossingMs, int clientMs, List<String> workKinds) {
+	Deployment(int zoneCrossingMs, int clientMs, String workKinds) {
 		this.zoneCrossingMs = zoneCrossingMs;
 		this.clientMs = clientMs;
 		this.workKinds = workKinds;
@@ -55,7 +55,7 @@
 	}
 
 	List<String> workKinds() {
-		return this.workKinds;
+		return List.of(this.workKinds.split(","));
 	}
 
 }
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/ResultRow.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/ResultRow.java
@@ -15,4 +15,13 @@
 public record ResultRow(String policy, String scenario, double load, int seeds, Map<String, Double> mean,
 		Map<String, Double> confidence95) {
 
+	/**
+	 * Returns the mean of a figure.
+	 * @param name name of the figure
+	 * @return the mean over the seeds, 0 if the row does not have it
+	 */
+	public double figure(String name) {
+		return this.mean.getOrDefault(name, 0.0);
+	}
+
 }
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/WorkloadGenerator.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/WorkloadGenerator.java
@@ -51,7 +51,7 @@
 		List<ProgramSpec> programs = new ArrayList<>();
 		for (int part = 0; part < rateFactor; part++) {
 			UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP
-				.create(this.seed * 1_000 + workspace * 10 + part);
+				.create(this.seed * 1_000 + workspace * 10L + part);
 			ContinuousSampler gap = ZigguratSampler.Exponential.of(random);
 			double meanGapMs = MEAN_WORK_MS / (load * Deployment.ENGINES * Deployment.WORKSPACE_SHARES[workspace]);
 			double atMs = gap.sample() * meanGapMs;
