--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -19,6 +19,7 @@
 		commands.add(new StandinCommand("engine"));
 		commands.add(new StandinCommand("service"));
 		commands.add(new SoakCommand());
+		commands.add(new ExperimentSchedulingCommand());
 		commands.addAll(OperatorCommands.create(System.getenv()));
 		return commands;
 	}
