Add rate limiter with conserved shares

Cause: a workspace may get no more than its rate and burst across all instances, and should not be refused within them. Change: shares in integer units with token buckets; a request is admitted from the own bucket, by another holder, or from gathered fractions. A giver deducts and records before it sends, repeats until the receiver has recorded, and takes a grant back only if the last holdings of a fenced receiver prove that it never arrived. Holdings entries of value 0 are removed at the witnesses.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeFleet.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeFleet.java
@@ -8,12 +8,17 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.Workspace;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.lease.LeaseController;
 import dev.nutmegdoor.core.lease.LeaseSettings;
+import dev.nutmegdoor.core.limit.LimitController;
+import dev.nutmegdoor.core.limit.LimitSettings;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
 import dev.nutmegdoor.core.membership.Member;
 import dev.nutmegdoor.core.membership.MemberState;
@@ -48,6 +53,12 @@
 
 	private EventLog eventLog = EventLog.NONE;
 
+	private final InvariantRegistry invariants = new InvariantRegistry();
+
+	private final AdmissionObserver observer = new AdmissionObserver(this.timer);
+
+	private Configuration configuration = Configuration.EMPTY;
+
 	private int started;
 
 	public FakeFleet(long seed, int zoneCount) {
@@ -88,6 +99,42 @@
 		return List.copyOf(this.zones);
 	}
 
+	public InvariantRegistry invariants() {
+		return this.invariants;
+	}
+
+	public AdmissionObserver observer() {
+		return this.observer;
+	}
+
+	/**
+	 * Puts a configuration in force on all instances and on those that start later.
+	 * @param changed the configuration
+	 */
+	public void configure(Configuration changed) {
+		this.configuration = changed;
+		for (Workspace workspace : changed.workspaces().values()) {
+			this.observer.setLimit(workspace.id(), workspace.ratePerSecond(), workspace.burst());
+		}
+		for (FakeInstance instance : this.instances.values()) {
+			instance.host().run(() -> instance.configuration().set(changed));
+		}
+	}
+
+	/**
+	 * Lets an instance leave in order: it drains, gives up its lease and ends.
+	 * @param instance the instance
+	 */
+	public void drain(FakeInstance instance) {
+		instance.host().run(() -> {
+			instance.membership().leave();
+			instance.limiter()
+				.drain()
+				.thenCompose((ignored) -> instance.lease().release())
+				.thenRun(() -> crash(instance));
+		});
+	}
+
 	/**
 	 * Returns a generator that depends on the seed of the fleet.
 	 * @return a new generator
@@ -139,11 +186,16 @@
 				nextRandom(), this.eventLog, MembershipSettings.DEFAULT);
 		LeaseController lease = new LeaseController(host, transport, client, membership, nextRandom(), this.steps,
 				this.eventLog, LeaseSettings.DEFAULT);
-		FakeInstance instance = new FakeInstance(host, membership, lease);
+		FakeConfigurationView view = new FakeConfigurationView(this.configuration);
+		LimitController limiter = new LimitController(host, transport, client, membership, lease, lease, view,
+				nextRandom(), this.invariants, this.steps, this.eventLog, this.observer::admitted,
+				LimitSettings.DEFAULT);
+		FakeInstance instance = new FakeInstance(host, membership, lease, limiter, view);
 		this.instances.put(id, instance);
 		host.run(() -> {
 			membership.start(List.of());
 			lease.start();
+			limiter.start();
 		});
 		return instance;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeInstance.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeInstance.java
@@ -2,6 +2,7 @@
 
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.lease.LeaseController;
+import dev.nutmegdoor.core.limit.LimitController;
 import dev.nutmegdoor.core.membership.MembershipController;
 
 /**
@@ -10,8 +11,11 @@
  * @param host process
  * @param membership membership controller
  * @param lease lease controller
+ * @param limiter rate limiter
+ * @param configuration configuration in force
  */
-public record FakeInstance(FakeHost host, MembershipController membership, LeaseController lease) {
+public record FakeInstance(FakeHost host, MembershipController membership, LeaseController lease,
+		LimitController limiter, FakeConfigurationView configuration) {
 
 	public InstanceId id() {
 		return this.host.id();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/HeldLease.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/HeldLease.java
@@ -173,7 +173,8 @@
 		for (InstanceId witness : this.acknowledgements.all()) {
 			boolean isSilent = sentMs - this.acknowledgements.sentMsOf(witness) > SILENT_BEATS * this.settings.beatMs();
 			// A witness that may be down gets the changes only after it has answered.
-			long since = isSilent ? this.holdings.version() : this.acknowledgements.versionOf(witness);
+			long since = isSilent ? this.holdings.version()
+					: this.holdings.startFor(this.acknowledgements.versionOf(witness));
 			Map<String, Long> changes = changesBySince.computeIfAbsent(since, this.holdings::changesSince);
 			LeaseBeat beat = new LeaseBeat(epoch(), since, this.holdings.version(), changes);
 			this.transport.request(witness, beat, LeaseBeatAnswer.class, this.settings.requestTimeoutMs())
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseFencer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseFencer.java
@@ -230,7 +230,7 @@
 	private void takeOver(InstanceId formerHeir, StoredLease lease) {
 		this.records.get(formerHeir).whenComplete((heirLease, error) -> {
 			boolean isAdopted = error == null
-					&& heirLease.record().holdings().containsKey(adoptionKey(lease.record().holder()));
+					&& heirLease.record().holdings().containsKey(LeaseHoldings.adoptionKey(lease.record().holder()));
 			boolean isKnown = error == null && heirLease.record().isComplete();
 			if (!isKnown || isAdopted) {
 				return;
@@ -266,10 +266,6 @@
 		});
 	}
 
-	static String adoptionKey(InstanceId holder) {
-		return "adopted/" + holder.value();
-	}
-
 	private record Observation(long version, long sinceMs) {
 
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseHoldings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/LeaseHoldings.java
@@ -13,9 +13,19 @@
  */
 public interface LeaseHoldings {
 
+	/**
+	 * Returns the name of the entry with which an heir records that it has adopted the
+	 * holdings of a fenced instance.
+	 * @param holder the fenced instance
+	 * @return name of an entry with the value 1
+	 */
+	static String adoptionKey(InstanceId holder) {
+		return "adopted/" + holder.value();
+	}
+
 	/**
 	 * Records changed entries at the witnesses, or in the store if they don't answer.
-	 * @param changes entries with their new values
+	 * @param changes entries with their new values; 0 removes an entry
 	 * @return {@code true} once the values, or later ones, will be part of the holdings
 	 * that a fencer receives; {@code false} if that is unknown
 	 */
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/WitnessRegister.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/lease/WitnessRegister.java
@@ -27,7 +27,11 @@
 		// A beat that starts from a version that this witness lacks would leave a gap.
 		boolean isUsable = beat.version() > entry.version && beat.sinceVersion() <= entry.version;
 		if (isUsable) {
+			if (beat.sinceVersion() == HoldingsLog.FROM_NOTHING) {
+				entry.holdings.clear();
+			}
 			entry.holdings.putAll(beat.changes());
+			entry.holdings.values().removeIf((value) -> value == 0);
 			entry.version = beat.version();
 		}
 		return new LeaseBeatAnswer(true, entry.version);
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/ShareBook.java
@@ -0,0 +1,149 @@
+package dev.nutmegdoor.core.limit;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.lease.InstanceLease;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * The buckets of this instance. Every change of units and tokens goes through here and is
+ * checked against {@link Invariant#RATE_LIMIT}.
+ */
+final class ShareBook {
+
+	private final TimerService timer;
+
+	private final ConfigurationView configuration;
+
+	private final InstanceLease lease;
+
+	private final InvariantRegistry invariants;
+
+	private final StepListener steps;
+
+	private final AdmissionListener admissions;
+
+	private final LimitSettings settings;
+
+	private final Map<WorkspaceId, WorkspaceShare> shares = new TreeMap<>();
+
+	ShareBook(TimerService timer, ConfigurationView configuration, InstanceLease lease, InvariantRegistry invariants,
+			StepListener steps, AdmissionListener admissions, LimitSettings settings) {
+		this.timer = timer;
+		this.configuration = configuration;
+		this.lease = lease;
+		this.invariants = invariants;
+		this.steps = steps;
+		this.admissions = admissions;
+		this.settings = settings;
+		configuration.subscribe(this::reconfigure);
+	}
+
+	Collection<WorkspaceShare> shares() {
+		return List.copyOf(this.shares.values());
+	}
+
+	/**
+	 * Returns the state of a workspace, with a bucket that is refilled up to now.
+	 * @param workspace the workspace
+	 * @return the state
+	 */
+	WorkspaceShare share(WorkspaceId workspace) {
+		WorkspaceShare share = this.shares.get(workspace);
+		if (share == null) {
+			share = new WorkspaceShare(workspace, limitOf(this.configuration.current(), workspace), this.timer.nowMs());
+			this.shares.put(workspace, share);
+		}
+		refill(share);
+		return share;
+	}
+
+	boolean isLeaseValid() {
+		return this.lease.isValid();
+	}
+
+	void refillAll() {
+		this.shares.values().forEach(this::refill);
+	}
+
+	/**
+	 * Takes a token if there is one and the lease is valid.
+	 * @param share state of the workspace
+	 * @return whether the request is admitted
+	 */
+	boolean take(WorkspaceShare share) {
+		refill(share);
+		if (!share.bucket().hasToken()) {
+			return false;
+		}
+		this.steps.reached(Step.ADMIT);
+		if (!this.lease.isValid()) {
+			return false;
+		}
+		share.setBucket(share.bucket().take());
+		check(share, this.lease.isValid() && share.bucket().tokensMicro() >= 0, "admission without a lease or token");
+		this.admissions.admitted(share.workspace());
+		return true;
+	}
+
+	void remove(WorkspaceShare share, long units, long tokensMicro) {
+		refill(share);
+		share.setBucket(share.bucket().remove(units, tokensMicro, share.limit()));
+		check(share, units >= 0 && tokensMicro >= 0 && tokensMicro <= share.limit().capacityMicro(units),
+				"grant with more tokens than its capacity");
+	}
+
+	void add(WorkspaceShare share, long units, long tokensMicro) {
+		refill(share);
+		long within = Math.min(tokensMicro, share.limit().capacityMicro(units));
+		share.setBucket(share.bucket().add(units, within, share.limit()));
+		check(share, units >= 0, "grant of a negative share");
+	}
+
+	/**
+	 * Drops all buckets, because what this instance owned was reassigned.
+	 */
+	void clear() {
+		long nowMs = this.timer.nowMs();
+		this.shares.values().forEach((share) -> share.setBucket(Bucket.empty(nowMs)));
+	}
+
+	void check(WorkspaceShare share, boolean isSatisfied, String rule) {
+		Bucket bucket = share.bucket();
+		boolean isWithin = bucket.units() >= 0 && bucket.units() <= Limit.SHARE_UNITS && bucket.tokensMicro() >= 0
+				&& bucket.tokensMicro() <= share.limit().capacityMicro(bucket.units());
+		this.invariants.check(Invariant.RATE_LIMIT, isSatisfied && isWithin,
+				() -> rule + ": workspace=" + share.workspace() + " bucket=" + bucket);
+	}
+
+	private void refill(WorkspaceShare share) {
+		share.setBucket(share.bucket().refill(share.limit(), this.timer.nowMs(), this.settings.maxRefillGapMs()));
+	}
+
+	private void reconfigure(Configuration changed) {
+		for (WorkspaceShare share : this.shares.values()) {
+			// The time up to now still earns at the old rate.
+			refill(share);
+			share.setLimit(limitOf(changed, share.workspace()));
+			refill(share);
+			check(share, true, "configuration change");
+		}
+	}
+
+	private static Limit limitOf(Configuration configuration, WorkspaceId workspace) {
+		Workspace settings = configuration.workspaces().get(workspace);
+		return (settings != null) ? Limit.of(settings) : Limit.NONE;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/WorkspaceShare.java
@@ -0,0 +1,127 @@
+package dev.nutmegdoor.core.limit;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * What this instance holds and knows of one workspace. Mutable; used by the control
+ * thread only.
+ */
+final class WorkspaceShare {
+
+	private final WorkspaceId workspace;
+
+	private final DemandMeter demand;
+
+	private final Map<InstanceId, PeerBalance> peers = new HashMap<>();
+
+	private final Map<InstanceId, Long> unresponsiveUntilMs = new HashMap<>();
+
+	private final Deque<BooleanSupplier> waiting = new ArrayDeque<>();
+
+	private Limit limit;
+
+	private Bucket bucket;
+
+	private long blockedUntilMs = Long.MIN_VALUE;
+
+	private long gatherUntilMs = Long.MIN_VALUE;
+
+	WorkspaceShare(WorkspaceId workspace, Limit limit, long nowMs) {
+		this.workspace = workspace;
+		this.limit = limit;
+		this.bucket = Bucket.empty(nowMs);
+		this.demand = new DemandMeter(nowMs);
+	}
+
+	WorkspaceId workspace() {
+		return this.workspace;
+	}
+
+	Limit limit() {
+		return this.limit;
+	}
+
+	void setLimit(Limit limit) {
+		this.limit = limit;
+	}
+
+	Bucket bucket() {
+		return this.bucket;
+	}
+
+	void setBucket(Bucket bucket) {
+		this.bucket = bucket;
+	}
+
+	DemandMeter demand() {
+		return this.demand;
+	}
+
+	Map<InstanceId, PeerBalance> peers() {
+		return this.peers;
+	}
+
+	boolean isResponsive(InstanceId peer, long nowMs) {
+		return this.unresponsiveUntilMs.getOrDefault(peer, Long.MIN_VALUE) <= nowMs;
+	}
+
+	void setUnresponsive(InstanceId peer, long untilMs) {
+		this.unresponsiveUntilMs.put(peer, untilMs);
+		this.peers.remove(peer);
+	}
+
+	boolean isBlocked(long nowMs) {
+		return nowMs < this.blockedUntilMs;
+	}
+
+	void blockUntil(long untilMs) {
+		this.blockedUntilMs = untilMs;
+	}
+
+	boolean isGathering(long nowMs) {
+		return nowMs < this.gatherUntilMs;
+	}
+
+	void gatherUntil(long untilMs) {
+		this.gatherUntilMs = untilMs;
+	}
+
+	/**
+	 * Returns whether the demand is clearly more than the own share earns. The constant
+	 * keeps a few requests at a low rate from counting as overload.
+	 * @param nowMs current time
+	 * @return {@code true} if the bucket is used up by its own demand
+	 */
+	boolean isOverloaded(long nowMs) {
+		return this.demand.milli(nowMs) > this.limit.rateMilli(this.bucket.units()) * 3 / 2 + 2000;
+	}
+
+	/**
+	 * Adds a request that waits for tokens.
+	 * @param attempt tries to take a token; returns whether the request is settled
+	 */
+	void await(BooleanSupplier attempt) {
+		this.waiting.addLast(attempt);
+	}
+
+	/**
+	 * Serves waiting requests in their order while there are tokens.
+	 */
+	void wake() {
+		while (!this.waiting.isEmpty() && this.waiting.getFirst().getAsBoolean()) {
+			this.waiting.removeFirst();
+		}
+	}
+
+	void remove(BooleanSupplier attempt) {
+		this.waiting.remove(attempt);
+	}
+
+}
