--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakePeerNetwork.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakePeerNetwork.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +35,9 @@
 
 	private long sentMessages;
 
+	private Consumer<PeerMessage> observer = (message) -> {
+	};
+
 	public FakePeerNetwork(UniformRandomProvider random, LinkSettings settings) {
 		this.random = random;
 		this.settings = settings;
@@ -74,6 +78,14 @@
 		setCutPair("instance:" + one, "instance:" + other, isCut);
 	}
 
+	/**
+	 * Sets the observer of all messages, answers included, also of those that are lost.
+	 * @param observer called when a message is sent
+	 */
+	public void setObserver(Consumer<PeerMessage> observer) {
+		this.observer = observer;
+	}
+
 	public long sentMessages() {
 		return this.sentMessages;
 	}
@@ -135,6 +147,7 @@
 		@Override
 		public void send(InstanceId to, PeerMessage message) {
 			InstanceId from = self();
+			FakePeerNetwork.this.observer.accept(message);
 			transmit(this.host, to, () -> {
 				Endpoint receiver = FakePeerNetwork.this.endpoints.get(to);
 				if (receiver != null) {
@@ -150,6 +163,7 @@
 			InstanceId from = self();
 			this.host.schedule(timeoutMs, () -> result.completeExceptionally(
 					new PeerException(PeerFailure.TIMEOUT, "no answer from " + to + " within " + timeoutMs + " ms")));
+			FakePeerNetwork.this.observer.accept(message);
 			transmit(this.host, to, () -> {
 				Endpoint receiver = FakePeerNetwork.this.endpoints.get(to);
 				if (receiver == null) {
@@ -165,6 +179,9 @@
 
 		private <A extends PeerMessage> void answer(Endpoint requester, CompletableFuture<A> result,
 				Class<A> answerType, @Nullable PeerMessage value, @Nullable Throwable error) {
+			if (value != null) {
+				FakePeerNetwork.this.observer.accept(value);
+			}
 			transmit(this.host, requester.self(), () -> {
 				if (answerType.isInstance(value)) {
 					result.complete(answerType.cast(value));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/BudgetDecision.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/BudgetDecision.java
@@ -3,7 +3,7 @@
 /**
  * Outcome of the budget rule.
  */
-enum BudgetDecision {
+public enum BudgetDecision {
 
 	GRANTED("within the budget"), TOKENS_EXHAUSTED("the program's tokens are used up"),
 	CALLS_EXHAUSTED("the program's calls are used up"), TIME_EXHAUSTED("the program's time is used up"),
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/BudgetInputs.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/BudgetInputs.java
@@ -13,7 +13,7 @@
  * @param requestedCalls calls that are asked for, 0 when a sub-agent is opened
  * @param requestedDepth depth of the sub-agent that is asked for, 0 for a call
  */
-record BudgetInputs(ProgramBudget budget, long tokens, int calls, long ageMs, long requestedTokens, int requestedCalls,
-		int requestedDepth) {
+public record BudgetInputs(ProgramBudget budget, long tokens, int calls, long ageMs, long requestedTokens,
+		int requestedCalls, int requestedDepth) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/BudgetRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/BudgetRule.java
@@ -3,12 +3,17 @@
 /**
  * Decides whether a budget has room for a call or a sub-agent. Pure.
  */
-final class BudgetRule {
+public final class BudgetRule {
 
 	private BudgetRule() {
 	}
 
-	static BudgetDecision decide(BudgetInputs inputs) {
+	/**
+	 * Decides on the inputs alone.
+	 * @param inputs everything the decision depends on
+	 * @return whether the request is granted, or which limit it exceeds
+	 */
+	public static BudgetDecision decide(BudgetInputs inputs) {
 		if (inputs.tokens() + inputs.requestedTokens() > inputs.budget().maxTokens()) {
 			return BudgetDecision.TOKENS_EXHAUSTED;
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceDecision.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceDecision.java
@@ -3,7 +3,7 @@
 /**
  * Outcome of the at-most-once rule.
  */
-enum OnceDecision {
+public enum OnceDecision {
 
 	/** The operation was never sent: record the intent and send it. */
 	SEND,
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceInputs.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceInputs.java
@@ -15,7 +15,7 @@
  * @param retentionMs time for which keys are remembered
  * @param skewMs largest difference between the clocks of callers and instances
  */
-record OnceInputs(@Nullable OnceState state, boolean isSameRequest, boolean isRunning, long ageMs, long retentionMs,
-		long skewMs) {
+public record OnceInputs(@Nullable OnceState state, boolean isSameRequest, boolean isRunning, long ageMs,
+		long retentionMs, long skewMs) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceRule.java
@@ -5,12 +5,17 @@
 /**
  * Decides whether an operation that runs at most once may be sent. Pure.
  */
-final class OnceRule {
+public final class OnceRule {
 
 	private OnceRule() {
 	}
 
-	static OnceDecision decide(OnceInputs inputs) {
+	/**
+	 * Decides on the inputs alone.
+	 * @param inputs everything the decision depends on
+	 * @return what happens to the call
+	 */
+	public static OnceDecision decide(OnceInputs inputs) {
 		if (inputs.ageMs() > inputs.retentionMs()) {
 			return OnceDecision.REFUSE_EXPIRED;
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OrderDecision.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OrderDecision.java
@@ -3,7 +3,7 @@
 /**
  * Outcome of the order rule.
  */
-enum OrderDecision {
+public enum OrderDecision {
 
 	/** The call is the next one and runs now. */
 	RUN,
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OrderInputs.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OrderInputs.java
@@ -12,7 +12,7 @@
  * @param longestWaitMs longest such wait
  * @param isClosed whether the program takes no more calls
  */
-record OrderInputs(int turn, int completedTurns, int runningTurn, boolean isKnown, boolean isSameRequest, long waitedMs,
-		long longestWaitMs, boolean isClosed) {
+public record OrderInputs(int turn, int completedTurns, int runningTurn, boolean isKnown, boolean isSameRequest,
+		long waitedMs, long longestWaitMs, boolean isClosed) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OrderRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OrderRule.java
@@ -4,12 +4,17 @@
  * Decides about the order of a program's calls. Pure, so that a decision can be verified
  * by running it again.
  */
-final class OrderRule {
+public final class OrderRule {
 
 	private OrderRule() {
 	}
 
-	static OrderDecision decide(OrderInputs inputs) {
+	/**
+	 * Decides on the inputs alone.
+	 * @param inputs everything the decision depends on
+	 * @return what happens to the call
+	 */
+	public static OrderDecision decide(OrderInputs inputs) {
 		if (inputs.isKnown() && !inputs.isSameRequest()) {
 			return OrderDecision.REFUSE_REUSED;
 		}
