Add demo with load generator and switch engines to EngineModel

Cause: nothing ran a whole deployment under load.

Change: `nutmegdoor demo` starts stand-ins, nine instances and callers in one JVM on loopback sockets, withdraws a key, lets an upstream leave, drains an instance and kills another, and reports latencies and all invariants from what callers and stand-ins observe. The engine stand-in runs EngineModel behind HTTP; load reports and cache events can be polled. Instances are composed standalone, so rates are divided by nine and programs stay with an instance.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -11,7 +11,8 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new EntryCommand(), new StandinCommand("engine"), new StandinCommand("service"));
+		return List.of(new EntryCommand(), new StandinCommand("engine"), new StandinCommand("service"),
+				new DemoCommand());
 	}
 
 }
--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/StandinCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/StandinCommand.java
@@ -12,7 +12,7 @@
 
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.node.LoggingEventLog;
-import dev.nutmegdoor.node.direct.LoopTimerService;
+import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.node.settings.SettingsException;
 import dev.nutmegdoor.standin.http.EngineStandin;
 import dev.nutmegdoor.standin.http.EngineStandinSettings;
@@ -77,9 +77,9 @@
 
 	private static List<AutoCloseable> start(StandinSettings settings) {
 		List<AutoCloseable> running = new ArrayList<>();
-		LoopTimerService timers = new LoopTimerService("engines");
+		ControlThread timers = new ControlThread("engines");
 		for (EngineStandinSettings engine : settings.engines()) {
-			EngineStandin standin = new EngineStandin(engine, timers, UpstreamObserver.NONE);
+			EngineStandin standin = new EngineStandin(engine, settings.seed(), timers, UpstreamObserver.NONE);
 			running.add(standin);
 			report(engine.id(), standin.address());
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/StandaloneEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/StandaloneEntry.java
@@ -6,15 +6,16 @@
 
 import dev.nutmegdoor.core.call.CallRunner;
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionRecorder;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.upstream.EngineClient;
 import dev.nutmegdoor.core.upstream.ServiceClient;
+import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.node.direct.ConfiguredKeyAuthenticator;
 import dev.nutmegdoor.node.direct.DirectCallRunner;
 import dev.nutmegdoor.node.direct.LocalPrograms;
 import dev.nutmegdoor.node.direct.LocalRateLimiter;
-import dev.nutmegdoor.node.direct.LoopTimerService;
 import dev.nutmegdoor.node.direct.OnceCallRunner;
 import dev.nutmegdoor.node.direct.StaticConfigurationView;
 import dev.nutmegdoor.node.entry.EntryDependencies;
@@ -35,7 +36,7 @@
  * @param timers control thread
  */
 public record StandaloneEntry(EntryNode node, StaticConfigurationView configuration,
-		ConfiguredKeyAuthenticator authenticator, LoopTimerService timers) {
+		ConfiguredKeyAuthenticator authenticator, ControlThread timers) {
 
 	/**
 	 * Composes an instance.
@@ -47,7 +48,7 @@
 	 */
 	public static StandaloneEntry create(EntrySettings settings, int instanceCount, InvariantRegistry invariants,
 			EventLog eventLog) {
-		LoopTimerService timers = new LoopTimerService("control-" + settings.instance());
+		ControlThread timers = new ControlThread("control-" + settings.instance());
 		StaticConfigurationView configuration = new StaticConfigurationView(settings.configuration(), invariants);
 		ConfiguredKeyAuthenticator authenticator = new ConfiguredKeyAuthenticator(configuration);
 		KeyScanner keyScanner = new KeyScanner(authenticator);
@@ -61,8 +62,9 @@
 		LocalPrograms programs = new LocalPrograms(once, configuration, settings.availabilityZone(), engines, timers,
 				invariants);
 		EntryDependencies dependencies = new EntryDependencies(timers, configuration, authenticator, keyScanner,
-				new LocalRateLimiter(configuration, timers, instanceCount), programs, programs, DecisionRecorder.NONE,
-				invariants, new MetricRegistry(), eventLog);
+				new LocalRateLimiter(configuration, timers, instanceCount), programs, programs,
+				new DecisionIds(settings.instance()), DecisionRecorder.NONE, invariants, new MetricRegistry(),
+				eventLog);
 		EntryNode node = new EntryNode(settings, dependencies, () -> CompletableFuture.completedFuture(null), () -> {
 			http.close();
 			timers.close();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/CallExchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/CallExchange.java
@@ -16,9 +16,9 @@
 
 	private final RunningCalls runningCalls;
 
-	private final ControlThread control;
+	private final ControlBridge control;
 
-	CallExchange(RunningCalls runningCalls, ControlThread control) {
+	CallExchange(RunningCalls runningCalls, ControlBridge control) {
 		this.runningCalls = runningCalls;
 		this.control = control;
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ControlThread.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ControlBridge.java
@@ -12,11 +12,11 @@
 /**
  * Passage from the event loop of a connection to the control thread and back.
  */
-final class ControlThread {
+final class ControlBridge {
 
 	private final TimerService timers;
 
-	ControlThread(TimerService timers) {
+	ControlBridge(TimerService timers) {
 		this.timers = timers;
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryDependencies.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryDependencies.java
@@ -5,6 +5,7 @@
 import dev.nutmegdoor.core.call.CallRunner;
 import dev.nutmegdoor.core.configuration.ConfigurationView;
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionRecorder;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.key.KeyAuthenticator;
@@ -22,6 +23,7 @@
  * @param rateLimiter admits requests
  * @param callRunner runs calls
  * @param programs opens and closes programs
+ * @param decisionIds issues decision identifiers
  * @param decisionRecorder receives the decisions of the filter chain
  * @param invariants registry of checks
  * @param metrics registry of metrics
@@ -29,6 +31,7 @@
  */
 public record EntryDependencies(TimerService timers, ConfigurationView configuration, KeyAuthenticator authenticator,
 		KeyScanner keyScanner, RateLimiter rateLimiter, CallRunner callRunner, ProgramGateway programs,
-		DecisionRecorder decisionRecorder, InvariantRegistry invariants, MetricRegistry metrics, EventLog eventLog) {
+		DecisionIds decisionIds, DecisionRecorder decisionRecorder, InvariantRegistry invariants,
+		MetricRegistry metrics, EventLog eventLog) {
 
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
@@ -5,14 +5,16 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -45,10 +47,10 @@
 
 	private final Answers answers;
 
-	private final AtomicLong sequence = new AtomicLong();
-
 	private final AtomicInteger running = new AtomicInteger();
 
+	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
 	private final MetricRegistry metrics;
 
 	private final EventLog eventLog;
@@ -74,7 +76,7 @@
 
 	private FilterChain chain() {
 		EntryDependencies parts = this.dependencies;
-		ControlThread control = new ControlThread(parts.timers());
+		ControlBridge control = new ControlBridge(parts.timers());
 		RunningCalls runningCalls = new RunningCalls(parts.callRunner(), parts.authenticator(), parts.configuration(),
 				this.settings.limits(), parts.invariants(), parts.eventLog(), parts.timers());
 		CallExchange calls = new CallExchange(runningCalls, control);
@@ -100,6 +102,7 @@
 		this.server = HttpServer.create()
 			.host(this.settings.listen().host())
 			.port(this.settings.listen().port())
+			.channelGroup(this.connections)
 			.idleTimeout(Duration.ofMillis(this.settings.timeouts().idleMs()))
 			.readTimeout(Duration.ofMillis(this.settings.timeouts().bodyMs()))
 			.httpRequestDecoder((spec) -> spec.maxHeaderSize(decoderLimit).maxInitialLineLength(decoderLimit))
@@ -135,14 +138,16 @@
 	 */
 	public void stop() {
 		if (this.server != null) {
-			this.server.disposeNow();
+			this.server.channel().close();
+			this.connections.close();
+			this.server.dispose();
 		}
 	}
 
 	private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
 		Channel[] channel = new Channel[1];
 		request.withConnection((Connection connection) -> channel[0] = connection.channel());
-		DecisionId decision = new DecisionId(this.settings.instance() + "-" + this.sequence.incrementAndGet());
+		DecisionId decision = this.dependencies.decisionIds().next();
 		Exchange exchange = new Exchange(request, response, channel[0], decision);
 		Mono<Void> open = openRoute(exchange);
 		if (open != null) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ProgramRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ProgramRoute.java
@@ -23,13 +23,13 @@
 
 	private final ProgramGateway programs;
 
-	private final ControlThread control;
+	private final ControlBridge control;
 
 	private final Answers answers;
 
 	private final ConfigurationView configuration;
 
-	ProgramRoute(BodyReader bodyReader, ProgramGateway programs, ControlThread control, Answers answers,
+	ProgramRoute(BodyReader bodyReader, ProgramGateway programs, ControlBridge control, Answers answers,
 			ConfigurationView configuration) {
 		this.bodyReader = bodyReader;
 		this.programs = programs;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
@@ -14,9 +14,9 @@
 
 	private final RateLimiter limiter;
 
-	private final ControlThread control;
+	private final ControlBridge control;
 
-	RateFilter(RateLimiter limiter, ControlThread control) {
+	RateFilter(RateLimiter limiter, ControlBridge control) {
 		this.limiter = limiter;
 		this.control = control;
 	}
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/http/UpstreamObserver.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/http/UpstreamObserver.java
@@ -3,6 +3,8 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.upstream.EngineRequest;
+import dev.nutmegdoor.core.upstream.EngineResult;
 
 /**
  * Learns what the stand-ins see. May be called from any thread.
@@ -22,15 +24,20 @@
 	}
 
 	/**
-	 * Called when an engine begins a stream.
+	 * Called when an engine accepts a stream.
 	 * @param upstream the engine
-	 * @param streamId identifier of the stream
-	 * @param program program of the stream, or {@code null}
-	 * @param promptTokens tokens of the prompt
-	 * @param cachedTokens tokens of the prompt that were cached
+	 * @param request the request
 	 */
-	default void streamStarted(UpstreamId upstream, String streamId, @Nullable String program, int promptTokens,
-			int cachedTokens) {
+	default void streamStarted(UpstreamId upstream, EngineRequest request) {
+	}
+
+	/**
+	 * Called when an engine has generated the whole answer of a stream.
+	 * @param upstream the engine
+	 * @param request the request
+	 * @param result the answer
+	 */
+	default void streamEnded(UpstreamId upstream, EngineRequest request, EngineResult result) {
 	}
 
 	/**
