--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
@@ -77,7 +77,8 @@
 
 	private boolean fetching;
 
-	private long heardMs = -1;
+	/** When a newer version was first heard of, {@code null} if none is outstanding. */
+	private @Nullable Long heardMs;
 
 	private long lastApplyMs;
 
@@ -150,6 +151,14 @@
 		return this.document.version();
 	}
 
+	/**
+	 * Returns the date of the sheet that was loaded last; may be called from any thread.
+	 * @return the date as {@code yyyy-MM-dd}, or {@code null} if none was loaded
+	 */
+	public @Nullable String sheetDate() {
+		return this.document.sheetDate();
+	}
+
 	public boolean isReady() {
 		return this.starter.isReady();
 	}
@@ -226,7 +235,7 @@
 	}
 
 	private void hear() {
-		if (this.heardMs < 0) {
+		if (this.heardMs == null) {
 			this.heardMs = this.timer.nowMs();
 		}
 	}
@@ -281,12 +290,12 @@
 			return;
 		}
 		this.events.record("configuration.fetch-failed", "cause", String.valueOf(error));
-		if (this.announced.isEmpty() && this.heardMs >= 0) {
+		if (this.announced.isEmpty() && this.heardMs != null) {
 			// The announcer is gone; the store has what it announced.
 			long delayMs = 1 + this.random.nextLong(this.settings.retryMs());
 			this.timer.schedule(delayMs, this::fetchFromStore);
 			// The bound holds only while an announcer or the store can be reached.
-			this.heardMs = -1;
+			this.heardMs = null;
 		}
 		fetch();
 	}
@@ -308,8 +317,8 @@
 		this.recentEdits.add(before, next);
 		this.document = next;
 		this.applied++;
-		this.lastApplyMs = (this.heardMs < 0) ? 0 : this.timer.nowMs() - this.heardMs;
-		this.heardMs = -1;
+		this.lastApplyMs = (this.heardMs != null) ? this.timer.nowMs() - this.heardMs : 0;
+		this.heardMs = null;
 		check(before, next);
 		this.events.record("configuration.applied", "version", next.version(), "changeId", next.head().changeId(),
 				"applyMs", this.lastApplyMs, "ignoredItems", next.errors().size());
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationDocument.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationDocument.java
@@ -38,6 +38,11 @@
 		return this.head.version();
 	}
 
+	@Nullable String sheetDate() {
+		int index = ConfigurationShard.indexOf(ConfigurationSection.SHEET.jsonName(), "loaded");
+		return this.shards.get(index).items().sheetDates.get("loaded");
+	}
+
 	List<ConfigurationError> errors() {
 		List<ConfigurationError> errors = new ArrayList<>();
 		this.shards.forEach((shard) -> errors.addAll(shard.errors()));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationItems.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationItems.java
@@ -22,12 +22,15 @@
 
 	final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
 
+	final Map<String, String> sheetDates = new HashMap<>();
+
 	void addAll(ConfigurationItems other) {
 		this.workspaces.putAll(other.workspaces);
 		this.keys.putAll(other.keys);
 		this.workKinds.putAll(other.workKinds);
 		this.operations.putAll(other.operations);
 		this.upstreams.putAll(other.upstreams);
+		this.sheetDates.putAll(other.sheetDates);
 	}
 
 	Configuration toConfiguration(long version) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationSection.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationSection.java
@@ -23,10 +23,9 @@
 		@Override
 		void read(String id, FieldReader fields, ConfigurationItems items) {
 			WorkspaceId workspace = new WorkspaceId(id);
-			items.workspaces.put(workspace,
-					new Workspace(workspace, fields.decimal("ratePerSecond", MIN_RATE, MAX_RATE),
-							(int) fields.whole("burst", 1, 1_000_000, null), (int) fields.whole("weight", 1, 1_000, 1L),
-							fields.wholes("workPriorities", 0, MAX_PRIORITY), readBudget(fields.child("budget"))));
+			items.workspaces.put(workspace, new Workspace(workspace, fields.decimal("ratePerSecond", 0, MAX_RATE),
+					(int) fields.whole("burst", 1, 10_000_000, null), (int) fields.whole("weight", 1, 1_000_000, 1L),
+					fields.wholes("workPriorities", 0, MAX_PRIORITY), readBudget(fields.child("budget"))));
 		}
 
 	},
@@ -68,7 +67,7 @@
 				throw new IllegalArgumentException("must be <service>/<operation>");
 			}
 			items.operations.put(id, new ServiceOperation(id.substring(0, slash), id.substring(slash + 1),
-					fields.constant("repeatability", Repeatability.values()), fields.flag("queryable")));
+					fields.constant("repeatability", Repeatability.values()), fields.flag("isQueryable")));
 		}
 
 	},
@@ -79,7 +78,7 @@
 		@Override
 		void read(String id, FieldReader fields, ConfigurationItems items) {
 			UpstreamId upstream = new UpstreamId(id);
-			String zone = fields.text("availabilityZone", "the name of a zone", ConfigurationSection::isIdentifier);
+			String zone = fields.text("zone", "the name of a zone", ConfigurationSection::isIdentifier);
 			if (!zone.isEmpty()) {
 				items.upstreams.put(upstream,
 						new Upstream(upstream, fields.constant("kind", UpstreamKind.values()),
@@ -87,24 +86,34 @@
 								fields.text("host", "an IP number", (text) -> IP_NUMBER.matcher(text).matches()),
 								(int) fields.whole("port", 1, 65_535, null), fields.texts("serves"),
 								(int) fields.whole("maxConcurrentCalls", 1, 100_000, null),
-								fields.flag("fencingChecked"), fields.flag("leaving")));
+								fields.flag("isFencingChecked"), fields.flag("isLeaving")));
 			}
 		}
 
-	};
+	},
 
-	/** Lowest rate: about four requests an hour. */
-	private static final double MIN_RATE = 0.001;
+	/** Sheets; the item {@code loaded} has the date of the sheet loaded last. */
+	SHEET("sheet") {
+
+		@Override
+		void read(String id, FieldReader fields, ConfigurationItems items) {
+			String date = fields.text("date", "a date as yyyy-MM-dd", (text) -> DATE.matcher(text).matches());
+			items.sheetDates.put(id, date);
+		}
+
+	};
 
 	/** Highest rate; a share of it in micro-tokens a second still fits 64 bits. */
 	private static final double MAX_RATE = 1_000_000;
 
-	private static final int MAX_PRIORITY = 100;
+	private static final int MAX_PRIORITY = 1_000;
 
 	private static final Pattern SHA_256 = Pattern.compile("[0-9a-f]{64}");
 
 	private static final Pattern IP_NUMBER = Pattern.compile("[0-9.]{7,15}|[0-9a-fA-F:]*:[0-9a-fA-F:.]*");
 
+	private static final Pattern DATE = Pattern.compile("\\d{4}-\\d{2}-\\d{2}");
+
 	private static final Pattern IDENTIFIER = Pattern.compile("[^\\s/\\p{Cntrl}]{1,128}");
 
 	private final String jsonName;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/upstream/KeyScanner.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/upstream/KeyScanner.java
@@ -32,7 +32,8 @@
 		Matcher matcher = KEY.matcher(text);
 		while (start >= 0 && matcher.find(start)) {
 			Authentication authentication = this.authenticator.authenticate(matcher.group());
-			if (authentication.key() != null || authentication.refusal() == RefusalReason.KEY_WITHDRAWN) {
+			if (authentication.key() != null || authentication.refusal() == RefusalReason.KEY_WITHDRAWN
+					|| authentication.refusal() == RefusalReason.KEY_STATE_UNKNOWN) {
 				return true;
 			}
 			start = text.indexOf(PREFIX, matcher.start() + 1);
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/CallBudget.java
+++ b/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/CallBudget.java
@@ -31,6 +31,7 @@
 		this.burst = burst;
 		this.tokens = burst;
 		this.updatedMs = timer.nowMs();
+		this.resumedMs = this.updatedMs;
 	}
 
 	boolean take() {
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/HttpPlatformDirectory.java
+++ b/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/HttpPlatformDirectory.java
@@ -11,6 +11,7 @@
 
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
 
 /**
  * Instance list over HTTP; see {@code docs/platform-api.md}.
@@ -26,33 +27,33 @@
 	}
 
 	@Override
-	public CompletableFuture<List<PlatformInstance>> list() {
+	public CompletableFuture<List<DirectoryEntry>> list() {
 		return this.http.read(INSTANCES, 0, (json) -> {
-			List<PlatformInstance> instances = new ArrayList<>();
+			List<DirectoryEntry> instances = new ArrayList<>();
 			json.path("instances").forEach((node) -> instances.add(parse(node)));
 			return instances;
 		});
 	}
 
 	@Override
-	public CompletableFuture<Void> register(PlatformInstance instance) {
+	public CompletableFuture<Void> register(DirectoryEntry instance) {
 		String body = this.http.write(Map.of("id", instance.id(), "availabilityZone", instance.availabilityZone(),
 				"host", instance.host(), "port", instance.port(), "state", instance.isLeaving() ? "leaving" : "live"));
 		return change(HttpMethod.PUT, instance, body);
 	}
 
 	@Override
-	public CompletableFuture<Void> unregister(PlatformInstance instance) {
+	public CompletableFuture<Void> unregister(DirectoryEntry instance) {
 		return change(HttpMethod.DELETE, instance, null);
 	}
 
-	private CompletableFuture<Void> change(HttpMethod method, PlatformInstance instance, @Nullable String body) {
+	private CompletableFuture<Void> change(HttpMethod method, DirectoryEntry instance, @Nullable String body) {
 		String uri = INSTANCES + PlatformHttp.path(instance.id().value());
 		return CompletableFuture.allOf(this.http.write(method, uri, null, body, JsonNode::isObject));
 	}
 
-	private static PlatformInstance parse(JsonNode node) {
-		return new PlatformInstance(new InstanceId(node.path("id").asText()),
+	private static DirectoryEntry parse(JsonNode node) {
+		return new DirectoryEntry(new InstanceId(node.path("id").asText()),
 				new AvailabilityZone(node.path("availabilityZone").asText()), node.path("host").asText(),
 				node.path("port").asInt(), node.path("state").asText().equals("leaving"));
 	}
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/PlatformDirectory.java
+++ b/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/PlatformDirectory.java
@@ -1,32 +1,29 @@
 package dev.nutmegdoor.platform;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.membership.InstanceDirectory;
+
 /**
- * The platform's list of live and leaving instances. Futures fail with
- * {@link dev.nutmegdoor.core.store.StoreException} and complete on the control thread.
+ * The platform's list of live and leaving instances, and the own entry in it. Futures
+ * fail with {@link dev.nutmegdoor.core.store.StoreException} and complete on the control
+ * thread.
  */
-public interface PlatformDirectory {
-
-	/**
-	 * Lists the instances; the list lags and is evidence for routing only.
-	 * @return live and leaving instances
-	 */
-	CompletableFuture<List<PlatformInstance>> list();
+public interface PlatformDirectory extends InstanceDirectory {
 
 	/**
 	 * Registers an instance, or replaces its entry.
 	 * @param instance the entry
 	 * @return completes when the platform has accepted the entry
 	 */
-	CompletableFuture<Void> register(PlatformInstance instance);
+	CompletableFuture<Void> register(DirectoryEntry instance);
 
 	/**
 	 * Removes an instance.
 	 * @param instance the entry
 	 * @return completes when the platform has accepted the removal
 	 */
-	CompletableFuture<Void> unregister(PlatformInstance instance);
+	CompletableFuture<Void> unregister(DirectoryEntry instance);
 
 }
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformFault.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformFault.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.standin.platform;
 
+import dev.nutmegdoor.node.settings.SettingsSection;
+
 /**
  * A fault during a span of time.
  *
@@ -24,6 +26,17 @@
 		}
 	}
 
+	static PlatformFault read(SettingsSection section) {
+		long fromMs = section.integer("fromMs", 0, Long.MAX_VALUE - 1);
+		long untilMs = section.integer("untilMs", 1, Long.MAX_VALUE);
+		if (untilMs <= fromMs) {
+			section.reject("untilMs", "a time after fromMs");
+			untilMs = fromMs + 1;
+		}
+		return new PlatformFault(section.constant("kind", PlatformFaultKind.class), fromMs, untilMs,
+				section.decimal("probability", 0, 1, 1.0), section.integer("delayMs", 0, 600_000, 0L));
+	}
+
 	boolean isActive(long elapsedMs) {
 		return elapsedMs >= this.fromMs && elapsedMs < this.untilMs;
 	}
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandinSettings.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandinSettings.java
@@ -1,14 +1,12 @@
 package dev.nutmegdoor.standin.platform;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import dev.nutmegdoor.node.settings.ListenSettings;
+import dev.nutmegdoor.node.settings.SettingsFile;
+import dev.nutmegdoor.node.settings.SettingsSection;
 
 /**
  * Settings of the stand-in of the platform.
@@ -31,6 +29,10 @@
 	public static final PlatformStandinSettings DEFAULT = new PlatformStandinSettings("127.0.0.1", 0, 1, 2_000, 400, 2,
 			2, 2_000, 10_000, List.of());
 
+	private static final long MAX_RATE = 1_000_000;
+
+	private static final long MAX_DELAY_MS = 600_000;
+
 	public PlatformStandinSettings {
 		List<String> errors = new ArrayList<>();
 		require(errors, "host", host, "a loopback IP number", host.startsWith("127.") || host.equals("::1"));
@@ -49,19 +51,25 @@
 
 	/**
 	 * Reads settings from a YAML file; what the file doesn't set has its default.
-	 * @param file the file
+	 * @param path the file
 	 * @return the settings
-	 * @throws IOException if the file can't be read or a value is wrong; the message
-	 * names the field
+	 * @throws dev.nutmegdoor.node.settings.SettingsException if the file has problems; it
+	 * names all of them
 	 */
-	public static PlatformStandinSettings read(Path file) throws IOException {
-		YAMLMapper mapper = YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
-		ObjectNode merged = mapper.valueToTree(DEFAULT);
-		JsonNode given = mapper.readTree(file.toFile());
-		if (given instanceof ObjectNode fields) {
-			merged.setAll(fields);
-		}
-		return mapper.treeToValue(merged, PlatformStandinSettings.class);
+	public static PlatformStandinSettings read(Path path) {
+		return SettingsFile.read(path, (file) -> {
+			SettingsSection root = file.root();
+			List<PlatformFault> faults = root.sections("faults").stream().map(PlatformFault::read).toList();
+			String host = root.has("host") ? ListenSettings.readHost(root) : DEFAULT.host();
+			return new PlatformStandinSettings(host, root.has("port") ? root.port("port") : 0,
+					root.integer("seed", 0, Long.MAX_VALUE, DEFAULT.seed()),
+					(int) root.integer("readsPerSecond", 1, MAX_RATE, (long) DEFAULT.readsPerSecond()),
+					(int) root.integer("writesPerSecond", 1, MAX_RATE, (long) DEFAULT.writesPerSecond()),
+					root.integer("delayMs", 0, MAX_DELAY_MS, DEFAULT.delayMs()),
+					root.integer("jitterMs", 0, MAX_DELAY_MS, DEFAULT.jitterMs()),
+					root.integer("listLagMs", 0, MAX_DELAY_MS, DEFAULT.listLagMs()),
+					(int) root.integer("keptEvents", 1, MAX_RATE, (long) DEFAULT.keptEvents()), faults);
+		});
 	}
 
 	private static void require(List<String> errors, String field, Object value, String expected, boolean isValid) {
