--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ModelAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ModelAttempt.java
@@ -149,7 +149,6 @@
 	private void cancel() {
 		if (!this.isEnded) {
 			cancelStream();
-			end();
 			this.runner.index().release(this.reservation);
 		}
 	}
@@ -167,7 +166,9 @@
 		});
 	}
 
+	// Ends the attempt first: the client may fail the stream's future at once.
 	private void cancelStream() {
+		end();
 		this.runner.ports().engines().cancel(this.reservation.upstream(), this.streamId);
 	}
 
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/Simulation.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/Simulation.java
@@ -10,9 +10,12 @@
  */
 final class Simulation {
 
-	static final long ARRIVALS_MS = 240_000;
+	static final long ARRIVALS_MS = 420_000;
 
-	static final long WARM_UP_MS = 40_000;
+	/**
+	 * Long programs, which are most of the work, need three minutes to reach their share.
+	 */
+	static final long WARM_UP_MS = 180_000;
 
 	/** Programs that have not ended by then count as failed. */
 	private static final long HORIZON_MS = 1_500_000;
