Compose an entry instance from all shared state

Cause: the entry daemon stood alone: each instance had its own keys, a fixed part of each rate and programs in its own memory. Change: ClusterEntry joins membership, lease, configuration, keys, rate shares, program homes and the scheduler over the TCP transport and the platform's API, and serves the operator API.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/EntryCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/EntryCommand.java
@@ -9,6 +9,8 @@
 import dev.nutmegdoor.node.EntryNode;
 import dev.nutmegdoor.node.LoggingEventLog;
 import dev.nutmegdoor.node.StandaloneEntry;
+import dev.nutmegdoor.node.cluster.ClusterEntry;
+import dev.nutmegdoor.node.settings.ClusterSettings;
 import dev.nutmegdoor.node.settings.EntrySettings;
 import dev.nutmegdoor.node.settings.SettingsException;
 
@@ -46,6 +48,11 @@
 			console.out().println(file + ": valid");
 			return ExitCode.OK;
 		}
+		return (settings.cluster() != null) ? runCluster(settings, settings.cluster(), console)
+				: runStandalone(settings);
+	}
+
+	private static ExitCode runStandalone(EntrySettings settings) {
 		EntryNode node = StandaloneEntry
 			.create(settings, settings.instanceCount(), new InvariantRegistry(), new LoggingEventLog())
 			.node();
@@ -53,4 +60,20 @@
 		return Daemon.await(node::drain);
 	}
 
+	private static ExitCode runCluster(EntrySettings settings, ClusterSettings cluster, Console console) {
+		ClusterEntry entry = new ClusterEntry(settings, cluster, new InvariantRegistry(), new LoggingEventLog());
+		try {
+			entry.start();
+		}
+		catch (IllegalStateException ex) {
+			console.err().println("nutmegdoor: " + ex.getMessage() + ": " + ex.getCause());
+			return ExitCode.UNREACHABLE;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return ExitCode.FAILURE;
+		}
+		return Daemon.await(entry::drain);
+	}
+
 }
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/load/StandaloneFleet.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/load/StandaloneFleet.java
@@ -40,7 +40,8 @@
 				InstanceId id = new InstanceId("entry-" + zone + "-" + i);
 				EntrySettings settings = new EntrySettings(id, zone, new ListenSettings("127.0.0.1", 0),
 						new LimitSettings(2 << 20, 16 << 10, 4 << 20, 1 << 20, 20_000),
-						new TimeoutSettings(60_000, 10_000, 60_000, 500, 60_000, 1_000), 256, count, configuration);
+						new TimeoutSettings(60_000, 10_000, 60_000, 500, 60_000, 1_000), 256, count, configuration,
+						null);
 				InvariantRegistry invariants = new InvariantRegistry();
 				StandaloneEntry entry = StandaloneEntry.create(settings, count, invariants, EventLog.NONE);
 				this.instances.add(new Instance(id, entry, invariants, entry.node().start()));
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -0,0 +1,251 @@
+package dev.nutmegdoor.node.cluster;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+import dev.nutmegdoor.core.call.ForwardedCalls;
+import dev.nutmegdoor.core.call.RoutingCallRunner;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.explain.DecisionIds;
+import dev.nutmegdoor.core.explain.DecisionLog;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.placement.BlockPromptHasher;
+import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.ReplicaIndex;
+import dev.nutmegdoor.core.program.ProgramDependencies;
+import dev.nutmegdoor.core.program.ProgramHomes;
+import dev.nutmegdoor.core.program.ProgramSettings;
+import dev.nutmegdoor.core.program.Safeguards;
+import dev.nutmegdoor.core.schedule.Observers;
+import dev.nutmegdoor.core.schedule.ProgramFactsSource;
+import dev.nutmegdoor.core.schedule.ScheduleSettings;
+import dev.nutmegdoor.core.schedule.ScheduledCallRunner;
+import dev.nutmegdoor.core.schedule.UpstreamPorts;
+import dev.nutmegdoor.node.EntryNode;
+import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.node.entry.EntryDependencies;
+import dev.nutmegdoor.node.settings.ClusterSettings;
+import dev.nutmegdoor.node.settings.EntrySettings;
+import dev.nutmegdoor.node.upstream.HttpEngineClient;
+import dev.nutmegdoor.node.upstream.HttpServiceClient;
+import dev.nutmegdoor.node.upstream.KeyScanner;
+import dev.nutmegdoor.node.upstream.OutgoingCheck;
+import dev.nutmegdoor.node.upstream.ReportPoller;
+import dev.nutmegdoor.node.upstream.UpstreamHttp;
+
+/**
+ * An entry instance that works together with the others of its deployment.
+ */
+public final class ClusterEntry {
+
+	/** Longest wait for the shared state at the start; the platform may be slow. */
+	private static final long START_TIMEOUT_MS = 60_000;
+
+	/**
+	 * Additional cost of a call to another zone, each way twice the distance of zones.
+	 */
+	private static final double ZONE_CROSSING_MS = 10;
+
+	private final ControlThread control;
+
+	private final SharedState shared;
+
+	private final ClusterSettings settings;
+
+	private final EntrySettings entrySettings;
+
+	private final InvariantRegistry invariants;
+
+	private final EventLog events;
+
+	private final UpstreamHttp http;
+
+	private final ReplicaIndex index;
+
+	private final ProgramHomes homes;
+
+	private final ScheduledCallRunner scheduler;
+
+	private final DecisionLog decisions;
+
+	private final EntryNode node;
+
+	private final ReportPoller reports;
+
+	private final OperatorApi operatorApi;
+
+	/**
+	 * Composes an instance; it does nothing until {@link #start()}.
+	 * @param entrySettings settings of the instance
+	 * @param settings settings for working together with others
+	 * @param invariants registry of checks
+	 * @param events log of events
+	 */
+	public ClusterEntry(EntrySettings entrySettings, ClusterSettings settings, InvariantRegistry invariants,
+			EventLog events) {
+		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+		// A restarted process owns nothing of its predecessor, so it needs another name.
+		InstanceId self = new InstanceId(
+				entrySettings.instance().value() + "~" + Long.toString(random.nextLong(1L << 40), 36));
+		this.entrySettings = entrySettings.withInstance(self);
+		this.settings = settings;
+		this.invariants = invariants;
+		this.events = events;
+		this.control = new ControlThread("control-" + self);
+		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, random,
+				invariants, events);
+		DecisionIds ids = new DecisionIds(self);
+		this.decisions = new DecisionLog(ids, settings.decisionLogBytes());
+		KeyScanner keyScanner = new KeyScanner(this.shared.keys());
+		this.http = new UpstreamHttp(this.control, entrySettings.maxConnectionsPerUpstream(),
+				entrySettings.timeouts().connectMs(), entrySettings.limits().maxStreamBytes());
+		OutgoingCheck outgoing = new OutgoingCheck(keyScanner, this.shared.configuration(), invariants, this.control);
+		HttpEngineClient engines = new HttpEngineClient(this.http, outgoing, entrySettings.timeouts().callMs());
+		HttpServiceClient services = new HttpServiceClient(this.http, outgoing);
+		ProgramDependencies programs = new ProgramDependencies(this.control, this.shared.peers(), this.shared.store(),
+				this.shared.membership(), this.shared.lease(), this.shared.configuration(), random, invariants,
+				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones()));
+		this.homes = new ProgramHomes(programs, engines, services, Safeguards.ALL);
+		this.index = new ReplicaIndex(entrySettings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
+				this.control, random);
+		this.scheduler = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, this.index,
+				this.control, this.shared.configuration(),
+				new UpstreamPorts(this.homes.engineClient(), services, new BlockPromptHasher()),
+				ProgramFactsSource.NONE, new Observers(this.decisions, invariants, StepListener.NONE));
+		this.homes.setLower(this.scheduler);
+		RoutingCallRunner routing = new RoutingCallRunner(programs, this.homes);
+		new ForwardedCalls(programs, this.homes);
+		MetricRegistry metrics = new MetricRegistry();
+		this.node = new EntryNode(this.entrySettings,
+				new EntryDependencies(this.control, this.shared.configuration(), this.shared.keys(), keyScanner,
+						this.shared.limits(), routing, new ClusterPrograms(routing), ids, this.decisions, invariants,
+						metrics, events),
+				this::handOver, this::close);
+		this.reports = new ReportPoller(this.http, this.shared.configuration(), new ReportForwarder(this.scheduler),
+				this.index::lastEventSequence);
+		this.operatorApi = new OperatorApi(this, settings, this.shared, this.control, this.decisions, metrics);
+		this.shared.membership().register(new PeerLoads(this.index, this.control));
+		this.shared.membership().subscribe((member) -> this.index.setInstances(routableInstances()));
+	}
+
+	/**
+	 * Joins the deployment, learns the shared state and takes work. Blocks until then.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void start() throws InterruptedException {
+		CompletableFuture<Void> started = new CompletableFuture<>();
+		this.control.execute(() -> this.shared.start().whenComplete((ignored, error) -> {
+			if (error != null) {
+				started.completeExceptionally(error);
+				return;
+			}
+			new ConfigurationSeed(this.entrySettings.configuration(), this.events)
+				.commitIfEmpty(this.shared.configuration());
+			this.reports.start(this.control, this.settings.reportPeriodMs());
+			started.complete(null);
+		}));
+		try {
+			started.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			throw new IllegalStateException(
+					"instance " + this.entrySettings.instance() + " could not learn the shared state", ex);
+		}
+		this.operatorApi.start();
+		this.node.start();
+	}
+
+	public EntryNode node() {
+		return this.node;
+	}
+
+	public int operatorPort() {
+		return this.operatorApi.port();
+	}
+
+	/**
+	 * Announces that this instance leaves and stops it without interrupting a request.
+	 * Blocks until that is done.
+	 * @return whether no request was interrupted
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean drain() throws InterruptedException {
+		this.control.execute(this.shared::leave);
+		return this.node.drain();
+	}
+
+	/**
+	 * Starts a drain in the background and ends the process's work afterwards.
+	 */
+	void startDrain() {
+		Thread thread = new Thread(() -> {
+			try {
+				drain();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}, "drain-" + this.entrySettings.instance());
+		thread.start();
+	}
+
+	ProgramHomes homes() {
+		return this.homes;
+	}
+
+	/**
+	 * Returns the state of the parts that this class composes, by name.
+	 * @return suppliers for the state dump
+	 */
+	Map<String, Supplier<?>> dumpParts() {
+		return Map.ofEntries(Map.entry("membership", this.shared.membership()::dump),
+				Map.entry("lease", this.shared.lease()::dump), Map.entry("limits", this.shared.limits()::dump),
+				Map.entry("configuration", this.shared.configuration()::dump),
+				Map.entry("keys", this.shared.keys()::dump), Map.entry("programs", this.homes::dump),
+				Map.entry("queues", this.scheduler::dump), Map.entry("platform", this.shared.store()::dump),
+				Map.entry("peers", this.shared.peers()::traffic), Map.entry("decisions", this.decisions::dump),
+				Map.entry("invariants", () -> InvariantDump.of(this.invariants)));
+	}
+
+	private int routableInstances() {
+		return (int) this.shared.membership()
+			.members()
+			.stream()
+			.filter((member) -> member.state().isRoutable())
+			.count();
+	}
+
+	private CompletableFuture<Void> handOver() {
+		return this.homes.controller()
+			.drain()
+			.thenCompose((ignored) -> this.shared.limits().drain())
+			.thenCompose((ignored) -> this.shared.unregister());
+	}
+
+	private void close() {
+		this.operatorApi.close();
+		this.http.close();
+		this.shared.close();
+		this.control.close();
+	}
+
+	/**
+	 * Names of the parts of the state dump in their order.
+	 */
+	static List<String> partOrder() {
+		return List.of("membership", "lease", "limits", "configuration", "keys", "programs", "queues", "platform",
+				"peers", "decisions", "invariants");
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/InvariantDump.java
@@ -0,0 +1,36 @@
+package dev.nutmegdoor.node.cluster;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+
+/**
+ * State of the invariants for the dump.
+ *
+ * @param counters checks made and violations by name of the invariant
+ * @param latestViolations descriptions, oldest first
+ */
+record InvariantDump(Map<String, Counter> counters, List<String> latestViolations) {
+
+	static InvariantDump of(InvariantRegistry registry) {
+		Map<String, Counter> counters = new LinkedHashMap<>();
+		for (Invariant invariant : Invariant.values()) {
+			counters.put(invariant.name(), new Counter(registry.checked(invariant), registry.violated(invariant)));
+		}
+		return new InvariantDump(counters, registry.violations());
+	}
+
+	/**
+	 * Counters of one invariant.
+	 *
+	 * @param checked checks made
+	 * @param violated checks that failed
+	 */
+	record Counter(long checked, long violated) {
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/OperatorApi.java
@@ -0,0 +1,63 @@
+package dev.nutmegdoor.node.cluster;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import dev.nutmegdoor.core.explain.DecisionLog;
+import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.node.operator.InstanceEndpoints;
+import dev.nutmegdoor.node.operator.MetricsEndpoint;
+import dev.nutmegdoor.node.operator.OperatorAuthenticator;
+import dev.nutmegdoor.node.operator.OperatorEndpoint;
+import dev.nutmegdoor.node.operator.OperatorServer;
+import dev.nutmegdoor.node.operator.StateDump;
+import dev.nutmegdoor.node.settings.ClusterSettings;
+
+/**
+ * Composes the operator API of an instance.
+ */
+final class OperatorApi implements AutoCloseable {
+
+	private final ClusterSettings settings;
+
+	private final OperatorServer server;
+
+	private int port;
+
+	OperatorApi(ClusterEntry entry, ClusterSettings settings, SharedState shared, ControlThread control,
+			DecisionLog decisions, MetricRegistry metrics) {
+		this.settings = settings;
+		ObjectMapper mapper = new ObjectMapper();
+		StateDump dump = new StateDump();
+		Map<String, Supplier<?>> parts = entry.dumpParts();
+		ClusterEntry.partOrder().forEach((name) -> dump.register(name, parts.getOrDefault(name, Map::of)));
+		List<OperatorEndpoint> endpoints = new ArrayList<>();
+		endpoints.addAll(new InstanceEndpoints(shared.peers(), shared.membership(), decisions,
+				DecisionFunctions.verifier(), dump, entry::startDrain, mapper)
+			.endpoints());
+		endpoints.addAll(new KeyEndpoints(shared.keys()).endpoints());
+		endpoints.addAll(new CallEndpoints(entry.homes(), mapper).endpoints());
+		endpoints.addAll(new ConfigurationEndpoints(shared.configuration(), control).endpoints());
+		endpoints.add(new MetricsEndpoint(metrics).endpoint());
+		this.server = new OperatorServer(new OperatorAuthenticator(settings.operators()), control, mapper, endpoints);
+	}
+
+	void start() {
+		this.port = this.server.start(this.settings.operator().host(), this.settings.operator().port());
+	}
+
+	int port() {
+		return this.port;
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+}
