--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/StandaloneEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/StandaloneEntry.java
@@ -1,19 +1,36 @@
 package dev.nutmegdoor.node;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.simple.RandomSource;
 
 import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionRecorder;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.placement.BlockPromptHasher;
+import dev.nutmegdoor.core.placement.CacheEvent;
+import dev.nutmegdoor.core.placement.LoadReport;
+import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.ReplicaIndex;
+import dev.nutmegdoor.core.schedule.Observers;
+import dev.nutmegdoor.core.schedule.ProgramFactsSource;
+import dev.nutmegdoor.core.schedule.ScheduleSettings;
+import dev.nutmegdoor.core.schedule.ScheduledCallRunner;
+import dev.nutmegdoor.core.schedule.UpstreamPorts;
+import dev.nutmegdoor.core.time.TimerService;
 import dev.nutmegdoor.core.upstream.EngineClient;
 import dev.nutmegdoor.core.upstream.ServiceClient;
 import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.node.direct.ConfiguredKeyAuthenticator;
-import dev.nutmegdoor.node.direct.DirectCallRunner;
 import dev.nutmegdoor.node.direct.LocalPrograms;
 import dev.nutmegdoor.node.direct.LocalRateLimiter;
 import dev.nutmegdoor.node.direct.OnceCallRunner;
@@ -24,6 +41,8 @@
 import dev.nutmegdoor.node.upstream.HttpServiceClient;
 import dev.nutmegdoor.node.upstream.KeyScanner;
 import dev.nutmegdoor.node.upstream.OutgoingCheck;
+import dev.nutmegdoor.node.upstream.ReportListener;
+import dev.nutmegdoor.node.upstream.ReportPoller;
 import dev.nutmegdoor.node.upstream.UpstreamHttp;
 
 /**
@@ -38,6 +57,12 @@
 public record StandaloneEntry(EntryNode node, StaticConfigurationView configuration,
 		ConfiguredKeyAuthenticator authenticator, ControlThread timers) {
 
+	/** Round trip between zones (design, section 1.4). */
+	private static final double ZONE_CROSSING_MS = 4;
+
+	/** Period in which engines measure their load. */
+	private static final long REPORT_PERIOD_MS = 250;
+
 	/**
 	 * Composes an instance.
 	 * @param settings settings of the instance
@@ -57,10 +82,12 @@
 		OutgoingCheck outgoingCheck = new OutgoingCheck(keyScanner, configuration, invariants, timers);
 		EngineClient engines = new HttpEngineClient(http, outgoingCheck, settings.timeouts().callMs());
 		ServiceClient services = new HttpServiceClient(http, outgoingCheck);
-		CallRunner direct = new DirectCallRunner(configuration, settings.availabilityZone(), engines, services, timers);
-		CallRunner once = new OnceCallRunner(direct, configuration, timers, invariants);
-		LocalPrograms programs = new LocalPrograms(once, configuration, settings.availabilityZone(), engines, timers,
+		ScheduledCallRunner scheduler = scheduler(settings, instanceCount, configuration, engines, services, timers,
 				invariants);
+		startReports(scheduler, http, configuration, timers);
+		CallRunner once = new OnceCallRunner(scheduler, configuration, timers, invariants);
+		LocalPrograms programs = new LocalPrograms(once, configuration, settings.availabilityZone(), engines, timers,
+				invariants, scheduler::programEnded);
 		EntryDependencies dependencies = new EntryDependencies(timers, configuration, authenticator, keyScanner,
 				new LocalRateLimiter(configuration, timers, instanceCount), programs, programs,
 				new DecisionIds(settings.instance()), DecisionRecorder.NONE, invariants, new MetricRegistry(),
@@ -72,4 +99,36 @@
 		return new StandaloneEntry(node, configuration, authenticator, timers);
 	}
 
+	private static ScheduledCallRunner scheduler(EntrySettings settings, int instanceCount,
+			ConfigurationView configuration, EngineClient engines, ServiceClient services, TimerService timers,
+			InvariantRegistry invariants) {
+		ReplicaIndex index = new ReplicaIndex(settings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
+				timers, RandomSource.XO_RO_SHI_RO_128_PP.create(settings.instance().hashCode()));
+		index.setInstances(instanceCount);
+		return new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, index, timers, configuration,
+				new UpstreamPorts(engines, services, new BlockPromptHasher()), ProgramFactsSource.NONE,
+				new Observers(DecisionRecorder.NONE, invariants, StepListener.NONE));
+	}
+
+	private static void startReports(ScheduledCallRunner scheduler, UpstreamHttp http, ConfigurationView configuration,
+			TimerService timers) {
+		Map<UpstreamId, Long> lastEvents = new HashMap<>();
+		ReportListener listener = new ReportListener() {
+
+			@Override
+			public void reportReceived(UpstreamId upstream, LoadReport report) {
+				scheduler.reportReceived(upstream, report);
+			}
+
+			@Override
+			public void eventsReceived(UpstreamId upstream, List<CacheEvent> events) {
+				scheduler.eventsReceived(upstream, events);
+				events.forEach((event) -> lastEvents.put(upstream, event.sequence()));
+			}
+
+		};
+		new ReportPoller(http, configuration, listener, (id) -> lastEvents.getOrDefault(id, 0L)).start(timers,
+				REPORT_PERIOD_MS);
+	}
+
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/LocalPrograms.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/direct/LocalPrograms.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
 
@@ -55,16 +56,29 @@
 
 	private final InvariantRegistry invariants;
 
+	private final Consumer<ProgramId> onClosed;
+
 	private final Map<ProgramId, LocalProgram> programs = new HashMap<>();
 
+	/**
+	 * Creates the programs.
+	 * @param next runs the calls of programs
+	 * @param configuration configuration in force
+	 * @param zone zone of this instance
+	 * @param engines client of engines, for the release of cached prefixes
+	 * @param timers control thread
+	 * @param invariants registry of checks
+	 * @param onClosed called for each program that was closed
+	 */
 	public LocalPrograms(CallRunner next, ConfigurationView configuration, AvailabilityZone zone, EngineClient engines,
-			TimerService timers, InvariantRegistry invariants) {
+			TimerService timers, InvariantRegistry invariants, Consumer<ProgramId> onClosed) {
 		this.next = next;
 		this.configuration = configuration;
 		this.zone = zone;
 		this.engines = engines;
 		this.timers = timers;
 		this.invariants = invariants;
+		this.onClosed = onClosed;
 	}
 
 	@Override
@@ -106,6 +120,7 @@
 			}
 		}
 		for (LocalProgram closed : closing) {
+			this.onClosed.accept(closed.id());
 			for (Upstream upstream : this.configuration.current().upstreams().values()) {
 				if (upstream.kind() == UpstreamKind.MODEL_ENGINE) {
 					release(upstream, closed.id(), 1);
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/entry/CallAnswerTests.java
@@ -0,0 +1,104 @@
+package dev.nutmegdoor.node.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+import reactor.test.StepVerifier;
+
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.id.DecisionId;
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.node.settings.LimitSettings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class CallAnswerTests {
+
+	private static final LimitSettings LIMITS = new LimitSettings(1_024, 1_024, 4_000, 1_000, 1);
+
+	private final InvariantRegistry invariants = new InvariantRegistry();
+
+	private final AtomicInteger cancellations = new AtomicInteger();
+
+	private CallAnswer answer() {
+		CallAnswer answer = new CallAnswer(new CallRequest(new DecisionId("i1:1"), new WorkspaceId("w1"),
+				new KeyId("k1"), null, 0, "", new ModelCall("m", "[]", 1, 1), 1_000), LIMITS, this.invariants, () -> {
+				});
+		answer.started(this.cancellations::incrementAndGet);
+		return answer;
+	}
+
+	// Guards against a reader that never reads and makes the instance buffer its answer.
+	@Test
+	void endsTheCallOfAReaderThatTakesNothing() {
+		CallAnswer answer = answer();
+		List<AnswerEvent> events = new ArrayList<>();
+		BaseSubscriber<AnswerEvent> reader = new BaseSubscriber<>() {
+
+			@Override
+			protected void hookOnSubscribe(Subscription subscription) {
+			}
+
+			@Override
+			protected void hookOnNext(AnswerEvent event) {
+				events.add(event);
+			}
+
+		};
+		answer.events().subscribe(reader);
+		for (int i = 0; i < 20; i++) {
+			answer.generated(100 * i, "x".repeat(100));
+		}
+		assertThat(this.cancellations.get(), is(1));
+		assertThat(answer.isEnded(), is(true));
+		reader.request(100);
+		assertThat(events.size(), is(11));
+		AnswerEvent.Refused last = (AnswerEvent.Refused) events.get(10);
+		assertThat(last.refusal().reason(), is(RefusalReason.CANCELLED));
+	}
+
+	// Guards against an answer without bound for a reader that is fast enough.
+	@Test
+	void endsAnAnswerThatIsTooLarge() {
+		CallAnswer answer = answer();
+		StepVerifier.create(answer.events()).then(() -> {
+			for (int i = 0; i < 50; i++) {
+				answer.generated(100 * i, "x".repeat(100));
+			}
+		}).expectNextCount(40).expectNextMatches((event) -> event instanceof AnswerEvent.Refused).verifyComplete();
+		assertThat(this.cancellations.get(), is(1));
+	}
+
+	// Guards against "not run" for a call that has already generated text.
+	@Test
+	void countsANotRunRefusalAfterTextAsViolation() {
+		CallAnswer answer = answer();
+		answer.generated(0, "habari");
+		answer.refused(Refusal.notRun(RefusalReason.NO_UPSTREAM, "", 0));
+		assertThat(this.invariants.violated(Invariant.NOT_RUN_TRUTH), is(1L));
+	}
+
+	// Guards against a cancellation that hides that the call was never sent.
+	@Test
+	void keepsTheRunStateThatTheRunnerReportsOnCancellation() {
+		CallAnswer answer = answer();
+		answer.started(() -> answer.refused(Refusal.notRun(RefusalReason.CANCELLED, "", 0)));
+		answer.abort(new Refusal(RefusalReason.KEY_WITHDRAWN, RunState.UNKNOWN, "withdrawn", 0));
+		StepVerifier.create(answer.events())
+			.expectNext(new AnswerEvent.Refused(Refusal.notRun(RefusalReason.KEY_WITHDRAWN, "withdrawn", 0)))
+			.verifyComplete();
+	}
+
+}
