Let the randomised run find both switched-off safeguards

A new kind of fault pauses an owner past its lease in the middle of an append and ends its successor right after it resumed.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/OnceCallRunner.java
@@ -35,6 +35,9 @@
 	/** Largest difference between the clocks of callers and instances. */
 	private static final long SKEW_MS = 60_000;
 
+	/** Delay of the intent if the safeguard is switched off. */
+	private static final long LATE_INTENT_MS = 200;
+
 	private static final CallHandle NO_HANDLE = () -> {
 	};
 
@@ -124,7 +127,8 @@
 		long startMs = this.dependencies.timer().nowMs();
 		if (!this.isIntentFirst) {
 			dispatch(home, program, request, key, running, startMs, whenEnded);
-			home.append(program, EntryType.CALL_INTENDED, body, true);
+			this.dependencies.timer()
+				.schedule(LATE_INTENT_MS, () -> home.append(program, EntryType.CALL_INTENDED, body, true));
 			return detach;
 		}
 		CompletableFuture<LogEntry> intent = home.append(program, EntryType.CALL_INTENDED, body, true);
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/FaultKind.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/FaultKind.java
@@ -78,6 +78,14 @@
 		}
 	},
 
+	/** An owner is paused past its lease while it appends, and its successor dies. */
+	STALE_OWNER {
+		@Override
+		boolean inject(SimCluster cluster, UniformRandomProvider random) {
+			return new StaleOwnerFault(cluster, random).inject();
+		}
+	},
+
 	/** Messages between instances are lost. */
 	LOSS {
 		@Override
