Run the demo on instances that work together

Cause: the demo's instances shared nothing. Change: a fleet of cluster entries over the platform stand-in; the first version of the configuration is committed from the settings; its JSON field names follow the configuration module, which rejected 21 upstreams before.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/DemoCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/DemoCommand.java
@@ -6,11 +6,11 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 
+import dev.nutmegdoor.experiment.load.ClusterFleet;
 import dev.nutmegdoor.experiment.load.Demo;
 import dev.nutmegdoor.experiment.load.DemoDeployment;
 import dev.nutmegdoor.experiment.load.DemoResult;
 import dev.nutmegdoor.experiment.load.DemoSettings;
-import dev.nutmegdoor.experiment.load.StandaloneFleet;
 
 /**
  * Runs a whole deployment under load in this process and prints what was observed.
@@ -46,7 +46,7 @@
 		DemoSettings settings = new DemoSettings(deployment(line.getOptionValue("deployment", "rift")),
 				(int) number(line, "seconds", 30, 5, MAX_SECONDS), number(line, "seed", 1, 0, Long.MAX_VALUE));
 		try {
-			DemoResult result = new Demo(settings, StandaloneFleet::new, console.err()::println).run();
+			DemoResult result = new Demo(settings, ClusterFleet::new, console.err()::println).run();
 			console.out().println(line.hasOption("json") ? result.toJson() : result.toTable());
 			return result.isClean() ? ExitCode.OK : ExitCode.FAILURE;
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.node.cluster;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -11,15 +12,21 @@
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.ForwardedCalls;
 import dev.nutmegdoor.core.call.RoutingCallRunner;
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ConfigurationChange;
+import dev.nutmegdoor.core.configuration.ConfigurationChangeResult;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionLog;
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.key.WithdrawalResult;
 import dev.nutmegdoor.core.placement.BlockPromptHasher;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
@@ -52,6 +59,8 @@
 	/** Longest wait for the shared state at the start; the platform may be slow. */
 	private static final long START_TIMEOUT_MS = 60_000;
 
+	private static final long HOME_POLL_MS = 100;
+
 	/**
 	 * Additional cost of a call to another zone, each way twice the distance of zones.
 	 */
@@ -85,6 +94,8 @@
 
 	private final OperatorApi operatorApi;
 
+	private @Nullable InetSocketAddress address;
+
 	/**
 	 * Composes an instance; it does nothing until {@link #start()}.
 	 * @param entrySettings settings of the instance
@@ -163,7 +174,33 @@
 					"instance " + this.entrySettings.instance() + " could not learn the shared state", ex);
 		}
 		this.operatorApi.start();
-		this.node.start();
+		this.address = this.node.start();
+	}
+
+	/**
+	 * Returns the address for callers.
+	 * @return the address that is bound
+	 * @throws IllegalStateException if the instance has not started
+	 */
+	public InetSocketAddress address() {
+		InetSocketAddress bound = this.address;
+		if (bound == null) {
+			throw new IllegalStateException("instance " + this.entrySettings.instance() + " has not started");
+		}
+		return bound;
+	}
+
+	/**
+	 * Waits until this instance knows an owner of every partition and all configuration
+	 * is in force.
+	 * @param zones number of zones of the deployment
+	 * @param timeoutMs longest wait in milliseconds
+	 * @return completes then; fails after the timeout
+	 */
+	public CompletableFuture<Void> awaitHomes(int zones, long timeoutMs) {
+		CompletableFuture<Void> result = new CompletableFuture<>();
+		this.control.execute(() -> pollHomes(zones, this.control.nowMs() + timeoutMs, result));
+		return result;
 	}
 
 	public EntryNode node() {
@@ -174,6 +211,29 @@
 		return this.operatorApi.port();
 	}
 
+	/**
+	 * Commits a configuration as the next version.
+	 * @param configuration items to set; items that it lacks stay
+	 * @param author who asks for the change
+	 * @return the outcome
+	 */
+	public CompletableFuture<ConfigurationChangeResult> apply(Configuration configuration, String author) {
+		ConfigurationChange change = new ConfigurationChange(author, "whole configuration", null,
+				ConfigurationEdits.of(configuration));
+		return this.control.call(() -> this.shared.configuration().change(change)).thenCompose((future) -> future);
+	}
+
+	/**
+	 * Withdraws a key.
+	 * @param key identifier of the key
+	 * @param author who asks for the withdrawal
+	 * @return which zones have confirmed
+	 */
+	public CompletableFuture<WithdrawalResult> withdraw(KeyId key, String author) {
+		return this.control.call(() -> this.shared.keys().withdraw(key, author, "operator request"))
+			.thenCompose((future) -> future);
+	}
+
 	/**
 	 * Announces that this instance leaves and stops it without interrupting a request.
 	 * Blocks until that is done.
@@ -218,6 +278,21 @@
 				Map.entry("invariants", () -> InvariantDump.of(this.invariants)));
 	}
 
+	private void pollHomes(int zones, long deadlineMs, CompletableFuture<Void> result) {
+		int expected = zones * ProgramSettings.defaults(this.settings.availabilityZones()).partitionsPerZone();
+		int known = this.homes.controller().table().names().size();
+		if (known >= expected && this.shared.configuration().version() > 0) {
+			result.complete(null);
+		}
+		else if (this.control.nowMs() > deadlineMs) {
+			result.completeExceptionally(new IllegalStateException("only " + known + " of " + expected
+					+ " partitions have an owner, configuration version is " + this.shared.configuration().version()));
+		}
+		else {
+			this.control.schedule(HOME_POLL_MS, () -> pollHomes(zones, deadlineMs, result));
+		}
+	}
+
 	private int routableInstances() {
 		return (int) this.shared.membership()
 			.members()
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ConfigurationEndpoints.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ConfigurationEndpoints.java
@@ -98,7 +98,7 @@
 			throw new OperatorException(404, "not-found", "there is no upstream " + id);
 		}
 		ConfigurationEdit edit = ConfigurationEdit.merge(ConfigurationSection.UPSTREAMS, id.value(),
-				Map.of("leaving", true));
+				Map.of("isLeaving", true));
 		return this.configuration
 			.change(new ConfigurationChange(request.operator(), "drain upstream " + id, null, List.of(edit)))
 			.thenApply(ConfigurationEndpoints::describe);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/entry/EntryServerTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/entry/EntryServerTests.java
@@ -93,7 +93,7 @@
 						1, List.of("m"), 1, true, false)));
 		EntrySettings settings = new EntrySettings(new InstanceId("i1"), new AvailabilityZone("a"),
 				new ListenSettings("127.0.0.1", 0), new LimitSettings(2_000, 2_000, 10_000, 1_000, 100),
-				new TimeoutSettings(60_000, 10_000, 60_000, 0, 30_000, 1_000), 1, 1, configuration);
+				new TimeoutSettings(60_000, 10_000, 60_000, 0, 30_000, 1_000), 1, 1, configuration, null);
 		StaticConfigurationView view = new StaticConfigurationView(configuration, this.invariants);
 		this.authenticator = new ConfiguredKeyAuthenticator(view);
 		LocalPrograms programs = new LocalPrograms(this.runner, view, settings.availabilityZone(), null, this.control,
