Add operator services and the wait for a version

Texts of withdrawals are cut to 80 characters, so that a message of 10,000 fits into a frame. The differences of a change are computed once instead of twice.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationChangeRecord.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationChangeRecord.java
@@ -30,8 +30,8 @@
 		differences = List.copyOf(differences);
 	}
 
-	static ConfigurationChangeRecord of(ConfigurationDocument before, ConfigurationDocument after, String reason) {
-		List<ConfigurationDifference> all = before.differencesTo(after);
+	static ConfigurationChangeRecord of(ConfigurationDocument before, ConfigurationDocument after, String reason,
+			List<ConfigurationDifference> all) {
 		int chars = 0;
 		int kept = 0;
 		while (kept < all.size()) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationCommitter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationCommitter.java
@@ -148,7 +148,9 @@
 		for (ConfigurationShard shard : newShards(base, next)) {
 			writes.add(this.store.createOnce(ConfigurationStore.SHARD_KIND, shard.name(), shard.text()));
 		}
-		String entry = ConfigurationJson.write(ConfigurationChangeRecord.of(base, next, attempt.change.reason()));
+		attempt.differences = base.differencesTo(next);
+		String entry = ConfigurationJson
+			.write(ConfigurationChangeRecord.of(base, next, attempt.change.reason(), attempt.differences));
 		writes.add(this.store.createOnce(ConfigurationStore.CHANGE_KIND, attempt.changeId, entry));
 		CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
 			if (error != null) {
@@ -217,7 +219,7 @@
 		List<ConfigurationShard> replaced = newShards(next, base);
 		this.timer.schedule(DISCARD_DELAY_MS,
 				() -> replaced.forEach((shard) -> this.store.discard(ConfigurationStore.SHARD_KIND, shard.name())));
-		attempt.finish(ConfigurationChangeOutcome.ACCEPTED, next.version(), base.differencesTo(next));
+		attempt.finish(ConfigurationChangeOutcome.ACCEPTED, next.version(), attempt.differences);
 	}
 
 	private void lose(Attempt attempt, ConfigurationDocument base, long seenVersion) {
@@ -264,6 +266,8 @@
 
 		private @Nullable ConfigurationDocument base;
 
+		private List<ConfigurationDifference> differences = List.of();
+
 		private Attempt(ConfigurationChange change, String changeId,
 				CompletableFuture<ConfigurationChangeResult> result) {
 			this.change = change;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationJson.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationJson.java
@@ -6,6 +6,7 @@
 import java.util.HexFormat;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
@@ -23,8 +24,8 @@
 	private static final int HASH_BYTES = 16;
 
 	/** Writes equal values as equal texts. */
-	private static final ObjectMapper MAPPER = new ObjectMapper()
-		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+	private static final ObjectMapper MAPPER = new ObjectMapper().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
 	private ConfigurationJson() {
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationMessages.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationMessages.java
@@ -17,7 +17,8 @@
 	 * @return all of them
 	 */
 	public static List<Class<? extends PeerMessage>> types() {
-		return List.of(ConfigurationAnnouncement.class, ConfigurationFetch.class, ConfigurationPage.class);
+		return List.of(ConfigurationAnnouncement.class, ConfigurationFetch.class, ConfigurationPage.class,
+				ConfigurationVersionRequest.class);
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/KeyWithdrawal.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/KeyWithdrawal.java
@@ -12,4 +12,16 @@
  */
 public record KeyWithdrawal(KeyId key, String author, String reason, long timeMs) {
 
+	/** Keeps 10,000 withdrawals within the 4 MB of a frame. */
+	private static final int MAX_TEXT_LENGTH = 80;
+
+	public KeyWithdrawal {
+		author = shorten(author);
+		reason = shorten(reason);
+	}
+
+	private static String shorten(String text) {
+		return (text.length() <= MAX_TEXT_LENGTH) ? text : text.substring(0, MAX_TEXT_LENGTH);
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalArchive.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalArchive.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import dev.nutmegdoor.core.distribution.LocalPersistence;
@@ -18,7 +19,7 @@
 
 	private static final String NAME = "key-withdrawals";
 
-	private final ObjectMapper mapper = new ObjectMapper();
+	private final ObjectMapper mapper = new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
 	private final LocalPersistence persistence;
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalController.java
@@ -39,7 +39,10 @@
 	/** Time in which a withdrawal is in force on every reachable instance. */
 	static final long IN_FORCE_MS = 3_000;
 
-	/** Withdrawals in one message; 10,000 take about 1.5 MB of the 4 MB of a frame. */
+	/**
+	 * Withdrawals in one message; 10,000 take at most 3 MB of the 4 MB of a frame if
+	 * texts are ASCII.
+	 */
 	private static final int MAX_IN_MESSAGE = 10_000;
 
 	private static final long ISOLATION_CHECK_MS = 500;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/sheet/SheetLoaderTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/sheet/SheetLoaderTests.java
@@ -2,36 +2,16 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
-import org.jspecify.annotations.Nullable;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import dev.nutmegdoor.core.configuration.Configuration;
 import dev.nutmegdoor.core.configuration.ConfigurationChangeOutcome;
 import dev.nutmegdoor.core.configuration.ConfigurationController;
-import dev.nutmegdoor.core.configuration.ConfigurationSettings;
-import dev.nutmegdoor.core.distribution.LocalPersistence;
-import dev.nutmegdoor.core.event.EventLog;
-import dev.nutmegdoor.core.fake.FakeHost;
-import dev.nutmegdoor.core.fake.FakeObjectStore;
-import dev.nutmegdoor.core.fake.FakePeerNetwork;
-import dev.nutmegdoor.core.fake.LinkSettings;
-import dev.nutmegdoor.core.fake.StoreFaults;
-import dev.nutmegdoor.core.fault.StepListener;
-import dev.nutmegdoor.core.id.AvailabilityZone;
-import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.id.WorkspaceId;
-import dev.nutmegdoor.core.invariant.InvariantRegistry;
-import dev.nutmegdoor.core.membership.Member;
-import dev.nutmegdoor.core.membership.MemberState;
-import dev.nutmegdoor.core.membership.MembershipView;
-import dev.nutmegdoor.core.time.VirtualTimerService;
+import dev.nutmegdoor.node.operator.service.SingleInstance;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.aMapWithSize;
@@ -51,39 +31,18 @@
 
 	private static final String HASH = "0123456789abcdef".repeat(4);
 
-	private final VirtualTimerService timer = new VirtualTimerService(0);
+	private final SingleInstance instance = new SingleInstance(1);
 
-	private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(1);
-
-	private final FakeObjectStore store = new FakeObjectStore(this.timer, this.random, StoreFaults.NONE);
-
-	private final ConfigurationController configuration = controller("i-1");
-
-	private final SheetLoader loader = new SheetLoader(this.configuration, Runnable::run,
+	private final SheetLoader loader = new SheetLoader(this.instance.configuration, Runnable::run,
 			SheetLoader.DEFAULT_MAX_DROPPED_SHARE);
 
-	private ConfigurationController controller(String id) {
-		FakeHost host = new FakeHost(this.timer, new InstanceId(id), new AvailabilityZone("a"), 0);
-		return new ConfigurationController(ConfigurationSettings.DEFAULT, host,
-				new FakePeerNetwork(this.random, LinkSettings.RELIABLE).join(host), this.store.clientOf(host),
-				new Alone(host), LocalPersistence.NONE, this.random, new InvariantRegistry(), StepListener.NONE,
-				EventLog.NONE);
-	}
-
-	@BeforeEach
-	void start() {
-		this.configuration.start();
-		this.timer.advance(1_000);
-	}
-
 	private SheetResult load(String csv, boolean isForced) {
 		CompletableFuture<SheetResult> result = this.loader.load(csv, "ann", isForced, false);
-		this.timer.advance(10_000);
-		return result.join();
+		return this.instance.await(result);
 	}
 
 	private Configuration inForce() {
-		return this.configuration.current();
+		return this.instance.configuration.current();
 	}
 
 	private static String sheetOf(int workspaces, double rate) {
@@ -113,28 +72,27 @@
 		// more writes than the platform takes or values that it refuses.
 		@Test
 		void ofTwentyOneThousandWorkspacesStayWithinTheStoresLimits() {
-			long before = SheetLoaderTests.this.store.writes();
+			long before = SheetLoaderTests.this.instance.store.writes();
 			assertThat(load(sheetOf(21_000, 5), false).outcome(), is(SheetOutcome.APPLIED));
-			long writes = SheetLoaderTests.this.store.writes() - before;
+			long writes = SheetLoaderTests.this.instance.store.writes() - before;
 			// 64 shards, the entry of the history and the head.
 			assertThat(writes, lessThanOrEqualTo(66L));
 			assertThat(inForce().workspaces(), is(aMapWithSize(21_000)));
-			before = SheetLoaderTests.this.store.writes();
+			before = SheetLoaderTests.this.instance.store.writes();
 			assertThat(load(sheetOf(21_000, 5), false).outcome(), is(SheetOutcome.UNCHANGED));
-			assertThat(SheetLoaderTests.this.store.writes(), is(before));
+			assertThat(SheetLoaderTests.this.instance.store.writes(), is(before));
 		}
 
 		// Guards against a sheet that overwrites a change made while it was compared.
 		@Test
 		void loseToAChangeMadeMeanwhile() {
-			ConfigurationController other = controller("i-2");
-			other.start();
-			SheetLoaderTests.this.timer.advance(1_000);
+			ConfigurationController other = SheetLoaderTests.this.instance.controller("i-2");
+			SheetLoaderTests.this.instance.await(other.start());
 			CompletableFuture<SheetResult> first = SheetLoaderTests.this.loader.load(sheetOf(2, 5), "ann", false,
 					false);
 			CompletableFuture<SheetResult> second = new SheetLoader(other, Runnable::run, 0.05).load(sheetOf(3, 6),
 					"bob", false, false);
-			SheetLoaderTests.this.timer.advance(10_000);
+			SheetLoaderTests.this.instance.await(CompletableFuture.allOf(first, second));
 			List<SheetOutcome> outcomes = List.of(first.join().outcome(), second.join().outcome());
 			assertThat(outcomes, containsInAnyOrder(SheetOutcome.APPLIED, SheetOutcome.NOT_ACCEPTED));
 			SheetResult lost = (outcomes.get(0) == SheetOutcome.NOT_ACCEPTED) ? first.join() : second.join();
@@ -209,27 +167,4 @@
 
 	}
 
-	private record Alone(FakeHost host) implements MembershipView {
-
-		@Override
-		public Member self() {
-			return new Member(this.host.id(), this.host.availabilityZone(), "127.0.0.1", 1, MemberState.LIVE);
-		}
-
-		@Override
-		public List<Member> members() {
-			return List.of(self());
-		}
-
-		@Override
-		public @Nullable Member member(InstanceId id) {
-			return id.equals(this.host.id()) ? self() : null;
-		}
-
-		@Override
-		public void subscribe(Consumer<Member> listener) {
-		}
-
-	}
-
 }
