Run the real leases, membership and rate limits in the randomised run

The simulated instances now contain the membership, lease and rate limit controllers instead of stand-ins, and callers pass admission. Admissions of all instances together are checked against rate and burst in every interval. A fenced instance leaves and is started again, because its lease never becomes valid again; before that, partitions stayed without an owner.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RoutedCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RoutedCall.java
@@ -105,7 +105,8 @@
 
 	private void deliver(int offset, String text) {
 		int length = this.delivered.length();
-		// Another home may generate another text; the rest then waits for the whole answer.
+		// Another home may generate another text; the rest then waits for the whole
+		// answer.
 		if (!this.isOtherHome && offset <= length && offset + text.length() > length) {
 			String fresh = text.substring(length - offset);
 			this.delivered.append(fresh);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/AppendRequest.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/AppendRequest.java
@@ -15,8 +15,8 @@
  * @param isGreeting whether the owner wants to know which programs the replica holds
  * @param removed programs whose logs are no longer needed
  */
-public record AppendRequest(String partition, long epoch, List<LogEntry> entries, boolean isSole,
-		boolean isGreeting, List<ProgramId> removed) implements PeerMessage {
+public record AppendRequest(String partition, long epoch, List<LogEntry> entries, boolean isSole, boolean isGreeting,
+		List<ProgramId> removed) implements PeerMessage {
 
 	public AppendRequest {
 		entries = List.copyOf(entries);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionLog.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionLog.java
@@ -192,8 +192,7 @@
 			.filter((id) -> !id.equals(link.replica()))
 			.noneMatch((id) -> join(id).isReachable());
 		boolean isGreeting = !link.isGreeted();
-		AppendRequest request = new AppendRequest(this.partition, this.epoch, batch, isSole, isGreeting,
-				removed);
+		AppendRequest request = new AppendRequest(this.partition, this.epoch, batch, isSole, isGreeting, removed);
 		link.sent();
 		this.dependencies.transport()
 			.request(link.replica(), request, AppendAnswer.class, this.dependencies.settings().appendTimeoutMs())
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ReplicaLink.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ReplicaLink.java
@@ -65,8 +65,8 @@
 	}
 
 	/**
-	 * Returns whether the replica has told which programs it holds; it may hold some of an
-	 * earlier time that have ended since.
+	 * Returns whether the replica has told which programs it holds; it may hold some of
+	 * an earlier time that have ended since.
 	 * @return whether no greeting is needed
 	 */
 	boolean isGreeted() {
@@ -86,7 +86,8 @@
 	}
 
 	boolean isIdle() {
-		return !this.isInFlight && (!this.isGreeted || !this.pending.isEmpty() || !this.removed.isEmpty() || this.failures > 0);
+		return !this.isInFlight
+				&& (!this.isGreeted || !this.pending.isEmpty() || !this.removed.isEmpty() || this.failures > 0);
 	}
 
 	List<ProgramId> removedPrograms() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ReplicaLog.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ReplicaLog.java
@@ -66,8 +66,8 @@
 			}
 		}
 		request.removed().forEach((program) -> held.chains.remove(program.toString()));
-		List<ProgramId> programs = request.isGreeting()
-				? held.chains.values().stream().map(LogChain::program).toList() : List.of();
+		List<ProgramId> programs = request.isGreeting() ? held.chains.values().stream().map(LogChain::program).toList()
+				: List.of();
 		return new AppendAnswer(true, held.epoch, heads, programs);
 	}
 
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/capacity/CapacityQuantity.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/capacity/CapacityQuantity.java
@@ -169,7 +169,8 @@
 			points.add(new CapacityPoint(size, measure(size)));
 		}
 		LinearFit fit = LinearFit.of(points);
-		return new CapacityRow(name(), this.unit, this.driver.displayName(), points, fit, this.driver.targetSize(), fit.at(this.driver.targetSize()));
+		return new CapacityRow(name(), this.unit, this.driver.displayName(), points, fit, this.driver.targetSize(),
+				fit.at(this.driver.targetSize()));
 	}
 
 	private static Configuration configuration(int workspaces, int replicas) {
--- /dev/null
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/LeaseBlock.java
@@ -0,0 +1,30 @@
+package dev.nutmegdoor.experiment.soak;
+
+import dev.nutmegdoor.core.fake.FakeHost;
+
+/**
+ * Keeps an instance from renewing its lease although it runs and reaches everything else.
+ */
+final class LeaseBlock {
+
+	private final FakeHost host;
+
+	private long untilMs;
+
+	LeaseBlock(FakeHost host) {
+		this.host = host;
+	}
+
+	/**
+	 * Sets the end of the block.
+	 * @param newUntilMs time on the host's clock
+	 */
+	void set(long newUntilMs) {
+		this.untilMs = newUntilMs;
+	}
+
+	boolean isActive() {
+		return this.host.nowMs() < this.untilMs;
+	}
+
+}
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/Observer.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/Observer.java
@@ -10,8 +10,10 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.invariant.Invariant;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.time.VirtualTimerService;
 
 /**
  * Sees every instance, upstream and caller of a run and checks the invariants that no
@@ -37,9 +39,24 @@
 
 	private final TreeSet<String> endedPrograms = new TreeSet<>();
 
-	Observer(InvariantRegistry invariants, EventTrace trace) {
+	private final Map<WorkspaceId, RateBound> rates = new HashMap<>();
+
+	private final VirtualTimerService timer;
+
+	Observer(InvariantRegistry invariants, EventTrace trace, VirtualTimerService timer) {
 		this.invariants = invariants;
 		this.trace = trace;
+		this.timer = timer;
+	}
+
+	/**
+	 * Records that an instance admitted a request.
+	 * @param workspace workspace of the request
+	 */
+	void admitted(WorkspaceId workspace) {
+		RateBound bound = this.rates.computeIfAbsent(workspace, (key) -> new RateBound(this.timer.nowMs()));
+		check(Invariant.RATE_LIMIT, bound.take(this.timer.nowMs()),
+				"workspace " + workspace + " got more than its rate and burst");
 	}
 
 	InvariantRegistry invariants() {
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimInstance.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimInstance.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.experiment.soak;
 
+import java.util.List;
+
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
 
@@ -13,6 +15,16 @@
 import dev.nutmegdoor.core.fault.Step;
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.lease.LeaseController;
+import dev.nutmegdoor.core.lease.LeaseSettings;
+import dev.nutmegdoor.core.lease.LeaseState;
+import dev.nutmegdoor.core.limit.LimitController;
+import dev.nutmegdoor.core.limit.LimitSettings;
+import dev.nutmegdoor.core.membership.Member;
+import dev.nutmegdoor.core.membership.MemberState;
+import dev.nutmegdoor.core.membership.MembershipController;
+import dev.nutmegdoor.core.membership.MembershipSettings;
 import dev.nutmegdoor.core.program.ProgramDependencies;
 import dev.nutmegdoor.core.program.ProgramHomes;
 import dev.nutmegdoor.core.program.Safeguards;
@@ -25,7 +37,13 @@
 
 	private final FakeHost host;
 
-	private final SimLease lease;
+	private final LeaseBlock leaseBlock;
+
+	private final MembershipController members;
+
+	private final LeaseController lease;
+
+	private final LimitController limiter;
 
 	private final ProgramHomes homes;
 
@@ -42,17 +60,26 @@
 
 	private long stepsReached;
 
+	private boolean isDraining;
+
 	SimInstance(SimCluster cluster, FakeHost host, UniformRandomProvider random, Safeguards safeguards) {
 		this.host = host;
 		this.observer = cluster.observer();
 		this.log = cluster.trace().logOf(host.id().value());
-		this.lease = cluster.leases().join(host);
-		SimTransport transport = new SimTransport(host, cluster.peers().join(host));
-		SimStore store = new SimStore(host, cluster.store().clientOf(host));
-		SimMembers members = new SimMembers(cluster.network(), host, cluster.leaving());
+		this.leaseBlock = new LeaseBlock(host);
+		SimTransport transport = new SimTransport(host, cluster.peers().join(host), this.leaseBlock);
+		SimStore store = new SimStore(host, cluster.store().clientOf(host), this.leaseBlock);
 		EventLog events = this::event;
 		StepListener steps = this::reached;
-		ProgramDependencies dependencies = new ProgramDependencies(host, transport, store, members, this.lease,
+		Member self = new Member(host.id(), host.availabilityZone(), "127.0.0.1", 1, MemberState.LIVE);
+		this.members = new MembershipController(self, host, transport, () -> cluster.network().directory(host), random,
+				events, MembershipSettings.DEFAULT);
+		this.lease = new LeaseController(host, transport, store, this.members, random, steps, events,
+				LeaseSettings.DEFAULT);
+		this.limiter = new LimitController(host, transport, store, this.members, this.lease, this.lease,
+				cluster.configuration(), random, this.observer.invariants(), steps, events, this::admitted,
+				LimitSettings.DEFAULT);
+		ProgramDependencies dependencies = new ProgramDependencies(host, transport, store, this.members, this.lease,
 				cluster.configuration(), random, this.observer.invariants(), steps, events, DecisionRecorder.NONE,
 				cluster.programSettings());
 		ServiceClient services = cluster.services().clientOf(host);
@@ -60,13 +87,46 @@
 		this.homes.setLower(new DirectCallRunner(cluster.configuration(), this.homes.engineClient(), services));
 		new ForwardedCalls(dependencies, this.homes);
 		this.routing = new RoutingCallRunner(dependencies, this.homes);
+		this.lease.subscribe((state) -> {
+			if (state == LeaseState.FENCED && !this.isDraining) {
+				cluster.replaceFenced(this);
+			}
+		});
+		host.run(() -> {
+			this.members.start(List.of());
+			this.lease.start();
+			this.limiter.start();
+		});
+	}
+
+	private void admitted(WorkspaceId workspace) {
+		if (!this.host.isCrashed()) {
+			this.observer.admitted(workspace);
+		}
+	}
+
+	/**
+	 * Drains the instance as a daemon does before it ends.
+	 */
+	void drain() {
+		this.isDraining = true;
+		this.members.leave();
+		this.homes.controller().drain().thenRun(() -> this.limiter.drain().thenRun(this.lease::release));
+	}
+
+	LimitController limiter() {
+		return this.limiter;
 	}
 
 	FakeHost host() {
 		return this.host;
 	}
 
-	SimLease lease() {
+	LeaseBlock leaseBlock() {
+		return this.leaseBlock;
+	}
+
+	LeaseController lease() {
 		return this.lease;
 	}
 
@@ -78,6 +138,10 @@
 		return this.routing;
 	}
 
+	boolean isHealthy() {
+		return isRunning() && !isArmed() && this.lease.isValid() && !this.leaseBlock.isActive();
+	}
+
 	boolean isRunning() {
 		return !this.host.isCrashed() && !this.host.isPaused();
 	}
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimStore.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimStore.java
@@ -4,6 +4,8 @@
 
 import dev.nutmegdoor.core.fake.FakeHost;
 import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
 import dev.nutmegdoor.core.store.StorePage;
 import dev.nutmegdoor.core.store.StoreWatchResult;
 import dev.nutmegdoor.core.store.StoredObject;
@@ -17,9 +19,12 @@
 
 	private final ObjectStore target;
 
-	SimStore(FakeHost host, ObjectStore target) {
+	private final LeaseBlock leaseBlock;
+
+	SimStore(FakeHost host, ObjectStore target, LeaseBlock leaseBlock) {
 		this.host = host;
 		this.target = target;
+		this.leaseBlock = leaseBlock;
 	}
 
 	@Override
@@ -39,6 +44,9 @@
 
 	@Override
 	public CompletableFuture<StoredObject> update(String kind, String name, long expectedVersion, String value) {
+		if (kind.equals("lease") && name.equals(this.host.id().value()) && this.leaseBlock.isActive()) {
+			return CompletableFuture.failedFuture(new StoreException(StoreFailure.UNAVAILABLE, "renewals are blocked"));
+		}
 		return Outbound.call(this.host, () -> this.target.update(kind, name, expectedVersion, value));
 	}
 
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimTransport.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimTransport.java
@@ -4,6 +4,9 @@
 
 import dev.nutmegdoor.core.fake.FakeHost;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.lease.LeaseBeat;
+import dev.nutmegdoor.core.peer.PeerException;
+import dev.nutmegdoor.core.peer.PeerFailure;
 import dev.nutmegdoor.core.peer.PeerHandler;
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.peer.PeerTransport;
@@ -18,9 +21,12 @@
 
 	private final PeerTransport target;
 
-	SimTransport(FakeHost host, PeerTransport target) {
+	private final LeaseBlock leaseBlock;
+
+	SimTransport(FakeHost host, PeerTransport target, LeaseBlock leaseBlock) {
 		this.host = host;
 		this.target = target;
+		this.leaseBlock = leaseBlock;
 	}
 
 	@Override
@@ -36,6 +42,9 @@
 	@Override
 	public <A extends PeerMessage> CompletableFuture<A> request(InstanceId to, PeerMessage message, Class<A> answerType,
 			long timeoutMs) {
+		if (message instanceof LeaseBeat && this.leaseBlock.isActive()) {
+			return CompletableFuture.failedFuture(new PeerException(PeerFailure.NOT_SENT, "renewals are blocked"));
+		}
 		return Outbound.call(this.host, () -> this.target.request(to, message, answerType, timeoutMs));
 	}
 
--- a/nutmegdoor-experiment/src/test/java/dev/nutmegdoor/experiment/soak/SoakRunTests.java
+++ b/nutmegdoor-experiment/src/test/java/dev/nutmegdoor/experiment/soak/SoakRunTests.java
@@ -43,7 +43,8 @@
 	@Nested
 	class EarlierFaults {
 
-		// 5: an owner whose only other replica was dead waited for it for ever. 10: a stream
+		// 5: an owner whose only other replica was dead waited for it for ever. 10: a
+		// stream
 		// continued with the text of a second home. 7: a former replica brought back a
 		// program that had ended. 36: a partition was handed over although its replicas
 		// were dead.
