Test the share exchange with crashes and pauses at each step

Cause: units must survive an instance that ends between deduction, sending, receipt and acknowledgement. Change: FakeFleet tells which instance reaches a step; a crash or a pause is caused at ADMIT, SHARE_SEND, SHARE_RECEIVE, LEASE_RENEW, LEASE_FENCE and DRAIN, and the sum of all shares and the bound on admissions are checked.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeFleet.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeFleet.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -11,6 +12,7 @@
 import dev.nutmegdoor.core.configuration.Configuration;
 import dev.nutmegdoor.core.configuration.Workspace;
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fault.Step;
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
@@ -49,7 +51,8 @@
 
 	private final Map<InstanceId, FakeInstance> instances = new LinkedHashMap<>();
 
-	private StepListener steps = StepListener.NONE;
+	private BiConsumer<InstanceId, Step> steps = (instance, step) -> {
+	};
 
 	private EventLog eventLog = EventLog.NONE;
 
@@ -71,10 +74,28 @@
 		}
 	}
 
-	public void setSteps(StepListener steps) {
+	/**
+	 * Registers a listener for the protocol steps of all instances. To end an instance at
+	 * a step, it crashes the instance and then throws.
+	 * @param steps receives the instance and the step
+	 */
+	public void setSteps(BiConsumer<InstanceId, Step> steps) {
 		this.steps = steps;
 	}
 
+	/**
+	 * Returns an instance.
+	 * @param id its identifier
+	 * @return the instance
+	 */
+	public FakeInstance instance(InstanceId id) {
+		FakeInstance instance = this.instances.get(id);
+		if (instance == null) {
+			throw new IllegalArgumentException("no instance " + id);
+		}
+		return instance;
+	}
+
 	public void setEventLog(EventLog eventLog) {
 		this.eventLog = eventLog;
 	}
@@ -184,12 +205,12 @@
 		Member self = new Member(id, zone, entry.host(), entry.port(), MemberState.LIVE);
 		MembershipController membership = new MembershipController(self, host, transport, this.directory.clientOf(host),
 				nextRandom(), this.eventLog, MembershipSettings.DEFAULT);
-		LeaseController lease = new LeaseController(host, transport, client, membership, nextRandom(), this.steps,
+		StepListener listener = (step) -> this.steps.accept(id, step);
+		LeaseController lease = new LeaseController(host, transport, client, membership, nextRandom(), listener,
 				this.eventLog, LeaseSettings.DEFAULT);
 		FakeConfigurationView view = new FakeConfigurationView(this.configuration);
 		LimitController limiter = new LimitController(host, transport, client, membership, lease, lease, view,
-				nextRandom(), this.invariants, this.steps, this.eventLog, this.observer::admitted,
-				LimitSettings.DEFAULT);
+				nextRandom(), this.invariants, listener, this.eventLog, this.observer::admitted, LimitSettings.DEFAULT);
 		FakeInstance instance = new FakeInstance(host, membership, lease, limiter, view);
 		this.instances.put(id, instance);
 		host.run(() -> {
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/limit/LimitStepFaultTests.java
@@ -0,0 +1,87 @@
+package dev.nutmegdoor.core.limit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import dev.nutmegdoor.core.fake.FakeFleet;
+import dev.nutmegdoor.core.fake.FakeInstance;
+import dev.nutmegdoor.core.fault.InstanceStoppedException;
+import dev.nutmegdoor.core.fault.Step;
+import dev.nutmegdoor.core.invariant.Invariant;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+class LimitStepFaultTests {
+
+	private static void assertWithinLimit(FakeFleet fleet, String fault) {
+		assertThat(fault, fleet.observer().violations(), is(empty()));
+		assertThat(fault, fleet.invariants().violated(Invariant.RATE_LIMIT), is(0L));
+	}
+
+	// Guards against units that are lost or doubled when an instance ends at a step.
+	@ParameterizedTest(name = "crash at {0}, seed {1}")
+	@CsvSource({ "ADMIT,1", "ADMIT,2", "SHARE_SEND,1", "SHARE_SEND,2", "SHARE_SEND,3", "SHARE_RECEIVE,1",
+			"SHARE_RECEIVE,2", "SHARE_RECEIVE,3", "LEASE_RENEW,1", "LEASE_FENCE,1", "LEASE_FENCE,2", "DRAIN,1",
+			"DRAIN,2" })
+	void conservesTheShareWhenAnInstanceCrashes(Step step, long seed) {
+		LimitFleet limits = new LimitFleet(seed, 20, 6);
+		FakeFleet fleet = limits.fleet();
+		limits.flood(200, 30);
+		boolean[] hasCrashed = { false };
+		fleet.setSteps((id, reached) -> {
+			if (reached == step && !hasCrashed[0]) {
+				hasCrashed[0] = true;
+				fleet.crash(fleet.instance(id));
+				throw new InstanceStoppedException(reached);
+			}
+		});
+		disturb(limits, step);
+		limits.flood(2000, 30);
+		fleet.advance(60_000);
+		limits.flood(100, 30);
+		assertThat(step + " was reached", hasCrashed[0], is(true));
+		assertThat("crash at " + step + " seed " + seed, limits.totalUnits(), is(Limit.SHARE_UNITS));
+		assertWithinLimit(fleet, "crash at " + step + " seed " + seed);
+	}
+
+	// Guards against a paused instance that goes on with an exchange or an admission
+	// after its lease has ended.
+	@ParameterizedTest(name = "pause at {0}, {1} ms")
+	@CsvSource({ "ADMIT,8000", "ADMIT,60000", "SHARE_SEND,8000", "SHARE_SEND,60000", "SHARE_RECEIVE,8000",
+			"SHARE_RECEIVE,60000", "LEASE_RENEW,60000", "LEASE_FENCE,8000", "LEASE_FENCE,60000", "DRAIN,8000",
+			"DRAIN,60000" })
+	void conservesTheShareWhenAnInstancePauses(Step step, long pauseMs) {
+		LimitFleet limits = new LimitFleet(21, 20, 6);
+		FakeFleet fleet = limits.fleet();
+		limits.flood(200, 30);
+		FakeInstance[] paused = new FakeInstance[1];
+		fleet.setSteps((id, reached) -> {
+			if (reached == step && paused[0] == null) {
+				FakeInstance instance = fleet.instance(id);
+				paused[0] = instance;
+				instance.host().pause();
+				fleet.timer().schedule(pauseMs, () -> instance.host().resume());
+			}
+		});
+		disturb(limits, step);
+		limits.flood((int) (pauseMs / 30), 30);
+		limits.flood(2000, 30);
+		fleet.advance(60_000);
+		assertThat(step + " was reached", paused[0] != null, is(true));
+		assertThat("pause at " + step, limits.totalUnits(), is(Limit.SHARE_UNITS));
+		assertWithinLimit(fleet, "pause at " + step);
+	}
+
+	private static void disturb(LimitFleet limits, Step step) {
+		FakeInstance holder = limits.largestHolder();
+		if (step == Step.LEASE_FENCE) {
+			limits.fleet().crash(holder);
+		}
+		else if (step != Step.LEASE_RENEW) {
+			limits.fleet().drain(holder);
+		}
+	}
+
+}
