Serve the examples as instances that work together

Cause: the examples started instances that shared nothing, and the platform stand-in had no command. Change: the examples' settings name platform, peers and operator accounts; command standin platform; the number of partitions a zone is a setting, because 192 partitions took over 30 s to acquire on 9 instances of a loaded machine.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -18,6 +18,7 @@
 		commands.add(new EntryCommand());
 		commands.add(new StandinCommand("engine"));
 		commands.add(new StandinCommand("service"));
+		commands.add(new PlatformStandinCommand());
 		commands.add(new DemoCommand());
 		commands.add(new SoakCommand());
 		commands.add(new ExperimentLimitsCommand());
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/ProgramSettings.java
@@ -44,4 +44,15 @@
 				86_400_000, 2, 5_000);
 	}
 
+	/**
+	 * Returns the same settings with another number of partitions.
+	 * @param partitions partitions of each zone
+	 * @return the settings
+	 */
+	public ProgramSettings withPartitionsPerZone(int partitions) {
+		return new ProgramSettings(partitions, this.keyZones, this.tickMs, this.tableRefreshMs, this.appendTimeoutMs,
+				this.replaceReplicaMs, this.batchEntries, this.earlyWaitMs, this.detachedMs, this.idleExpiryMs,
+				this.retryMs, this.keyRetentionMs, this.intentCopies, this.rebalanceMs);
+	}
+
 }
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/load/ClusterFleet.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/load/ClusterFleet.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.KeyId;
@@ -31,6 +32,9 @@
 
 	private static final ListenSettings ANY_PORT = new ListenSettings("127.0.0.1", 0);
 
+	/** Few, so that the instances own all partitions soon after their start. */
+	private static final int PARTITIONS_PER_ZONE = 12;
+
 	private static final long OPERATION_TIMEOUT_MS = 10_000;
 
 	private final PlatformStandin platform;
@@ -120,14 +124,14 @@
 			this.id = id;
 			InetSocketAddress address = ClusterFleet.this.platform.address();
 			ClusterSettings cluster = new ClusterSettings(
-					new PlatformEndpoint("127.0.0.1", address.getPort(), 1_000, 2_000), zones,
+					new PlatformEndpoint("127.0.0.1", address.getPort(), 1_000, 2_000), zones, PARTITIONS_PER_ZONE,
 					new PeerTransportSettings("127.0.0.1", 0, "demo", PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
 							PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
 					ANY_PORT, List.of(), 16 << 20, 250, null);
 			EntrySettings settings = new EntrySettings(id, zone, ANY_PORT,
 					new LimitSettings(2 << 20, 16 << 10, 4 << 20, 1 << 20, 20_000),
 					new TimeoutSettings(60_000, 10_000, 60_000, 500, 60_000, 1_000), 256, 1, configuration, cluster);
-			this.entry = new ClusterEntry(settings, cluster, this.invariants, new dev.nutmegdoor.node.LoggingEventLog());
+			this.entry = new ClusterEntry(settings, cluster, this.invariants, EventLog.NONE);
 		}
 
 		private void start() {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -126,7 +126,8 @@
 		HttpServiceClient services = new HttpServiceClient(this.http, outgoing);
 		ProgramDependencies programs = new ProgramDependencies(this.control, this.shared.peers(), this.shared.store(),
 				this.shared.membership(), this.shared.lease(), this.shared.configuration(), random, invariants,
-				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones()));
+				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones())
+					.withPartitionsPerZone(settings.partitionsPerZone()));
 		this.homes = new ProgramHomes(programs, engines, services, Safeguards.ALL);
 		this.index = new ReplicaIndex(entrySettings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
 				this.control, random);
@@ -279,7 +280,7 @@
 	}
 
 	private void pollHomes(int zones, long deadlineMs, CompletableFuture<Void> result) {
-		int expected = zones * ProgramSettings.defaults(this.settings.availabilityZones()).partitionsPerZone();
+		int expected = zones * this.settings.partitionsPerZone();
 		int known = this.homes.controller().table().names().size();
 		if (known >= expected && this.shared.configuration().version() > 0) {
 			result.complete(null);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/OperatorApi.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/OperatorApi.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ForkJoinPool;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -16,7 +17,11 @@
 import dev.nutmegdoor.node.operator.OperatorEndpoint;
 import dev.nutmegdoor.node.operator.OperatorServer;
 import dev.nutmegdoor.node.operator.StateDump;
+import dev.nutmegdoor.node.operator.service.ConfigurationEndpoints;
+import dev.nutmegdoor.node.operator.service.KeyEndpoints;
+import dev.nutmegdoor.node.operator.service.SheetEndpoints;
 import dev.nutmegdoor.node.settings.ClusterSettings;
+import dev.nutmegdoor.node.sheet.SheetLoader;
 
 /**
  * Composes the operator API of an instance.
@@ -42,7 +47,11 @@
 			.endpoints());
 		endpoints.addAll(new KeyEndpoints(shared.keys()).endpoints());
 		endpoints.addAll(new CallEndpoints(entry.homes(), mapper).endpoints());
-		endpoints.addAll(new ConfigurationEndpoints(shared.configuration(), control).endpoints());
+		endpoints.addAll(new ConfigurationEndpoints(shared.configuration(), shared.fleet()).endpoints());
+		endpoints.addAll(new SheetEndpoints(
+				new SheetLoader(shared.configuration(), control, SheetLoader.DEFAULT_MAX_DROPPED_SHARE),
+				ForkJoinPool.commonPool())
+			.endpoints());
 		endpoints.add(new MetricsEndpoint(metrics).endpoint());
 		this.server = new OperatorServer(new OperatorAuthenticator(settings.operators()), control, mapper, endpoints);
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
@@ -14,6 +14,7 @@
 
 import dev.nutmegdoor.core.call.CallMessages;
 import dev.nutmegdoor.core.configuration.ConfigurationController;
+import dev.nutmegdoor.core.configuration.ConfigurationFleet;
 import dev.nutmegdoor.core.configuration.ConfigurationHeartbeat;
 import dev.nutmegdoor.core.configuration.ConfigurationMessages;
 import dev.nutmegdoor.core.configuration.ConfigurationSettings;
@@ -88,6 +89,8 @@
 
 	private final ConfigurationController configuration;
 
+	private final ConfigurationFleet fleet;
+
 	private final WithdrawalController withdrawals;
 
 	private final KeyController keys;
@@ -124,6 +127,7 @@
 				events, LeaseSettings.DEFAULT);
 		this.configuration = new ConfigurationController(ConfigurationSettings.DEFAULT, control, this.peers, this.store,
 				this.membership, this.persistence, random, invariants, StepListener.NONE, events);
+		this.fleet = new ConfigurationFleet(this.configuration, this.peers, this.membership);
 		this.withdrawals = new WithdrawalController(KeySettings.DEFAULT, control, this.peers, this.store,
 				this.membership, this.persistence, random, invariants, StepListener.NONE, events);
 		this.keys = new KeyController(this.configuration, this.withdrawals, new SecureSecretSource(), control,
@@ -155,8 +159,8 @@
 		return this.configuration;
 	}
 
-	WithdrawalController withdrawals() {
-		return this.withdrawals;
+	ConfigurationFleet fleet() {
+		return this.fleet;
 	}
 
 	KeyController keys() {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/settings/ClusterSettings.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/settings/ClusterSettings.java
@@ -16,6 +16,8 @@
  *
  * @param platform address of the platform's API
  * @param availabilityZones all zones of the deployment, the same on all instances
+ * @param partitionsPerZone partitions over which the programs of a zone are spread, the
+ * same on all instances and never changed
  * @param peer transport between instances
  * @param operator address of the operator API
  * @param operators accounts of operators
@@ -24,8 +26,8 @@
  * @param dataFolder folder for bulk data, or {@code null} on instances without a disk
  */
 public record ClusterSettings(PlatformEndpoint platform, List<AvailabilityZone> availabilityZones,
-		PeerTransportSettings peer, ListenSettings operator, List<OperatorAccount> operators, long decisionLogBytes,
-		long reportPeriodMs, @Nullable String dataFolder) {
+		int partitionsPerZone, PeerTransportSettings peer, ListenSettings operator, List<OperatorAccount> operators,
+		long decisionLogBytes, long reportPeriodMs, @Nullable String dataFolder) {
 
 	public ClusterSettings {
 		availabilityZones = List.copyOf(availabilityZones);
@@ -35,6 +37,9 @@
 	/** Default memory for decision records; an eighth of the limit for control. */
 	private static final long DEFAULT_DECISION_LOG_BYTES = 16L << 20;
 
+	/** A partition for each of 65 instances of a zone, the size in two years. */
+	private static final long DEFAULT_PARTITIONS_PER_ZONE = 64;
+
 	private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
 
 	/**
@@ -55,6 +60,7 @@
 					.stream()
 					.map(AvailabilityZone::new)
 					.toList(),
+				(int) root.integer("partitionsPerZone", 1, 4_096, DEFAULT_PARTITIONS_PER_ZONE),
 				new PeerTransportSettings(ListenSettings.readHost(peer), peer.port("port"),
 						peer.text("sharedSecret", "a secret that all instances know"),
 						(int) peer.integer("maxQueuedFrames", 1, 1_000_000,
