Find unresolved calls on all instances and stagger the first configuration

Cause: calls unresolved listed only the homes of the instance that was asked; identifiers with reserved characters were looked up encoded; nine instances of a new deployment each wrote all configuration shards, spent their call budgets, and four put version 1 in force 18 to 20 s after it was announced. Change: unresolved calls are gathered from and resolved on any instance; path parts are decoded; an instance waits a random time before it commits the first version.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/operator/OperatorCommands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/operator/OperatorCommands.java
@@ -55,7 +55,7 @@
 		add("config show", "show the version in force", List.of(), List.of(), List.of(),
 				(line) -> OperatorCall.read("config"));
 		list("config history", "show who changed what, latest first", "config/history",
-				List.of("version", "author", "timeMs", "reason", "differences"));
+				List.of("version", "author", "timeMs", "reason"));
 		add("config wait", "wait until a version is in force on all reachable instances", List.of("VERSION"), List.of(),
 				List.of(), (line) -> OperatorCall.read("config/wait?version=" + argument(line, 0)));
 	}
@@ -83,7 +83,7 @@
 				(line) -> OperatorCall
 					.read("decisions/" + argument(line, 0) + (line.hasOption("verify") ? "?verify=true" : "")));
 		list("calls unresolved", "list calls whose outcome is unknown", "calls/unresolved",
-				List.of("log", "key", "workspace", "service", "operation", "wallClockMs"));
+				List.of("log", "key", "workspace", "service", "operation", "sinceMs"));
 		add("calls resolve", "record what became of a call with unknown outcome", List.of("LOG", "KEY"),
 				List.of(value("ran", "JSON", "the operation ran and this is its answer"),
 						flag("not-run", "the operation did not run; its key may be used again")),
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/CallEndpoints.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/CallEndpoints.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.node.cluster;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -9,48 +10,105 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.ProgramId;
 import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.membership.Member;
+import dev.nutmegdoor.core.membership.MembershipView;
+import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.program.ProgramHomes;
+import dev.nutmegdoor.core.program.UnresolvedCall;
 import dev.nutmegdoor.node.operator.OperatorEndpoint;
 import dev.nutmegdoor.node.operator.OperatorException;
 import dev.nutmegdoor.node.operator.OperatorRequest;
 
 /**
- * Operations on calls whose outcome is unknown, for the homes of this instance.
+ * Operations on calls whose outcome is unknown, for the homes of all reachable instances.
  */
 final class CallEndpoints {
 
+	private static final long TIMEOUT_MS = 3_000;
+
+	/** Bounds the answer of one instance well below the largest frame. */
+	private static final int MAX_CALLS_PER_INSTANCE = 1_000;
+
 	private final ProgramHomes homes;
 
+	private final PeerTransport peers;
+
+	private final MembershipView membership;
+
 	private final ObjectMapper mapper;
 
-	CallEndpoints(ProgramHomes homes, ObjectMapper mapper) {
+	CallEndpoints(ProgramHomes homes, PeerTransport peers, MembershipView membership, ObjectMapper mapper) {
 		this.homes = homes;
+		this.peers = peers;
+		this.membership = membership;
 		this.mapper = mapper;
+		peers.subscribe(UnresolvedQuery.class, (from, query) -> CompletableFuture.completedFuture(answer(query)));
+		peers.subscribe(ResolveRequest.class, (from, request) -> answer(request));
 	}
 
 	List<OperatorEndpoint> endpoints() {
-		return List.of(
-				OperatorEndpoint.get("/operator/v1/calls/unresolved",
-						(request) -> CompletableFuture.completedFuture(this.homes.unresolved())),
+		return List.of(OperatorEndpoint.get("/operator/v1/calls/unresolved", (request) -> unresolved()),
 				OperatorEndpoint.post("/operator/v1/calls/resolve", this::resolve));
 	}
 
+	private UnresolvedAnswer answer(UnresolvedQuery query) {
+		return new UnresolvedAnswer(this.homes.unresolved().stream().limit(query.limit()).toList());
+	}
+
+	private CompletableFuture<ResolveAnswer> answer(ResolveRequest request) {
+		return this.homes.resolve(request.log(), request.key(), request.result(), request.operator())
+			.thenApply(ResolveAnswer::new);
+	}
+
+	private CompletableFuture<?> unresolved() {
+		UnresolvedQuery query = new UnresolvedQuery(MAX_CALLS_PER_INSTANCE);
+		List<CompletableFuture<UnresolvedAnswer>> answers = new ArrayList<>();
+		for (Member member : this.membership.members()) {
+			answers.add(isSelf(member.id()) ? CompletableFuture.completedFuture(answer(query))
+					: this.peers.request(member.id(), query, UnresolvedAnswer.class, TIMEOUT_MS)
+						.exceptionally((error) -> new UnresolvedAnswer(List.of())));
+		}
+		return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0])).thenApply((ignored) -> {
+			List<UnresolvedCall> calls = new ArrayList<>();
+			answers.forEach((answer) -> calls.addAll(answer.join().calls()));
+			return calls;
+		});
+	}
+
 	private CompletableFuture<?> resolve(OperatorRequest request) {
 		String log = request.query("log");
 		String key = request.query("key");
 		if (log == null || key == null) {
 			throw new OperatorException(400, "malformed-request", "the query parameters log and key are needed");
 		}
-		return this.homes.resolve(ProgramId.parse(log), key, result(request.body()), request.operator())
-			.thenApply((isResolved) -> {
-				if (!isResolved) {
-					throw new OperatorException(409, "not-unresolved",
-							"no unresolved call with this key has its home on this instance");
-				}
-				return Map.of("log", log, "key", key, "state", "resolved");
-			});
+		ResolveRequest order = new ResolveRequest(ProgramId.parse(log), key, result(request.body()),
+				request.operator());
+		return resolve(order, this.membership.members(), 0).thenApply((isResolved) -> {
+			if (!isResolved) {
+				throw new OperatorException(409, "not-unresolved",
+						"no reachable instance has an unresolved call with this log and key");
+			}
+			return Map.of("log", log, "key", key, "state", "resolved");
+		});
+	}
+
+	private CompletableFuture<Boolean> resolve(ResolveRequest order, List<Member> members, int index) {
+		if (index >= members.size()) {
+			return CompletableFuture.completedFuture(false);
+		}
+		InstanceId id = members.get(index).id();
+		CompletableFuture<ResolveAnswer> answer = isSelf(id) ? answer(order)
+				: this.peers.request(id, order, ResolveAnswer.class, TIMEOUT_MS)
+					.exceptionally((error) -> new ResolveAnswer(false));
+		return answer.thenCompose((value) -> value.isResolved() ? CompletableFuture.completedFuture(true)
+				: resolve(order, members, index + 1));
+	}
+
+	private boolean isSelf(InstanceId id) {
+		return id.equals(this.peers.self());
 	}
 
 	private @Nullable CallResult result(String body) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -61,11 +61,15 @@
 
 	private static final long HOME_POLL_MS = 100;
 
+	private static final long MAX_SEED_DELAY_MS = 3_000;
+
 	/**
 	 * Additional cost of a call to another zone, each way twice the distance of zones.
 	 */
 	private static final double ZONE_CROSSING_MS = 10;
 
+	private final UniformRandomProvider random;
+
 	private final ControlThread control;
 
 	private final SharedState shared;
@@ -105,16 +109,16 @@
 	 */
 	public ClusterEntry(EntrySettings entrySettings, ClusterSettings settings, InvariantRegistry invariants,
 			EventLog events) {
-		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+		this.random = RandomSource.XO_SHI_RO_256_PP.create();
 		// A restarted process owns nothing of its predecessor, so it needs another name.
 		InstanceId self = new InstanceId(
-				entrySettings.instance().value() + "~" + Long.toString(random.nextLong(1L << 40), 36));
+				entrySettings.instance().value() + "~" + Long.toString(this.random.nextLong(1L << 40), 36));
 		this.entrySettings = entrySettings.withInstance(self);
 		this.settings = settings;
 		this.invariants = invariants;
 		this.events = events;
 		this.control = new ControlThread("control-" + self);
-		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, random,
+		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, this.random,
 				invariants, events);
 		DecisionIds ids = new DecisionIds(self);
 		this.decisions = new DecisionLog(ids, settings.decisionLogBytes());
@@ -125,12 +129,12 @@
 		HttpEngineClient engines = new HttpEngineClient(this.http, outgoing, entrySettings.timeouts().callMs());
 		HttpServiceClient services = new HttpServiceClient(this.http, outgoing);
 		ProgramDependencies programs = new ProgramDependencies(this.control, this.shared.peers(), this.shared.store(),
-				this.shared.membership(), this.shared.lease(), this.shared.configuration(), random, invariants,
+				this.shared.membership(), this.shared.lease(), this.shared.configuration(), this.random, invariants,
 				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones())
 					.withPartitionsPerZone(settings.partitionsPerZone()));
 		this.homes = new ProgramHomes(programs, engines, services, Safeguards.ALL);
 		this.index = new ReplicaIndex(entrySettings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
-				this.control, random);
+				this.control, this.random);
 		this.scheduler = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, this.index,
 				this.control, this.shared.configuration(),
 				new UpstreamPorts(this.homes.engineClient(), services, new BlockPromptHasher()),
@@ -162,8 +166,11 @@
 				started.completeExceptionally(error);
 				return;
 			}
-			new ConfigurationSeed(this.entrySettings.configuration(), this.events)
-				.commitIfEmpty(this.shared.configuration());
+			ConfigurationSeed seed = new ConfigurationSeed(this.entrySettings.configuration(), this.events);
+			// All instances of a new deployment may start at once; with a delay of their
+			// own most find the first version in force and write nothing.
+			this.control.schedule(this.random.nextLong(MAX_SEED_DELAY_MS),
+					() -> seed.commitIfEmpty(this.shared.configuration()));
 			this.reports.start(this.control, this.settings.reportPeriodMs());
 			started.complete(null);
 		}));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/OperatorApi.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/OperatorApi.java
@@ -46,7 +46,7 @@
 				DecisionFunctions.verifier(), dump, entry::startDrain, mapper)
 			.endpoints());
 		endpoints.addAll(new KeyEndpoints(shared.keys()).endpoints());
-		endpoints.addAll(new CallEndpoints(entry.homes(), mapper).endpoints());
+		endpoints.addAll(new CallEndpoints(entry.homes(), shared.peers(), shared.membership(), mapper).endpoints());
 		endpoints.addAll(new ConfigurationEndpoints(shared.configuration(), shared.fleet()).endpoints());
 		endpoints.addAll(new SheetEndpoints(
 				new SheetLoader(shared.configuration(), control, SheetLoader.DEFAULT_MAX_DROPPED_SHARE),
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
@@ -245,6 +245,7 @@
 		types.addAll(CallMessages.types());
 		types.add(RemoteQuery.class);
 		types.add(RemoteAnswer.class);
+		types.addAll(List.of(UnresolvedQuery.class, UnresolvedAnswer.class, ResolveRequest.class, ResolveAnswer.class));
 		return types;
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/operator/OperatorServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/operator/OperatorServer.java
@@ -1,6 +1,7 @@
 package dev.nutmegdoor.node.operator;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -111,8 +112,12 @@
 	}
 
 	private static Map<String, String> pathParameters(HttpServerRequest request) {
+		Map<String, String> decoded = new HashMap<>();
 		Map<String, String> parameters = request.params();
-		return (parameters != null) ? Map.copyOf(parameters) : Map.of();
+		if (parameters != null) {
+			parameters.forEach((name, value) -> decoded.put(name, QueryStringDecoder.decodeComponent(value)));
+		}
+		return decoded;
 	}
 
 	private CompletableFuture<Object> run(OperatorEndpoint endpoint, OperatorRequest request) {
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/operator/OperatorServerTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/operator/OperatorServerTests.java
@@ -63,6 +63,13 @@
 			.block();
 	}
 
+	// Guards against identifiers with reserved characters that are looked up encoded.
+	@Test
+	void decodesThePartsOfThePath() {
+		assertThat(call("POST", "/operator/v1/things/i-1%7Ex%3A7", "change-token", ""),
+				containsString("\"id\":\"i-1~x:7\""));
+	}
+
 	// Guards against an operator API that trusts its address.
 	@Test
 	void refusesAnUnknownToken() {
