--- /dev/null
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformStandinCommand.java
@@ -0,0 +1,56 @@
+package dev.nutmegdoor.cli;
+
+import java.nio.file.Path;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+import dev.nutmegdoor.node.LoggingEventLog;
+import dev.nutmegdoor.node.settings.SettingsException;
+import dev.nutmegdoor.standin.platform.PlatformStandin;
+import dev.nutmegdoor.standin.platform.PlatformStandinSettings;
+
+/**
+ * Runs the stand-in of the platform's object API.
+ */
+final class PlatformStandinCommand implements Command {
+
+	@Override
+	public String name() {
+		return "standin platform";
+	}
+
+	@Override
+	public String summary() {
+		return "runs a stand-in of the platform's object API";
+	}
+
+	@Override
+	public Options options() {
+		return new Options().addOption(SettingsOptions.config()).addOption(SettingsOptions.check());
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, Console console) {
+		Path file = Path.of(line.getOptionValue("config"));
+		PlatformStandinSettings settings;
+		try {
+			settings = PlatformStandinSettings.read(file);
+		}
+		catch (SettingsException ex) {
+			return SettingsOptions.report(ex, console);
+		}
+		if (line.hasOption("check")) {
+			console.out().println(file + ": valid");
+			return ExitCode.OK;
+		}
+		PlatformStandin standin = PlatformStandin.start(settings);
+		new LoggingEventLog().record("standin.started", "address",
+				standin.address().getAddress().getHostAddress() + ":" + standin.address().getPort());
+		return Daemon.await(() -> {
+			standin.close();
+			return true;
+		});
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/EntryNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/EntryNode.java
@@ -21,6 +21,12 @@
 
 	private static final long POLL_MS = 20;
 
+	/**
+	 * Longest wait for the hand-over. When a whole deployment stops at once nobody takes
+	 * anything over; what was not handed over is reassigned after the lease has expired.
+	 */
+	private static final long HAND_OVER_LIMIT_MS = 10_000;
+
 	private final EntrySettings settings;
 
 	private final EntryDependencies dependencies;
@@ -103,7 +109,7 @@
 			}
 		}));
 		try {
-			done.get(this.settings.timeouts().drainMs(), TimeUnit.MILLISECONDS);
+			done.get(Math.min(HAND_OVER_LIMIT_MS, this.settings.timeouts().drainMs()), TimeUnit.MILLISECONDS);
 		}
 		catch (ExecutionException | TimeoutException ex) {
 			this.dependencies.eventLog()
