--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -315,9 +315,7 @@
 		this.control.close();
 	}
 
-	/**
-	 * Names of the parts of the state dump in their order.
-	 */
+	// Names of the parts of the state dump in their order.
 	static List<String> partOrder() {
 		return List.of("membership", "lease", "limits", "configuration", "keys", "programs", "queues", "platform",
 				"peers", "decisions", "invariants");
