Add experiment membership and spread only news

Cause: at 390 instances an instance sent 30,215 bytes a second in the minute after a common start (16.2 messages), because entries read from the platform's list were passed on like changes. Change: entries from the list and from a sync are not passed on, and a heartbeat carries at most 8 changes; the command experiment membership measures messages, bytes and store calls.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -21,6 +21,7 @@
 		commands.add(new DemoCommand());
 		commands.add(new SoakCommand());
 		commands.add(new ExperimentLimitsCommand());
+		commands.add(new ExperimentMembershipCommand());
 		commands.add(new ExperimentSchedulingCommand());
 		commands.add(new ExperimentCapacityCommand());
 		commands.addAll(OperatorCommands.create(System.getenv()));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MemberTable.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MemberTable.java
@@ -23,8 +23,10 @@
 	/** Heartbeats that carry a change; the flood reaches nearly all instances before. */
 	private static final int ROUNDS = 5;
 
-	/** Bounds a heartbeat to about 4 KB when many instances change at once. */
-	private static final int MAX_UPDATES = 32;
+	/**
+	 * Bounds a heartbeat to about 1 KB when many instances change at once.
+	 */
+	private static final int MAX_UPDATES = 8;
 
 	private static final LongHashFunction HASH = LongHashFunction.xx();
 
@@ -44,15 +46,18 @@
 	 * Takes an update of another instance.
 	 * @param update the update
 	 * @param nowMs current time
+	 * @param isSpread whether to pass it on with heartbeats
 	 * @return {@code true} if it was news
 	 */
-	boolean merge(MemberUpdate update, long nowMs) {
+	boolean merge(MemberUpdate update, long nowMs, boolean isSpread) {
 		Entry entry = this.entries.get(update.member().id());
 		if (entry == null) {
 			if (update.member().state() == MemberState.GONE) {
 				return false;
 			}
-			this.entries.put(update.member().id(), new Entry(update, nowMs));
+			Entry added = new Entry(update, nowMs);
+			added.roundsLeft = isSpread ? ROUNDS : 0;
+			this.entries.put(update.member().id(), added);
 			this.zoneHeardMs.putIfAbsent(update.member().availabilityZone(), nowMs);
 			return true;
 		}
@@ -61,7 +66,7 @@
 		}
 		boolean isStateChange = entry.state() != update.member().state();
 		entry.update = update;
-		entry.roundsLeft = ROUNDS;
+		entry.roundsLeft = isSpread ? ROUNDS : 0;
 		if (isStateChange) {
 			entry.sinceMs = nowMs;
 		}
@@ -188,7 +193,7 @@
 
 		private MemberUpdate update;
 
-		private int roundsLeft = ROUNDS;
+		private int roundsLeft;
 
 		private long heardMs;
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MembershipController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MembershipController.java
@@ -112,7 +112,7 @@
 			return CompletableFuture.completedFuture(new MembershipSyncAnswer(known));
 		});
 		for (Member seed : seeds) {
-			merge(new MemberUpdate(seed, 0));
+			merge(new MemberUpdate(seed, 0), false);
 		}
 		join();
 		new DirectoryReader(this.directory, this.timer, this.random, this.eventLog, this.settings)
@@ -245,12 +245,17 @@
 		this.transport.request(peer, new MembershipSync(this.self), MembershipSyncAnswer.class, SYNC_TIMEOUT_MS)
 			.whenComplete((answer, error) -> {
 				if (error == null) {
-					answer.members().forEach(this::merge);
+					// Others know these instances already.
+					answer.members().forEach((update) -> merge(update, false));
 				}
 			});
 	}
 
 	private void merge(MemberUpdate update) {
+		merge(update, true);
+	}
+
+	private void merge(MemberUpdate update, boolean isSpread) {
 		if (update.member().id().equals(this.self.member().id())) {
 			boolean isWrong = update.version() >= this.self.version()
 					&& update.member().state() != this.self.member().state();
@@ -260,9 +265,11 @@
 			}
 			return;
 		}
-		if (this.table.merge(update, this.timer.nowMs())) {
+		if (this.table.merge(update, this.timer.nowMs(), isSpread)) {
 			this.snapshot = null;
-			passOn(update);
+			if (isSpread) {
+				passOn(update);
+			}
 			announce(update.member().id());
 		}
 	}
@@ -286,7 +293,7 @@
 
 	private void takeDirectory(List<DirectoryEntry> listed, boolean isFirst) {
 		for (DirectoryEntry item : listed) {
-			merge(item.toUpdate());
+			merge(item.toUpdate(), false);
 		}
 		for (MemberTable.Entry entry : this.table.takeListed(listed)) {
 			if (entry.state() == MemberState.GONE) {
