Divide free places between instances, order oldest programs first, add engine orders

Cause: nine instances that see the same free places fill them nine times before the next report; up to 17 calls waited at one engine. An instance now uses again the places its own calls leave and divides the reported free ones.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/ExperimentSchedulingCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/ExperimentSchedulingCommand.java
@@ -114,6 +114,11 @@
 				"load", "p50 ms", "p95 ms", "p99 ms", "slowdown", "wasted", "first ms", "next ms", "refused", "failed",
 				"ctl/s");
 		for (ResultRow row : rows) {
+			if (row.mean().containsKey("decision_ns")) {
+				out.printf(Locale.ROOT, "%-12s %-12s decision %.0f ns%n", row.policy(), row.scenario(),
+						row.figure("decision_ns"));
+				continue;
+			}
 			out.printf(Locale.ROOT, "%-12s %-12s %5.2f %9.0f %9.0f %9.0f %8.2f %7.4f %9.0f %7.1f %8.5f %6.1f %7.1f%n",
 					row.policy(), row.scenario(), row.load(), row.figure("program_latency_ms.p50"),
 					row.figure("program_latency_ms.p95"), row.figure("program_latency_ms.p99"),
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/EngineOrderException.java
@@ -0,0 +1,14 @@
+package dev.nutmegdoor.core.placement;
+
+/**
+ * An order that was not sent to its engine.
+ */
+public class EngineOrderException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	public EngineOrderException(String message) {
+		super(message);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/EngineOrderLease.java
@@ -0,0 +1,104 @@
+package dev.nutmegdoor.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Lease in the store that lets one instance give orders to an engine. The version of the
+ * store object is the fencing number: it rises with each change of holder.
+ */
+final class EngineOrderLease {
+
+	private static final String KIND = "order";
+
+	private static final String RELEASED = "released";
+
+	private final ObjectStore store;
+
+	private final TimerService timer;
+
+	private final InstanceId self;
+
+	private final EngineOrderSettings settings;
+
+	private final Map<String, Observation> observations = new HashMap<>();
+
+	EngineOrderLease(ObjectStore store, TimerService timer, InstanceId self, EngineOrderSettings settings) {
+		this.store = store;
+		this.timer = timer;
+		this.self = self;
+		this.settings = settings;
+	}
+
+	CompletableFuture<Grant> acquire(UpstreamId upstream) {
+		String name = upstream.value();
+		return this.store.get(KIND, name)
+			.handle((found, failure) -> take(name, found, failure))
+			.thenCompose((future) -> future);
+	}
+
+	CompletableFuture<Void> release(Grant grant) {
+		return this.store.update(KIND, grant.name, grant.fencingNumber, RELEASED).thenAccept((ignored) -> {
+		});
+	}
+
+	private CompletableFuture<Grant> take(String name, @Nullable StoredObject found, @Nullable Throwable failure) {
+		// Measured before the write, so that the lease never outlasts what others see.
+		long startedMs = this.timer.nowMs();
+		if (found == null) {
+			if (!isNotFound(failure)) {
+				return CompletableFuture
+					.failedFuture(new EngineOrderException("the lease of " + name + " could not be read"));
+			}
+			return this.store.create(KIND, name, this.self.value()).thenApply((created) -> grant(created, startedMs));
+		}
+		if (!mayTake(name, found, startedMs)) {
+			return CompletableFuture
+				.failedFuture(new EngineOrderException("orders to " + name + " are leased by " + found.value()));
+		}
+		return this.store.update(KIND, name, found.version(), this.self.value())
+			.thenApply((updated) -> grant(updated, startedMs));
+	}
+
+	private boolean mayTake(String name, StoredObject found, long nowMs) {
+		if (found.value().equals(RELEASED)) {
+			return true;
+		}
+		Observation seen = this.observations.get(name);
+		if (seen == null || seen.version != found.version()) {
+			this.observations.put(name, new Observation(found.version(), nowMs));
+			return false;
+		}
+		return nowMs - seen.sinceMs > this.settings.leaseTtlMs() + this.settings.clockMarginMs();
+	}
+
+	private Grant grant(StoredObject stored, long startedMs) {
+		return new Grant(stored.name(), stored.version(), startedMs + this.settings.leaseTtlMs());
+	}
+
+	private static boolean isNotFound(@Nullable Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		return cause instanceof StoreException ex && ex.failure() == StoreFailure.NOT_FOUND;
+	}
+
+	record Grant(String name, long fencingNumber, long untilMs) {
+
+	}
+
+	private record Observation(long version, long sinceMs) {
+
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
@@ -21,7 +21,7 @@
 	 * Waiting counts double after this time, so that no call waits for ever for one
 	 * replica.
 	 */
-	private static final double WAIT_DOUBLING_MS = 1_000;
+	private static final double WAIT_DOUBLING_MS = 5_000;
 
 	/** Spread of the tie-breaking term; below the cost of two decode steps. */
 	private static final double TIE_BREAK_MS = 40;
@@ -111,14 +111,23 @@
 		return excess * callMs / replica.maxConcurrentCalls() * (1 + input.waitedMs() / WAIT_DOUBLING_MS);
 	}
 
+	// An instance may use again the places that its own calls have left, and divides the
+	// places that a report shows free with the other instances: otherwise all of them
+	// fill
+	// the same few places before the next report.
 	private static boolean hasPlace(PlacementInput input, ReplicaView replica) {
 		PlacementCosts costs = input.costs();
-		int free = replica.maxConcurrentCalls() + costs.slack() - replica.inFlight();
-		int equalPart = Math.max(1, replica.maxConcurrentCalls() / Math.max(1, input.instances()));
-		if (replica.ownInFlight() < equalPart) {
-			return free > -costs.reservedSlots();
+		if (input.instances() <= 1) {
+			return replica.inFlight() < replica.maxConcurrentCalls() + costs.slack();
 		}
-		return free > ((input.instances() > 1) ? costs.reservedSlots() : 0);
+		int free = replica.freeAtReport() + costs.slack();
+		int equalPart = Math.max(1, replica.maxConcurrentCalls() / input.instances());
+		double part = (double) free / input.instances();
+		if (replica.ownAtReport() < equalPart && free > -costs.reservedSlots()) {
+			part = Math.max(part, 1);
+		}
+		double rounding = tieBreak(~input.seed(), replica.id());
+		return replica.ownInFlight() < replica.ownAtReport() + Math.floor(part + rounding);
 	}
 
 	// Returns a number from 0 to 1 that depends on the seed and the replica.
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/PlacementCosts.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/PlacementCosts.java
@@ -11,8 +11,8 @@
  * @param interference share of a prefill's time charged for each running call that it
  * delays
  * @param slack calls sent to a replica beyond those that it runs at once
- * @param reservedSlots free places that an instance leaves to the others once it uses
- * more than its equal part of a replica
+ * @param reservedSlots calls beyond a replica's places up to which an instance with less
+ * than its equal part of them may still send one
  */
 public record PlacementCosts(double stepBaseMs, double stepPerCallMs, double prefillPerTokenMs, double copyFixedMs,
 		double copyPerTokenMs, double interference, int slack, int reservedSlots) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -289,8 +289,8 @@
 		int cached = owner.isEmpty() ? 0 : Math.min(promptTokens, this.cache.tokens(owner, upstream.id()));
 		double crossingMs = upstream.availabilityZone().equals(this.ownZone) ? 0 : this.zoneCrossingMs;
 		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.others(), state.othersAgeMs(nowMs),
-				state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()), cached, state.freeCacheTokens(),
-				upstream.maxConcurrentCalls(), this.outliers.slowFactor(upstream.id()),
+				state.ownAtReport(), state.freeAtReport(), state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()),
+				cached, state.freeCacheTokens(), upstream.maxConcurrentCalls(), this.outliers.slowFactor(upstream.id()),
 				this.outliers.isEjected(upstream.id(), nowMs));
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -26,6 +26,10 @@
 
 	private long othersAtMs = Long.MIN_VALUE / 2;
 
+	private int ownAtReport;
+
+	private int freeAtReport;
+
 	private long reportSequence = -1;
 
 	private long reportedBacklogTokens;
@@ -37,6 +41,7 @@
 	ReplicaState(Upstream upstream) {
 		this.upstream = upstream;
 		this.reportedFreeCacheTokens = Long.MAX_VALUE / 4;
+		this.freeAtReport = upstream.maxConcurrentCalls();
 	}
 
 	Upstream upstream() {
@@ -85,6 +90,8 @@
 		for (InFlightCall call : this.ended) {
 			ownThen += (call.startedAtMs < measuredAtMs && call.endedAtMs >= measuredAtMs) ? 1 : 0;
 		}
+		this.ownAtReport = ownThen;
+		this.freeAtReport = this.upstream.maxConcurrentCalls() - report.runningCalls() - report.waitingCalls();
 		setOthers(Math.max(0, report.runningCalls() + report.waitingCalls() - ownThen), measuredAtMs);
 	}
 
@@ -116,6 +123,14 @@
 		return backlog;
 	}
 
+	int ownAtReport() {
+		return this.ownAtReport;
+	}
+
+	int freeAtReport() {
+		return this.freeAtReport;
+	}
+
 	long freeCacheTokens() {
 		return this.reportedFreeCacheTokens;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaView.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaView.java
@@ -10,6 +10,8 @@
  * @param ownInFlight calls of this instance that the replica has
  * @param othersInFlight estimated calls of other instances that the replica has
  * @param othersAgeMs age of that estimate in milliseconds
+ * @param ownAtReport calls of this instance that the last load report counts
+ * @param freeAtReport places that were free in that report; negative if calls waited
  * @param backlogTokens prompt tokens known to wait for prefill
  * @param cachedTokens tokens of the prompt that the replica is expected to have cached
  * @param freeCacheTokens free cache memory in tokens, as last reported
@@ -18,8 +20,8 @@
  * @param isEjected whether outlier detection excludes the replica
  */
 public record ReplicaView(UpstreamId id, double crossingMs, int ownInFlight, int othersInFlight, long othersAgeMs,
-		long backlogTokens, int cachedTokens, long freeCacheTokens, int maxConcurrentCalls, double slowFactor,
-		boolean isEjected) {
+		int ownAtReport, int freeAtReport, long backlogTokens, int cachedTokens, long freeCacheTokens,
+		int maxConcurrentCalls, double slowFactor, boolean isEjected) {
 
 	int inFlight() {
 		return this.ownInFlight + this.othersInFlight;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/FairQueue.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/FairQueue.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 import dev.nutmegdoor.core.id.WorkspaceId;
 
@@ -110,12 +111,12 @@
 	 * @param nowMs present time in milliseconds
 	 * @return calls whose expected wait is longer than the time they have
 	 */
-	List<QueuedCall> hopeless(double minServiceMs, long nowMs) {
+	List<QueuedCall> hopeless(ToDoubleFunction<QueuedCall> minServiceMs, long nowMs) {
 		List<QueuedCall> calls = new ArrayList<>();
 		for (WorkspaceQueue queue : this.active) {
 			int ahead = 0;
 			for (QueuedCall call : queue.calls) {
-				if (call.deadlineMs - nowMs < ahead * queue.dispatchGapMs + minServiceMs) {
+				if (call.deadlineMs - nowMs < ahead * queue.dispatchGapMs + minServiceMs.applyAsDouble(call)) {
 					calls.add(call);
 				}
 				else {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduleSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduleSettings.java
@@ -21,8 +21,11 @@
 		double elapsedWeight, double serviceCallCostMs, long firstOutputTimeoutMs, int maxAttempts, double retryShare,
 		long hedgeAfterMs) {
 
-	/** Settings that the experiment {@code scheduling} measures. */
-	public static final ScheduleSettings DEFAULT = new ScheduleSettings(400, 8, 5_000, 0.1, 0.1, 20, 10_000, 3, 0.1,
+	/**
+	 * Settings that the experiment {@code scheduling} measures. The oldest programs go
+	 * first: fewer are then under way, and their prefixes fit into cache memory.
+	 */
+	public static final ScheduleSettings DEFAULT = new ScheduleSettings(400, 8, 5_000, 0.1, 1, 20, 10_000, 3, 0.1,
 			1_000);
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -254,7 +254,7 @@
 	private void sweep() {
 		long nowMs = this.timer.nowMs();
 		this.queues.forEach((pool, queue) -> {
-			for (QueuedCall call : queue.hopeless(1, nowMs)) {
+			for (QueuedCall call : queue.hopeless((queued) -> this.callCosts.minServiceMs(queued.request), nowMs)) {
 				queue.remove(call);
 				refuse(call,
 						new Refusal(RefusalReason.DEADLINE_EXCEEDED,
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/ManualUpstreams.java
@@ -0,0 +1,99 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.upstream.EngineClient;
+import dev.nutmegdoor.core.upstream.EngineRequest;
+import dev.nutmegdoor.core.upstream.EngineResult;
+import dev.nutmegdoor.core.upstream.ServiceAnswer;
+import dev.nutmegdoor.core.upstream.ServiceClient;
+import dev.nutmegdoor.core.upstream.TokenListener;
+import dev.nutmegdoor.core.upstream.UpstreamException;
+
+/**
+ * Upstreams that answer when the test says so and fail the future of a cancelled stream
+ * at once.
+ */
+final class ManualUpstreams implements EngineClient, ServiceClient {
+
+	final List<UpstreamId> sentTo = new ArrayList<>();
+
+	private final List<String> sentStreams = new ArrayList<>();
+
+	private final Map<String, CompletableFuture<EngineResult>> streams = new LinkedHashMap<>();
+
+	private final List<CompletableFuture<ServiceAnswer>> calls = new ArrayList<>();
+
+	void complete(int index) {
+		if (!this.calls.isEmpty()) {
+			this.calls.get(index).complete(new ServiceAnswer(200, "{}"));
+			return;
+		}
+		String streamId = new ArrayList<>(this.streams.keySet()).get(index);
+		this.streams.remove(streamId).complete(new EngineResult("x", 100, 0, 10));
+	}
+
+	void fail(int index) {
+		this.calls.get(index).completeExceptionally(new UpstreamException(RunState.UNKNOWN, "reset"));
+	}
+
+	List<String> sentPrograms() {
+		return this.sentStreams.stream().map((id) -> id.substring(0, id.indexOf('-'))).toList();
+	}
+
+	@Override
+	public CompletableFuture<EngineResult> generate(Upstream upstream, EngineRequest request, TokenListener listener) {
+		CompletableFuture<EngineResult> future = new CompletableFuture<>();
+		this.sentTo.add(upstream.id());
+		this.sentStreams.add(request.streamId());
+		this.streams.put(request.streamId(), future);
+		return future;
+	}
+
+	@Override
+	public CompletableFuture<Void> cancel(Upstream upstream, String streamId) {
+		CompletableFuture<EngineResult> future = this.streams.remove(streamId);
+		if (future != null) {
+			future.completeExceptionally(new UpstreamException(RunState.RAN, "cancelled"));
+		}
+		return CompletableFuture.completedFuture(null);
+	}
+
+	@Override
+	public CompletableFuture<Void> release(Upstream upstream, ProgramId program) {
+		return CompletableFuture.completedFuture(null);
+	}
+
+	@Override
+	public CompletableFuture<Integer> copyCache(Upstream source, Upstream target, ProgramId program) {
+		return CompletableFuture.completedFuture(0);
+	}
+
+	@Override
+	public CompletableFuture<Void> loadModel(Upstream upstream, String model, long fencingNumber, long timeoutMs) {
+		return CompletableFuture.completedFuture(null);
+	}
+
+	@Override
+	public CompletableFuture<ServiceAnswer> call(Upstream upstream, ServiceCall call, long timeoutMs) {
+		CompletableFuture<ServiceAnswer> future = new CompletableFuture<>();
+		this.sentTo.add(upstream.id());
+		this.calls.add(future);
+		return future;
+	}
+
+	@Override
+	public CompletableFuture<ServiceAnswer> query(Upstream upstream, ServiceCall call, long timeoutMs) {
+		return CompletableFuture.completedFuture(new ServiceAnswer(404, ""));
+	}
+
+}
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/ResultWriter.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/ResultWriter.java
@@ -68,7 +68,7 @@
 	 */
 	public static void plot(List<ResultRow> rows, Path directory) {
 		Set<String> scenarios = new LinkedHashSet<>();
-		rows.forEach((row) -> scenarios.add(row.scenario()));
+		rows.stream().filter((row) -> row.load() > 0).forEach((row) -> scenarios.add(row.scenario()));
 		try {
 			Files.createDirectories(directory);
 			for (String scenario : scenarios) {
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/SchedulingExperiment.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/SchedulingExperiment.java
@@ -21,6 +21,8 @@
 			2.16, 2.14, 2.13, 2.12, 2.11, 2.10, 2.09, 2.09, 2.08, 2.07, 2.07, 2.06, 2.06, 2.06, 2.05, 2.05, 2.05,
 			2.04 };
 
+	private static final int[] DECISION_COST_REPLICAS = { 60, 600, 6_000 };
+
 	private final SchedulingOptions options;
 
 	/**
@@ -51,7 +53,12 @@
 				future.get()
 					.forEach((key, figures) -> byRow.computeIfAbsent(key, (name) -> new ArrayList<>()).add(figures));
 			}
-			return byRow.entrySet().stream().map((entry) -> row(entry.getKey(), entry.getValue())).toList();
+			List<ResultRow> rows = new ArrayList<>();
+			byRow.forEach((key, figures) -> rows.add(row(key, figures)));
+			for (int replicas : DECISION_COST_REPLICAS) {
+				rows.add(DecisionCost.measure(replicas));
+			}
+			return rows;
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/SimulatedCluster.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/SimulatedCluster.java
@@ -62,8 +62,8 @@
 		}
 		Map<WorkspaceId, Workspace> workspaces = new LinkedHashMap<>();
 		for (int i = 0; i < Deployment.WORKSPACE_SHARES.length; i++) {
-			// Weights follow the agreed shares of the traffic.
-			int weight = (int) Math.round(Deployment.WORKSPACE_SHARES[i] * 100);
+			// Larger workspaces pay for a larger weight, though less than in proportion.
+			int weight = (int) Math.round(100 * Math.sqrt(Deployment.WORKSPACE_SHARES[i]));
 			workspaces.put(workspace(i),
 					new Workspace(workspace(i), 1_000, 1_000, weight, Map.of(), ProgramBudget.DEFAULT));
 		}
