Record admissions and refusals of the filter chain

Cause: a request refused by its key or rate had a decision id that explain did not know. Change: the last step that an admission decided on this instance is kept with its inputs and can be verified by replay; other refusals are recorded as facts.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/AdmissionAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/AdmissionAttempt.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.WorkspaceId;
@@ -24,6 +25,8 @@
 
 	private final Set<InstanceId> forwardedTo = new HashSet<>();
 
+	private @Nullable AdmissionDecision decision;
+
 	private boolean gathered;
 
 	private boolean delayed;
@@ -76,16 +79,20 @@
 		return this.delayed;
 	}
 
+	void decided(AdmissionInputs inputs, AdmissionStep step) {
+		this.decision = new AdmissionDecision(inputs, step);
+	}
+
 	boolean isDone() {
 		return this.result.isDone();
 	}
 
 	void admit(long remaining, String rule) {
-		this.result.complete(new Admission(true, 0, remaining, rule));
+		this.result.complete(new Admission(true, 0, remaining, rule, this.decision));
 	}
 
 	void refuse(long retryAfterMs, String rule) {
-		this.result.complete(new Admission(false, retryAfterMs, 0, rule));
+		this.result.complete(new Admission(false, retryAfterMs, 0, rule, this.decision));
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/Admissions.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/Admissions.java
@@ -93,6 +93,7 @@
 		WorkspaceShare share = this.book.share(attempt.workspace());
 		AdmissionInputs inputs = inputs(share, attempt.asked(), attempt.isDelayed() ? 0 : this.settings.maxDelayMs());
 		AdmissionStep step = AdmissionRule.decide(inputs);
+		attempt.decided(inputs, step);
 		switch (step.kind()) {
 			case ADMIT -> {
 				if (this.book.take(share)) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/DecisionFunctions.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/DecisionFunctions.java
@@ -6,6 +6,8 @@
 import dev.nutmegdoor.core.explain.DecisionKind;
 import dev.nutmegdoor.core.explain.DecisionReplay;
 import dev.nutmegdoor.core.explain.DecisionVerifier;
+import dev.nutmegdoor.core.limit.AdmissionInputs;
+import dev.nutmegdoor.core.limit.AdmissionRule;
 import dev.nutmegdoor.core.placement.Placement;
 import dev.nutmegdoor.core.placement.PlacementInput;
 import dev.nutmegdoor.core.program.BudgetInputs;
@@ -26,6 +28,7 @@
 
 	static DecisionVerifier verifier() {
 		Map<DecisionKind, DecisionReplay<?>> replays = new EnumMap<>(DecisionKind.class);
+		replays.put(DecisionKind.ADMISSION, new DecisionReplay<>(AdmissionInputs.class, AdmissionRule::decide));
 		replays.put(DecisionKind.ORDER, new DecisionReplay<>(OrderInputs.class, OrderRule::decide));
 		replays.put(DecisionKind.BUDGET, new DecisionReplay<>(BudgetInputs.class, BudgetRule::decide));
 		replays.put(DecisionKind.AT_MOST_ONCE, new DecisionReplay<>(OnceInputs.class, OnceRule::decide));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
@@ -55,6 +55,8 @@
 
 	private final EventLog eventLog;
 
+	private final EntryDecisions decisions;
+
 	private volatile InstanceState state = InstanceState.STARTING;
 
 	private @Nullable DisposableServer server;
@@ -70,6 +72,7 @@
 		this.metrics = dependencies.metrics();
 		this.eventLog = dependencies.eventLog();
 		this.answers = new Answers(dependencies.configuration());
+		this.decisions = new EntryDecisions(dependencies.decisionRecorder(), dependencies.timers());
 		this.chain = chain();
 		this.metrics.gauge("entry.requests.running", () -> this.running::get);
 	}
@@ -83,7 +86,8 @@
 		BodyReader bodyReader = new BodyReader(this.settings.limits(), this.settings.timeouts(), parts.keyScanner());
 		CallHeaders headers = new CallHeaders(parts.configuration(), this.settings.timeouts().callMs());
 		List<RequestFilter> filters = List.of(this::refuseIfDraining, new SizeFilter(this.settings.limits()),
-				new AuthenticationFilter(parts.authenticator()), new RateFilter(parts.rateLimiter(), control));
+				new AuthenticationFilter(parts.authenticator()),
+				new RateFilter(parts.rateLimiter(), control, this.decisions));
 		List<Route> routes = List.of(
 				new ModelRoute(bodyReader, headers, calls, new ChatAnswers(this.answers), parts.configuration()),
 				new ServiceRoute(bodyReader, headers, calls, this.answers, parts.configuration()),
@@ -173,6 +177,7 @@
 		Refusal refusal = refusalOf(exchange, error);
 		this.metrics.counter("entry.refused." + refusal.reason().typeName()).inc();
 		WorkspaceId workspace = exchange.workspaceOrNull();
+		this.decisions.refusal(exchange, refusal);
 		this.eventLog.record("request.refused", "decision", exchange.decision(), "workspace",
 				(workspace != null) ? workspace : "-", "reason", refusal.reason().typeName(), "run",
 				refusal.run().wireName());
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
@@ -16,9 +16,12 @@
 
 	private final ControlBridge control;
 
-	RateFilter(RateLimiter limiter, ControlBridge control) {
+	private final EntryDecisions decisions;
+
+	RateFilter(RateLimiter limiter, ControlBridge control, EntryDecisions decisions) {
 		this.limiter = limiter;
 		this.control = control;
+		this.decisions = decisions;
 	}
 
 	@Override
@@ -27,8 +30,9 @@
 			.flatMap((admission) -> decide(exchange, admission));
 	}
 
-	private static Mono<Void> decide(Exchange exchange, Admission admission) {
+	private Mono<Void> decide(Exchange exchange, Admission admission) {
 		exchange.admitted(admission);
+		this.decisions.admission(exchange, admission);
 		if (admission.isAdmitted()) {
 			return Mono.empty();
 		}
