--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformStandinCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformStandinCommand.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.cli;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 
 import org.apache.commons.cli.CommandLine;
@@ -11,7 +12,7 @@
 import dev.nutmegdoor.standin.platform.PlatformStandinSettings;
 
 /**
- * Runs the stand-in of the platform's object API.
+ * Runs the stand-in of the platform.
  */
 final class PlatformStandinCommand implements Command {
 
@@ -22,7 +23,7 @@
 
 	@Override
 	public String summary() {
-		return "runs a stand-in of the platform's object API";
+		return "runs a stand-in of the platform's API";
 	}
 
 	@Override
@@ -44,11 +45,12 @@
 			console.out().println(file + ": valid");
 			return ExitCode.OK;
 		}
-		PlatformStandin standin = PlatformStandin.start(settings);
-		new LoggingEventLog().record("standin.started", "address",
-				standin.address().getAddress().getHostAddress() + ":" + standin.address().getPort());
+		PlatformStandin platform = PlatformStandin.start(settings);
+		InetSocketAddress address = platform.address();
+		new LoggingEventLog().record("standin.started", "kind", "platform", "address",
+				address.getAddress().getHostAddress() + ":" + address.getPort());
 		return Daemon.await(() -> {
-			standin.close();
+			platform.close();
 			return true;
 		});
 	}
