--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationCommitter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationCommitter.java
@@ -1,9 +1,7 @@
 package dev.nutmegdoor.core.configuration;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -111,7 +109,7 @@
 		ConfigurationChange change = attempt.change;
 		Long expected = change.expectedVersion();
 		if (expected == null) {
-			if (attempt.base != null && isTouched(change, attempt.base.differencesTo(base))) {
+			if (attempt.base != null && attempt.base.isTouched(change.edits(), base)) {
 				lose(attempt, base, attempt.base.version());
 				return;
 			}
@@ -121,25 +119,26 @@
 			return;
 		}
 		attempt.base = base;
-		ConfigurationDocument next;
-		try {
-			next = base.next(change.edits(), attempt.changeId, change.author(), this.timer.wallClockMs());
-		}
-		catch (IllegalArgumentException ex) {
-			attempt.reject(base.version(),
-					List.of(new ConfigurationError("edits", String.valueOf(ex.getMessage()), "JSON objects")));
-			return;
-		}
-		List<ConfigurationError> errors = ConfigurationValidator.validate(next, change.edits());
-		if (!errors.isEmpty()) {
-			attempt.reject(base.version(), errors);
-		}
-		else if (next.version() == base.version()) {
-			attempt.finish(ConfigurationChangeOutcome.UNCHANGED, base.version(), List.of());
-		}
-		else {
-			writeParts(attempt, round, stored, base, next);
-		}
+		base.next(this.timer, change.edits(), attempt.changeId, change.author()).whenComplete((next, error) -> {
+			if (error != null) {
+				attempt.reject(base.version(),
+						List.of(new ConfigurationError("edits", String.valueOf(error.getMessage()), "JSON objects")));
+				return;
+			}
+			List<ConfigurationError> errors = ConfigurationValidator.validate(next, change.edits());
+			if (!errors.isEmpty()) {
+				attempt.reject(base.version(), errors);
+			}
+			else if (next.version() == base.version()) {
+				attempt.finish(ConfigurationChangeOutcome.UNCHANGED, base.version(), List.of());
+			}
+			else {
+				base.compare(this.timer, next).thenAccept((comparison) -> {
+					attempt.differences = comparison.differences();
+					writeParts(attempt, round, stored, base, next);
+				});
+			}
+		});
 	}
 
 	private void writeParts(Attempt attempt, int round, StoredHead stored, ConfigurationDocument base,
@@ -148,7 +147,6 @@
 		for (ConfigurationShard shard : newShards(base, next)) {
 			writes.add(this.store.createOnce(ConfigurationStore.SHARD_KIND, shard.name(), shard.text()));
 		}
-		attempt.differences = base.differencesTo(next);
 		String entry = ConfigurationJson
 			.write(ConfigurationChangeRecord.of(base, next, attempt.change.reason(), attempt.differences));
 		writes.add(this.store.createOnce(ConfigurationStore.CHANGE_KIND, attempt.changeId, entry));
@@ -239,12 +237,6 @@
 		this.store.discard(ConfigurationStore.CHANGE_KIND, attempt.changeId);
 	}
 
-	private static boolean isTouched(ConfigurationChange change, List<ConfigurationDifference> differences) {
-		Set<String> paths = new HashSet<>();
-		differences.forEach((difference) -> paths.add(difference.path()));
-		return change.edits().stream().anyMatch((edit) -> paths.contains(edit.path()));
-	}
-
 	private static List<ConfigurationShard> newShards(ConfigurationDocument before, ConfigurationDocument after) {
 		List<ConfigurationShard> shards = new ArrayList<>();
 		for (int i = 0; i < after.shards().size(); i++) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
@@ -1,9 +1,7 @@
 package dev.nutmegdoor.core.configuration;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
@@ -68,18 +66,12 @@
 
 	private final RecentEdits recentEdits = new RecentEdits();
 
-	/** Announced versions by peer, in the order of the announcements. */
-	private final Map<InstanceId, Long> announced = new LinkedHashMap<>();
+	private final NewerVersions newer = new NewerVersions();
 
 	private volatile ConfigurationDocument document = ConfigurationDocument.EMPTY;
 
-	private @Nullable ConfigurationHead storeHead;
-
 	private boolean fetching;
 
-	/** When a newer version was first heard of, {@code null} if none is outstanding. */
-	private @Nullable Long heardMs;
-
 	private long lastApplyMs;
 
 	private long applied;
@@ -110,7 +102,7 @@
 		this.events = events;
 		this.store = new ConfigurationStore(store, timer, random);
 		this.archive = new ConfigurationArchive(persistence);
-		this.fetcher = new ConfigurationFetcher(transport, settings.peerTimeoutMs());
+		this.fetcher = new ConfigurationFetcher(timer, transport, settings.peerTimeoutMs());
 		this.watcher = new ConfigurationWatcher(this.store, timer, membership, random, settings, this::version,
 				this::onStoreHead);
 		this.committer = new ConfigurationCommitter(this.store, timer, random, steps, () -> this.document, this::apply);
@@ -172,9 +164,7 @@
 		if (version <= version()) {
 			return;
 		}
-		hear();
-		this.announced.remove(peer);
-		this.announced.put(peer, version);
+		this.newer.announce(peer, version, this.timer.nowMs());
 		fetch();
 	}
 
@@ -227,57 +217,35 @@
 
 	public ConfigurationDump dump() {
 		Configuration configuration = current();
-		long known = this.announced.values().stream().mapToLong(Long::longValue).max().orElse(0);
 		return new ConfigurationDump(configuration.version(), this.document.head().changeId(),
-				Math.max(known, configuration.version()), isReady(), this.watcher.isWatching(),
+				Math.max(this.newer.newest(), configuration.version()), isReady(), this.watcher.isWatching(),
 				configuration.workspaces().size(), configuration.keys().size(), configuration.upstreams().size(),
 				this.applied, this.lastApplyMs, this.document.errors().size());
 	}
 
-	private void hear() {
-		if (this.heardMs == null) {
-			this.heardMs = this.timer.nowMs();
-		}
-	}
-
 	private void onStoreHead(ConfigurationHead head) {
-		hear();
-		this.storeHead = head;
+		this.newer.announce(head, this.timer.nowMs());
 		fetch();
 	}
 
 	/**
-	 * Fetches the newest announced version from the peer that announced it last, or from
-	 * the store if this instance has seen a newer head there.
+	 * Fetches a newer version from the store if its head was seen there, or else from the
+	 * peer that announced it last.
 	 */
 	private void fetch() {
 		if (this.fetching) {
 			return;
 		}
-		this.announced.values().removeIf((version) -> version <= version());
-		ConfigurationHead head = this.storeHead;
-		if (head != null && head.version() <= version()) {
-			head = null;
-			this.storeHead = null;
-		}
-		InstanceId peer = null;
-		for (Map.Entry<InstanceId, Long> entry : this.announced.entrySet()) {
-			if (peer == null || entry.getValue() >= this.announced.getOrDefault(peer, 0L)) {
-				peer = entry.getKey();
-			}
-		}
-		if (peer == null && head == null) {
-			return;
-		}
-		this.fetching = true;
 		ConfigurationDocument base = this.document;
+		ConfigurationHead head = this.newer.takeStoreHead(base.version());
 		if (head != null) {
-			this.storeHead = null;
+			this.fetching = true;
 			this.store.load(head, base).whenComplete(this::fetched);
+			return;
 		}
-		else if (peer != null) {
-			// A peer that doesn't answer is not asked again until it announces again.
-			this.announced.remove(peer);
+		InstanceId peer = this.newer.takePeer(base.version());
+		if (peer != null) {
+			this.fetching = true;
 			this.fetcher.fetch(peer, base).whenComplete(this::fetched);
 		}
 	}
@@ -290,12 +258,11 @@
 			return;
 		}
 		this.events.record("configuration.fetch-failed", "cause", String.valueOf(error));
-		if (this.announced.isEmpty() && this.heardMs != null) {
+		// The bound on the time holds only while an announcer can be reached.
+		if (!this.newer.hasPeers() && this.newer.endWaitMs(this.timer.nowMs()) != null) {
 			// The announcer is gone; the store has what it announced.
 			long delayMs = 1 + this.random.nextLong(this.settings.retryMs());
 			this.timer.schedule(delayMs, this::fetchFromStore);
-			// The bound holds only while an announcer or the store can be reached.
-			this.heardMs = null;
 		}
 		fetch();
 	}
@@ -314,26 +281,25 @@
 			return;
 		}
 		this.steps.reached(Step.CONFIGURATION_APPLY);
-		this.recentEdits.add(before, next);
 		this.document = next;
 		this.applied++;
-		this.lastApplyMs = (this.heardMs != null) ? this.timer.nowMs() - this.heardMs : 0;
-		this.heardMs = null;
-		check(before, next);
+		Long waitedMs = this.newer.endWaitMs(this.timer.nowMs());
+		this.lastApplyMs = (waitedMs != null) ? waitedMs : 0;
+		check(before.version(), next.version());
 		this.events.record("configuration.applied", "version", next.version(), "changeId", next.head().changeId(),
 				"applyMs", this.lastApplyMs, "ignoredItems", next.errors().size());
 		List.copyOf(this.listeners).forEach((listener) -> listener.accept(next.configuration()));
 		this.archive.save(next);
+		before.compare(this.timer, next)
+			.thenAccept((comparison) -> this.recentEdits.add(before.version(), next.version(), comparison.edits()));
 		ConfigurationAnnouncement announcement = new ConfigurationAnnouncement(next.version());
 		FanOut.targets(this.membership).forEach((peer) -> this.transport.send(peer, announcement));
 	}
 
-	private void check(ConfigurationDocument before, ConfigurationDocument next) {
+	private void check(long versionBefore, long version) {
 		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC,
-				next.version() > before.version() && current().version() == next.version(),
-				() -> "version " + next.version() + " follows " + before.version());
-		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC, this.lastApplyMs <= IN_FORCE_MS,
-				() -> "version " + next.version() + " was applied " + this.lastApplyMs + " ms after it was announced");
+				version > versionBefore && this.lastApplyMs <= IN_FORCE_MS, () -> "version " + version + " follows "
+						+ versionBefore + " and was applied " + this.lastApplyMs + " ms after it was announced");
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationDocument.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationDocument.java
@@ -2,16 +2,23 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.jspecify.annotations.Nullable;
 
+import dev.nutmegdoor.core.distribution.Stepwise;
+import dev.nutmegdoor.core.time.TimerService;
+
 /**
  * One version of the configuration with its stored form.
  *
@@ -51,61 +58,87 @@
 
 	/**
 	 * Applies edits and creates the next version; unknown fields are kept.
+	 * @param timer splits the work
 	 * @param edits the edits
 	 * @param changeId identifier of the change
 	 * @param author who makes the change
-	 * @param timeMs wall-clock time in milliseconds since the Unix epoch
-	 * @return the next version, not validated; this one if nothing changes
+	 * @return the next version, not validated; this one if nothing changes; fails with
+	 * {@link IllegalArgumentException} if an edit isn't JSON
 	 */
-	ConfigurationDocument next(List<ConfigurationEdit> edits, String changeId, String author, long timeMs) {
-		List<ConfigurationShard> changed = edited(edits, changeId);
-		if (changed.equals(this.shards)) {
-			return this;
-		}
-		List<String> names = changed.stream().map(ConfigurationShard::name).toList();
-		return of(this.head.next(changeId, author, timeMs, names), changed);
+	CompletableFuture<ConfigurationDocument> next(TimerService timer, List<ConfigurationEdit> edits, String changeId,
+			String author) {
+		return edited(timer, edits, (index, text) -> this.shards.get(index).next(text, changeId))
+			.thenApply((changed) -> {
+				if (changed.equals(this.shards)) {
+					return this;
+				}
+				List<String> names = changed.stream().map(ConfigurationShard::name).toList();
+				return of(this.head.next(changeId, author, timer.wallClockMs(), names), changed);
+			});
 	}
 
 	/**
 	 * Applies edits that lead to a known head.
+	 * @param timer splits the work
 	 * @param edits the edits
 	 * @param target the head
-	 * @return the version of the head
-	 * @throws IllegalArgumentException if the edits don't lead to the head
+	 * @return the version of the head; fails with {@link IllegalArgumentException} if the
+	 * edits don't lead to the head
 	 */
-	ConfigurationDocument advance(List<ConfigurationEdit> edits, ConfigurationHead target) {
-		List<ConfigurationShard> result = new ArrayList<>();
-		List<ConfigurationShard> changed = edited(edits, target.changeId());
-		for (int i = 0; i < changed.size(); i++) {
-			String name = target.shards().get(i);
-			result.add(this.shards.get(i).name().equals(name) ? this.shards.get(i)
-					: ConfigurationShard.verified(name, changed.get(i).text()));
-		}
-		return of(target, result);
+	CompletableFuture<ConfigurationDocument> advance(TimerService timer, List<ConfigurationEdit> edits,
+			ConfigurationHead target) {
+		return edited(timer, edits, (index, text) -> {
+			String name = target.shards().get(index);
+			ConfigurationShard shard = this.shards.get(index);
+			return shard.name().equals(name) ? shard : ConfigurationShard.verified(name, text);
+		}).thenApply((changed) -> {
+			if (!changed.stream().map(ConfigurationShard::name).toList().equals(target.shards())) {
+				throw new IllegalArgumentException("edits don't lead to version " + target.version());
+			}
+			return of(target, changed);
+		});
 	}
 
 	/**
-	 * Returns the edits that lead from this version to another one.
+	 * Compares this version with another one.
+	 * @param timer splits the work
 	 * @param other the other version
-	 * @return replacements and removals of whole items
+	 * @return what changed from this version to the other one
 	 */
-	List<ConfigurationEdit> editsTo(ConfigurationDocument other) {
+	CompletableFuture<ConfigurationComparison> compare(TimerService timer, ConfigurationDocument other) {
 		List<ConfigurationEdit> edits = new ArrayList<>();
-		visitChanges(other, (section, id, before, after) -> edits
-			.add(new ConfigurationEdit(section, id, (after != null) ? ConfigurationJson.write(after) : null, true)));
-		return edits;
+		List<ConfigurationDifference> differences = new ArrayList<>();
+		return Stepwise.forEach(timer, changedShards(other),
+				(index) -> visitChanges(index, other, (section, id, before, after) -> {
+					String value = (after != null) ? ConfigurationJson.write(after) : null;
+					edits.add(new ConfigurationEdit(section, id, value, true));
+					differences.add(new ConfigurationDifference(section + "/" + id, redact(before), redact(after)));
+				}))
+			.thenApply((ignored) -> new ConfigurationComparison(edits, differences));
 	}
 
 	/**
-	 * Returns the differences between this version and another one.
+	 * Returns whether any of the edited items differs in another version.
+	 * @param edits the edits
 	 * @param other the other version
-	 * @return differences without hashes of secrets, in the order of their paths
+	 * @return whether the edits touch what changed
 	 */
-	List<ConfigurationDifference> differencesTo(ConfigurationDocument other) {
-		List<ConfigurationDifference> differences = new ArrayList<>();
-		visitChanges(other, (section, id, before, after) -> differences
-			.add(new ConfigurationDifference(section + "/" + id, redact(before), redact(after))));
-		return differences;
+	boolean isTouched(List<ConfigurationEdit> edits, ConfigurationDocument other) {
+		Set<String> changed = new HashSet<>();
+		for (int index : changedShards(other)) {
+			visitChanges(index, other, (section, id, before, after) -> changed.add(section + "/" + id));
+		}
+		return edits.stream().anyMatch((edit) -> changed.contains(edit.path()));
+	}
+
+	private List<Integer> changedShards(ConfigurationDocument other) {
+		List<Integer> indexes = new ArrayList<>();
+		for (int i = 0; i < this.shards.size(); i++) {
+			if (!this.shards.get(i).text().equals(other.shards.get(i).text())) {
+				indexes.add(i);
+			}
+		}
+		return indexes;
 	}
 
 	private static @Nullable String redact(@Nullable JsonNode item) {
@@ -119,48 +152,48 @@
 		return ConfigurationJson.write(copy);
 	}
 
-	private List<ConfigurationShard> edited(List<ConfigurationEdit> edits, String changeId) {
+	private CompletableFuture<List<ConfigurationShard>> edited(TimerService timer, List<ConfigurationEdit> edits,
+			BiFunction<Integer, String, ConfigurationShard> factory) {
 		Map<Integer, List<ConfigurationEdit>> byShard = new TreeMap<>();
 		for (ConfigurationEdit edit : edits) {
 			byShard.computeIfAbsent(ConfigurationShard.indexOf(edit.section(), edit.id()), (key) -> new ArrayList<>())
 				.add(edit);
 		}
 		List<ConfigurationShard> changed = new ArrayList<>(this.shards);
-		byShard.forEach((index, shardEdits) -> {
-			Map<String, Map<String, JsonNode>> sections = this.shards.get(index).sections();
-			for (ConfigurationEdit edit : shardEdits) {
-				Map<String, JsonNode> items = sections.computeIfAbsent(edit.section(), (key) -> new TreeMap<>());
-				JsonNode item = edit.applyTo(items.get(edit.id()));
-				if (item != null) {
-					items.put(edit.id(), item);
-				}
-				else {
-					items.remove(edit.id());
-				}
-			}
-			changed.set(index, this.shards.get(index).next(ConfigurationShard.write(sections), changeId));
-		});
-		return changed;
+		return Stepwise.forEach(timer, List.copyOf(byShard.entrySet()), (entry) -> {
+			String text = editedText(this.shards.get(entry.getKey()), entry.getValue());
+			changed.set(entry.getKey(), factory.apply(entry.getKey(), text));
+		}).thenApply((ignored) -> changed);
 	}
 
-	private void visitChanges(ConfigurationDocument other, ChangeVisitor visitor) {
-		for (int i = 0; i < this.shards.size(); i++) {
-			if (this.shards.get(i).text().equals(other.shards.get(i).text())) {
-				continue;
+	private static String editedText(ConfigurationShard shard, List<ConfigurationEdit> edits) {
+		Map<String, Map<String, JsonNode>> sections = shard.sections();
+		for (ConfigurationEdit edit : edits) {
+			Map<String, JsonNode> items = sections.computeIfAbsent(edit.section(), (key) -> new TreeMap<>());
+			JsonNode item = edit.applyTo(items.get(edit.id()));
+			if (item != null) {
+				items.put(edit.id(), item);
+			}
+			else {
+				items.remove(edit.id());
 			}
-			Map<String, Map<String, JsonNode>> before = this.shards.get(i).sections();
-			Map<String, Map<String, JsonNode>> after = other.shards.get(i).sections();
-			TreeSet<String> sections = new TreeSet<>(before.keySet());
-			sections.addAll(after.keySet());
-			for (String section : sections) {
-				Map<String, JsonNode> itemsBefore = before.getOrDefault(section, Map.of());
-				Map<String, JsonNode> itemsAfter = after.getOrDefault(section, Map.of());
-				TreeSet<String> ids = new TreeSet<>(itemsBefore.keySet());
-				ids.addAll(itemsAfter.keySet());
-				for (String id : ids) {
-					if (!Objects.equals(itemsBefore.get(id), itemsAfter.get(id))) {
-						visitor.visit(section, id, itemsBefore.get(id), itemsAfter.get(id));
-					}
+		}
+		return ConfigurationShard.write(sections);
+	}
+
+	private void visitChanges(int index, ConfigurationDocument other, ChangeVisitor visitor) {
+		Map<String, Map<String, JsonNode>> before = this.shards.get(index).sections();
+		Map<String, Map<String, JsonNode>> after = other.shards.get(index).sections();
+		TreeSet<String> sections = new TreeSet<>(before.keySet());
+		sections.addAll(after.keySet());
+		for (String section : sections) {
+			Map<String, JsonNode> itemsBefore = before.getOrDefault(section, Map.of());
+			Map<String, JsonNode> itemsAfter = after.getOrDefault(section, Map.of());
+			TreeSet<String> ids = new TreeSet<>(itemsBefore.keySet());
+			ids.addAll(itemsAfter.keySet());
+			for (String id : ids) {
+				if (!Objects.equals(itemsBefore.get(id), itemsAfter.get(id))) {
+					visitor.visit(section, id, itemsBefore.get(id), itemsAfter.get(id));
 				}
 			}
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationFetcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationFetcher.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import dev.nutmegdoor.core.distribution.Stepwise;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
 
 /**
  * Fetches the configuration of a peer, as edits if possible and otherwise in pages of
@@ -14,16 +16,19 @@
 final class ConfigurationFetcher {
 
 	/**
-	 * Most shard text in a page in characters; with the head it stays below the 4 MB of a
-	 * frame even if each character takes three bytes.
+	 * Most shard text in a page in characters, unless one shard alone is larger. Parsing
+	 * a page occupies the control thread, which must stay free for heartbeats and leases.
 	 */
-	private static final int PAGE_CHARS = 1_000_000;
+	private static final int PAGE_CHARS = 150_000;
+
+	private final TimerService timer;
 
 	private final PeerTransport transport;
 
 	private final long timeoutMs;
 
-	ConfigurationFetcher(PeerTransport transport, long timeoutMs) {
+	ConfigurationFetcher(TimerService timer, PeerTransport transport, long timeoutMs) {
+		this.timer = timer;
 		this.transport = transport;
 		this.timeoutMs = timeoutMs;
 	}
@@ -37,7 +42,8 @@
 	 */
 	static ConfigurationPage answer(ConfigurationFetch request, ConfigurationDocument document, RecentEdits recent) {
 		ConfigurationHead head = document.head();
-		List<ConfigurationEdit> edits = request.areEditsWanted() ? recent.since(request.version()) : null;
+		List<ConfigurationEdit> edits = request.areEditsWanted() ? recent.between(request.version(), document.version())
+				: null;
 		if (edits != null) {
 			return new ConfigurationPage(head.text(), edits, List.of(), true);
 		}
@@ -73,13 +79,9 @@
 				return CompletableFuture.completedFuture(current);
 			}
 			if (!page.edits().isEmpty()) {
-				try {
-					return CompletableFuture.completedFuture(current.advance(page.edits(), head));
-				}
-				catch (IllegalArgumentException ex) {
-					// A peer of another release may write items differently.
-					return fetchShards(peer, current.version(), current.shards());
-				}
+				// A peer of another release may write items differently.
+				return current.advance(this.timer, page.edits(), head)
+					.exceptionallyCompose((ex) -> fetchShards(peer, current.version(), current.shards()));
 			}
 			return merge(peer, current.version(), current.shards(), head, page);
 		});
@@ -94,25 +96,33 @@
 	private CompletableFuture<ConfigurationDocument> merge(InstanceId peer, long version,
 			List<ConfigurationShard> known, ConfigurationHead head, ConfigurationPage page) {
 		List<ConfigurationShard> merged = new ArrayList<>(known);
-		for (ConfigurationShardText shard : page.shards()) {
-			merged.set(shard.index(), ConfigurationShard.verified(head.shards().get(shard.index()), shard.text()));
-		}
-		if (!page.isComplete()) {
-			if (page.shards().isEmpty()) {
-				throw new IllegalArgumentException("peer " + peer + " sent a page without content");
-			}
-			return fetchShards(peer, version, merged);
-		}
-		for (int i = 0; i < merged.size(); i++) {
+		return Stepwise
+			.forEach(this.timer, page.shards(),
+					(shard) -> merged.set(shard.index(),
+							ConfigurationShard.verified(head.shards().get(shard.index()), shard.text())))
+			.thenCompose((ignored) -> {
+				if (page.isComplete()) {
+					return CompletableFuture.completedFuture(complete(peer, head, merged));
+				}
+				if (page.shards().isEmpty()) {
+					throw new IllegalArgumentException("peer " + peer + " sent a page without content");
+				}
+				return fetchShards(peer, version, merged);
+			});
+	}
+
+	private static ConfigurationDocument complete(InstanceId peer, ConfigurationHead head,
+			List<ConfigurationShard> shards) {
+		for (int i = 0; i < shards.size(); i++) {
 			String name = head.shards().get(i);
 			if (name.isEmpty()) {
-				merged.set(i, ConfigurationShard.EMPTY);
+				shards.set(i, ConfigurationShard.EMPTY);
 			}
-			else if (!merged.get(i).name().equals(name)) {
+			else if (!shards.get(i).name().equals(name)) {
 				throw new IllegalArgumentException("peer " + peer + " left out shard " + name);
 			}
 		}
-		return CompletableFuture.completedFuture(ConfigurationDocument.of(head, merged));
+		return ConfigurationDocument.of(head, shards);
 	}
 
 	private CompletableFuture<ConfigurationPage> request(InstanceId peer, long version, List<ConfigurationShard> known,
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/RecentEdits.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/RecentEdits.java
@@ -19,14 +19,28 @@
 
 	private int chars;
 
-	void add(ConfigurationDocument before, ConfigurationDocument after) {
-		List<ConfigurationEdit> edits = before.editsTo(after);
+	/**
+	 * Adds the edits between two versions. Those of large changes can arrive after those
+	 * of later ones, in which case they are dropped.
+	 * @param fromVersion the earlier version
+	 * @param toVersion the later version
+	 * @param edits the edits
+	 */
+	void add(long fromVersion, long toVersion, List<ConfigurationEdit> edits) {
+		Entry last = this.entries.peekLast();
+		if (last != null && last.toVersion() >= toVersion) {
+			return;
+		}
+		if (last != null && last.toVersion() != fromVersion) {
+			this.entries.clear();
+			this.chars = 0;
+		}
 		int size = 0;
 		for (ConfigurationEdit edit : edits) {
 			String value = edit.value();
 			size += edit.path().length() + ((value != null) ? value.length() : 0);
 		}
-		this.entries.addLast(new Entry(before.version(), edits, size));
+		this.entries.addLast(new Entry(fromVersion, toVersion, edits, size));
 		this.chars += size;
 		while (this.chars > MAX_CHARS) {
 			this.chars -= this.entries.removeFirst().chars();
@@ -34,11 +48,12 @@
 	}
 
 	/**
-	 * Returns the edits from a version to the version in force.
-	 * @param version the version
+	 * Returns the edits from a version to another one.
+	 * @param version the earlier version
+	 * @param toVersion the later version
 	 * @return the edits in their order, or {@code null} if they are no longer known
 	 */
-	@Nullable List<ConfigurationEdit> since(long version) {
+	@Nullable List<ConfigurationEdit> between(long version, long toVersion) {
 		List<ConfigurationEdit> edits = new ArrayList<>();
 		boolean isFound = false;
 		for (Entry entry : this.entries) {
@@ -47,10 +62,11 @@
 				edits.addAll(entry.edits());
 			}
 		}
-		return isFound ? edits : null;
+		Entry last = this.entries.peekLast();
+		return (isFound && last != null && last.toVersion() == toVersion) ? edits : null;
 	}
 
-	private record Entry(long fromVersion, List<ConfigurationEdit> edits, int chars) {
+	private record Entry(long fromVersion, long toVersion, List<ConfigurationEdit> edits, int chars) {
 
 	}
 
