--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -18,9 +18,11 @@
 		commands.add(new EntryCommand());
 		commands.add(new StandinCommand("engine"));
 		commands.add(new StandinCommand("service"));
+		commands.add(new PlatformStandinCommand());
 		commands.add(new DemoCommand());
 		commands.add(new SoakCommand());
 		commands.add(new ExperimentLimitsCommand());
+		commands.add(new ExperimentMembershipCommand());
 		commands.add(new ExperimentSchedulingCommand());
 		commands.add(new ExperimentCapacityCommand());
 		commands.addAll(OperatorCommands.create(System.getenv()));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.node.cluster;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -11,15 +12,21 @@
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.ForwardedCalls;
 import dev.nutmegdoor.core.call.RoutingCallRunner;
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ConfigurationChange;
+import dev.nutmegdoor.core.configuration.ConfigurationChangeResult;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionLog;
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.key.WithdrawalResult;
 import dev.nutmegdoor.core.placement.BlockPromptHasher;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
@@ -52,11 +59,17 @@
 	/** Longest wait for the shared state at the start; the platform may be slow. */
 	private static final long START_TIMEOUT_MS = 60_000;
 
+	private static final long HOME_POLL_MS = 100;
+
+	private static final long MAX_SEED_DELAY_MS = 3_000;
+
 	/**
 	 * Additional cost of a call to another zone, each way twice the distance of zones.
 	 */
 	private static final double ZONE_CROSSING_MS = 10;
 
+	private final UniformRandomProvider random;
+
 	private final ControlThread control;
 
 	private final SharedState shared;
@@ -85,6 +98,8 @@
 
 	private final OperatorApi operatorApi;
 
+	private @Nullable InetSocketAddress address;
+
 	/**
 	 * Composes an instance; it does nothing until {@link #start()}.
 	 * @param entrySettings settings of the instance
@@ -94,16 +109,16 @@
 	 */
 	public ClusterEntry(EntrySettings entrySettings, ClusterSettings settings, InvariantRegistry invariants,
 			EventLog events) {
-		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+		this.random = RandomSource.XO_SHI_RO_256_PP.create();
 		// A restarted process owns nothing of its predecessor, so it needs another name.
 		InstanceId self = new InstanceId(
-				entrySettings.instance().value() + "~" + Long.toString(random.nextLong(1L << 40), 36));
+				entrySettings.instance().value() + "~" + Long.toString(this.random.nextLong(1L << 40), 36));
 		this.entrySettings = entrySettings.withInstance(self);
 		this.settings = settings;
 		this.invariants = invariants;
 		this.events = events;
 		this.control = new ControlThread("control-" + self);
-		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, random,
+		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, this.random,
 				invariants, events);
 		DecisionIds ids = new DecisionIds(self);
 		this.decisions = new DecisionLog(ids, settings.decisionLogBytes());
@@ -114,11 +129,12 @@
 		HttpEngineClient engines = new HttpEngineClient(this.http, outgoing, entrySettings.timeouts().callMs());
 		HttpServiceClient services = new HttpServiceClient(this.http, outgoing);
 		ProgramDependencies programs = new ProgramDependencies(this.control, this.shared.peers(), this.shared.store(),
-				this.shared.membership(), this.shared.lease(), this.shared.configuration(), random, invariants,
-				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones()));
+				this.shared.membership(), this.shared.lease(), this.shared.configuration(), this.random, invariants,
+				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones())
+					.withPartitionsPerZone(settings.partitionsPerZone()));
 		this.homes = new ProgramHomes(programs, engines, services, Safeguards.ALL);
 		this.index = new ReplicaIndex(entrySettings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
-				this.control, random);
+				this.control, this.random);
 		this.scheduler = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, this.index,
 				this.control, this.shared.configuration(),
 				new UpstreamPorts(this.homes.engineClient(), services, new BlockPromptHasher()),
@@ -150,8 +166,11 @@
 				started.completeExceptionally(error);
 				return;
 			}
-			new ConfigurationSeed(this.entrySettings.configuration(), this.events)
-				.commitIfEmpty(this.shared.configuration());
+			ConfigurationSeed seed = new ConfigurationSeed(this.entrySettings.configuration(), this.events);
+			// All instances of a new deployment may start at once; with a delay of their
+			// own most find the first version in force and write nothing.
+			this.control.schedule(this.random.nextLong(MAX_SEED_DELAY_MS),
+					() -> seed.commitIfEmpty(this.shared.configuration()));
 			this.reports.start(this.control, this.settings.reportPeriodMs());
 			started.complete(null);
 		}));
@@ -163,7 +182,33 @@
 					"instance " + this.entrySettings.instance() + " could not learn the shared state", ex);
 		}
 		this.operatorApi.start();
-		this.node.start();
+		this.address = this.node.start();
+	}
+
+	/**
+	 * Returns the address for callers.
+	 * @return the address that is bound
+	 * @throws IllegalStateException if the instance has not started
+	 */
+	public InetSocketAddress address() {
+		InetSocketAddress bound = this.address;
+		if (bound == null) {
+			throw new IllegalStateException("instance " + this.entrySettings.instance() + " has not started");
+		}
+		return bound;
+	}
+
+	/**
+	 * Waits until this instance knows an owner of every partition and all configuration
+	 * is in force.
+	 * @param zones number of zones of the deployment
+	 * @param timeoutMs longest wait in milliseconds
+	 * @return completes then; fails after the timeout
+	 */
+	public CompletableFuture<Void> awaitHomes(int zones, long timeoutMs) {
+		CompletableFuture<Void> result = new CompletableFuture<>();
+		this.control.execute(() -> pollHomes(zones, this.control.nowMs() + timeoutMs, result));
+		return result;
 	}
 
 	public EntryNode node() {
@@ -174,6 +219,29 @@
 		return this.operatorApi.port();
 	}
 
+	/**
+	 * Commits a configuration as the next version.
+	 * @param configuration items to set; items that it lacks stay
+	 * @param author who asks for the change
+	 * @return the outcome
+	 */
+	public CompletableFuture<ConfigurationChangeResult> apply(Configuration configuration, String author) {
+		ConfigurationChange change = new ConfigurationChange(author, "whole configuration", null,
+				ConfigurationEdits.of(configuration));
+		return this.control.call(() -> this.shared.configuration().change(change)).thenCompose((future) -> future);
+	}
+
+	/**
+	 * Withdraws a key.
+	 * @param key identifier of the key
+	 * @param author who asks for the withdrawal
+	 * @return which zones have confirmed
+	 */
+	public CompletableFuture<WithdrawalResult> withdraw(KeyId key, String author) {
+		return this.control.call(() -> this.shared.keys().withdraw(key, author, "operator request"))
+			.thenCompose((future) -> future);
+	}
+
 	/**
 	 * Announces that this instance leaves and stops it without interrupting a request.
 	 * Blocks until that is done.
@@ -218,6 +286,21 @@
 				Map.entry("invariants", () -> InvariantDump.of(this.invariants)));
 	}
 
+	private void pollHomes(int zones, long deadlineMs, CompletableFuture<Void> result) {
+		int expected = zones * this.settings.partitionsPerZone();
+		int known = this.homes.controller().table().names().size();
+		if (known >= expected && this.shared.configuration().version() > 0) {
+			result.complete(null);
+		}
+		else if (this.control.nowMs() > deadlineMs) {
+			result.completeExceptionally(new IllegalStateException("only " + known + " of " + expected
+					+ " partitions have an owner, configuration version is " + this.shared.configuration().version()));
+		}
+		else {
+			this.control.schedule(HOME_POLL_MS, () -> pollHomes(zones, deadlineMs, result));
+		}
+	}
+
 	private int routableInstances() {
 		return (int) this.shared.membership()
 			.members()
@@ -240,9 +323,7 @@
 		this.control.close();
 	}
 
-	/**
-	 * Names of the parts of the state dump in their order.
-	 */
+	// Names of the parts of the state dump in their order.
 	static List<String> partOrder() {
 		return List.of("membership", "lease", "limits", "configuration", "keys", "programs", "queues", "platform",
 				"peers", "decisions", "invariants");
