--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/configuration/ConfigurationControllerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/configuration/ConfigurationControllerTests.java
@@ -239,6 +239,23 @@
 					is(ConfigurationChangeOutcome.UNAVAILABLE));
 		}
 
+		// Guards against an answer "nothing was changed" to a change that took effect
+		// directly before an outage.
+		@Test
+		void areReportedAsUnknownWhenAnOutageHidesTheirOutcome() {
+			TestCluster cluster = cluster(46, 1, 1);
+			cluster.store.setFaults(new StoreFaults(1, 0, 1, Integer.MAX_VALUE));
+			// The shard, the entry of the history and the head.
+			long lastWrite = cluster.store.writes() + 3;
+			CompletableFuture<ConfigurationChangeResult> result = cluster.node(0).configuration
+				.change(workspace("acme", 5, null));
+			for (int i = 0; i < 10_000 && cluster.store.writes() < lastWrite; i++) {
+				cluster.timer.advance(1);
+			}
+			cluster.store.setAvailable(false);
+			assertThat(cluster.await(result).outcome(), is(ConfigurationChangeOutcome.UNKNOWN));
+		}
+
 		// Guards against a history without the values before and after, or with hashes.
 		@Test
 		void enterTheHistoryWithoutSecrets() {
