--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -21,6 +21,7 @@
 		commands.add(new PlatformStandinCommand());
 		commands.add(new DemoCommand());
 		commands.add(new SoakCommand());
+		commands.add(new FaultsCommand());
 		commands.add(new ExperimentLimitsCommand());
 		commands.add(new ExperimentMembershipCommand());
 		commands.add(new ExperimentSchedulingCommand());
