--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MembershipController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MembershipController.java
@@ -26,10 +26,6 @@
 	/** Late ticks beyond this are a pause of this process, not silence of others. */
 	private static final long PAUSE_MS = 1000;
 
-	private static final long SYNC_TIMEOUT_MS = 1000;
-
-	private static final long SYNC_INTERVAL_MS = 5000;
-
 	private static final int JOIN_PEERS = 3;
 
 	private final TimerService timer;
@@ -56,14 +52,14 @@
 
 	private final SilenceWatch watch;
 
+	private final MembershipReconciler reconciler;
+
 	private MemberUpdate self;
 
 	private @Nullable List<Member> snapshot;
 
 	private long lastTickMs;
 
-	private long nextSyncMs;
-
 	private long sentMessages;
 
 	public MembershipController(Member self, TimerService timer, PeerTransport transport, InstanceDirectory directory,
@@ -77,6 +73,7 @@
 		this.settings = settings;
 		this.listeners = new MemberListeners(eventLog);
 		this.targets = new HeartbeatTargets(self, settings.ringNeighbours(), random);
+		this.reconciler = new MembershipReconciler(timer, transport, random);
 		this.watch = new SilenceWatch(this.targets, settings);
 		this.flood = new ChangeFlood(timer, (change) -> {
 			for (InstanceId target : this.targets.sample(this.table, settings.floodFanOut())) {
@@ -129,7 +126,7 @@
 	public void leave() {
 		this.self = new MemberUpdate(this.self.withState(MemberState.LEAVING).member(), this.self.version() + 1);
 		this.snapshot = null;
-		passOn(this.self);
+		this.flood.add(this.self);
 		announce(this.self.member().id());
 	}
 
@@ -140,20 +137,17 @@
 
 	@Override
 	public List<Member> members() {
-		List<Member> members = this.snapshot;
-		if (members == null) {
-			members = new ArrayList<>();
+		List<Member> known = this.snapshot;
+		if (known == null) {
+			List<Member> members = new ArrayList<>();
 			members.add(this.self.member());
-			for (MemberTable.Entry entry : this.table.entries()) {
-				if (entry.state() != MemberState.GONE) {
-					members.add(view(entry));
-				}
-			}
+			this.table.entries().forEach((entry) -> members.add(view(entry)));
+			members.removeIf((member) -> member.state() == MemberState.GONE);
 			members.sort((a, b) -> a.id().compareTo(b.id()));
-			members = List.copyOf(members);
-			this.snapshot = members;
+			known = List.copyOf(members);
+			this.snapshot = known;
 		}
-		return members;
+		return known;
 	}
 
 	@Override
@@ -175,10 +169,7 @@
 	 * @return a copy
 	 */
 	public MembershipDump dump() {
-		List<Member> members = new ArrayList<>();
-		for (MemberTable.Entry entry : this.table.entries()) {
-			members.add(view(entry));
-		}
+		List<Member> members = this.table.entries().stream().map(this::view).toList();
 		return new MembershipDump(self(), this.self.version(), members, this.table.zoneAgesMs(this.timer.nowMs()),
 				this.sentMessages);
 	}
@@ -232,7 +223,7 @@
 		if (message.answerWanted()) {
 			send(from, heartbeat(List.of(), false));
 		}
-		if (message.digest() != this.table.digest(self()) && nowMs >= this.nextSyncMs) {
+		if (message.digest() != this.table.digest(self()) && this.reconciler.isDue()) {
 			sync(from);
 		}
 		this.fields.read(from, message.fields());
@@ -240,15 +231,9 @@
 	}
 
 	private void sync(InstanceId peer) {
-		this.nextSyncMs = this.timer.nowMs() + SYNC_INTERVAL_MS + this.random.nextLong(SYNC_INTERVAL_MS);
 		this.sentMessages++;
-		this.transport.request(peer, new MembershipSync(this.self), MembershipSyncAnswer.class, SYNC_TIMEOUT_MS)
-			.whenComplete((answer, error) -> {
-				if (error == null) {
-					// Others know these instances already.
-					answer.members().forEach((update) -> merge(update, false));
-				}
-			});
+		// Others know these instances already.
+		this.reconciler.fetch(peer, this.self, (update) -> merge(update, false));
 	}
 
 	private void merge(MemberUpdate update) {
@@ -261,23 +246,19 @@
 					&& update.member().state() != this.self.member().state();
 			if (isWrong) {
 				this.self = new MemberUpdate(this.self.member(), update.version() + 1);
-				passOn(this.self);
+				this.flood.add(this.self);
 			}
 			return;
 		}
 		if (this.table.merge(update, this.timer.nowMs(), isSpread)) {
 			this.snapshot = null;
 			if (isSpread) {
-				passOn(update);
+				this.flood.add(update);
 			}
 			announce(update.member().id());
 		}
 	}
 
-	private void passOn(MemberUpdate update) {
-		this.flood.add(update);
-	}
-
 	private void announce(InstanceId id) {
 		Member member = member(id);
 		if (member != null) {
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MembershipReconciler.java
@@ -0,0 +1,50 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Fetches all instances that a peer knows, when this instance joins and when the digests
+ * of two instances differ.
+ */
+final class MembershipReconciler {
+
+	private static final long TIMEOUT_MS = 1000;
+
+	/** Bounds the bytes of full lists while many instances change. */
+	private static final long INTERVAL_MS = 5000;
+
+	private final TimerService timer;
+
+	private final PeerTransport transport;
+
+	private final UniformRandomProvider random;
+
+	private long nextMs = Long.MIN_VALUE;
+
+	MembershipReconciler(TimerService timer, PeerTransport transport, UniformRandomProvider random) {
+		this.timer = timer;
+		this.transport = transport;
+		this.random = random;
+	}
+
+	boolean isDue() {
+		return this.timer.nowMs() >= this.nextMs;
+	}
+
+	void fetch(InstanceId peer, MemberUpdate self, Consumer<MemberUpdate> receiver) {
+		this.nextMs = this.timer.nowMs() + INTERVAL_MS + this.random.nextLong(INTERVAL_MS);
+		this.transport.request(peer, new MembershipSync(self), MembershipSyncAnswer.class, TIMEOUT_MS)
+			.whenComplete((answer, error) -> {
+				if (error == null) {
+					answer.members().forEach(receiver);
+				}
+			});
+	}
+
+}
