--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryDecisions.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryDecisions.java
@@ -27,12 +27,11 @@
 
 	void admission(Exchange exchange, Admission admission) {
 		AdmissionDecision decision = admission.decision();
-		boolean isReplayable = decision != null;
-		Object inputs = isReplayable ? decision.inputs() : admission;
-		Object outcome = isReplayable ? decision.step() : admission;
+		Object inputs = (decision != null) ? decision.inputs() : admission;
+		Object outcome = (decision != null) ? decision.step() : admission;
 		String counterfactual = admission.isAdmitted() ? "an empty bucket on all instances would have refused it"
 				: "a request " + admission.retryAfterMs() + " ms later would have found a token";
-		record(exchange, isReplayable ? DecisionKind.ADMISSION : DecisionKind.OUTCOME, !admission.isAdmitted(),
+		record(exchange, (decision != null) ? DecisionKind.ADMISSION : DecisionKind.OUTCOME, !admission.isAdmitted(),
 				admission.rule(), inputs, outcome, counterfactual);
 	}
 
