--- a/nutmegdoor-experiment/src/test/java/dev/nutmegdoor/experiment/soak/SoakRunTests.java
+++ b/nutmegdoor-experiment/src/test/java/dev/nutmegdoor/experiment/soak/SoakRunTests.java
@@ -62,7 +62,7 @@
 	class Mutations {
 
 		private List<String> details(Safeguards safeguards, FaultKind fault, int steps) {
-			SoakSettings settings = new SoakSettings(2, steps, EnumSet.of(fault), safeguards);
+			SoakSettings settings = new SoakSettings(5, steps, EnumSet.of(fault), safeguards);
 			return new SoakRun(settings).run().details();
 		}
 
