Don't pass on the first version of listed instances

Cause: after a common start each instance passed on the first version of every other one, although the platform's list had told of all of them. Change: the first version of a known instance with the same state is no news.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MemberTable.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/MemberTable.java
@@ -66,6 +66,11 @@
 		}
 		boolean isStateChange = entry.state() != update.member().state();
 		entry.update = update;
+		if (!isStateChange && update.version() == 1) {
+			// The first version of an instance known from the list is no news.
+			entry.roundsLeft = 0;
+			return false;
+		}
 		entry.roundsLeft = isSpread ? ROUNDS : 0;
 		if (isStateChange) {
 			entry.sinceMs = nowMs;
