--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/DemoCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/DemoCommand.java
@@ -6,11 +6,14 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.experiment.load.ClusterFleet;
 import dev.nutmegdoor.experiment.load.Demo;
 import dev.nutmegdoor.experiment.load.DemoDeployment;
 import dev.nutmegdoor.experiment.load.DemoResult;
 import dev.nutmegdoor.experiment.load.DemoSettings;
+import dev.nutmegdoor.experiment.load.FleetFactory;
+import dev.nutmegdoor.node.LoggingEventLog;
 
 /**
  * Runs a whole deployment under load in this process and prints what was observed.
@@ -34,7 +37,8 @@
 		return new Options().addOption(option("deployment", "NAME", "rift (default) or sautiwazi"))
 			.addOption(option("seconds", "N", "duration of the load, default 30"))
 			.addOption(option("seed", "S", "seed of the run, default 1"))
-			.addOption(Option.builder().longOpt("json").desc("print one JSON object").build());
+			.addOption(Option.builder().longOpt("json").desc("print one JSON object").build())
+			.addOption(Option.builder().longOpt("events").desc("log the events of all instances").build());
 	}
 
 	private static Option option(String name, String argument, String description) {
@@ -46,7 +50,10 @@
 		DemoSettings settings = new DemoSettings(deployment(line.getOptionValue("deployment", "rift")),
 				(int) number(line, "seconds", 30, 5, MAX_SECONDS), number(line, "seed", 1, 0, Long.MAX_VALUE));
 		try {
-			DemoResult result = new Demo(settings, ClusterFleet::new, console.err()::println).run();
+			EventLog events = line.hasOption("events") ? new LoggingEventLog() : EventLog.NONE;
+			FleetFactory fleets = (configuration, zones, instancesPerZone) -> new ClusterFleet(configuration, zones,
+					instancesPerZone, events);
+			DemoResult result = new Demo(settings, fleets, console.err()::println).run();
 			console.out().println(line.hasOption("json") ? result.toJson() : result.toTable());
 			return result.isClean() ? ExitCode.OK : ExitCode.FAILURE;
 		}
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/load/ClusterFleet.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/load/ClusterFleet.java
@@ -37,6 +37,8 @@
 
 	private static final long OPERATION_TIMEOUT_MS = 10_000;
 
+	private final EventLog events;
+
 	private final PlatformStandin platform;
 
 	private final List<Instance> instances = new ArrayList<>();
@@ -48,8 +50,11 @@
 	 * @param configuration configuration of the deployment
 	 * @param zones zones of the instances
 	 * @param instancesPerZone number of instances of each zone
+	 * @param events receives the events of all instances
 	 */
-	public ClusterFleet(Configuration configuration, List<AvailabilityZone> zones, int instancesPerZone) {
+	public ClusterFleet(Configuration configuration, List<AvailabilityZone> zones, int instancesPerZone,
+			EventLog events) {
+		this.events = events;
 		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
 		for (int i = 1; i <= instancesPerZone; i++) {
 			for (AvailabilityZone zone : zones) {
@@ -131,7 +136,7 @@
 			EntrySettings settings = new EntrySettings(id, zone, ANY_PORT,
 					new LimitSettings(2 << 20, 16 << 10, 4 << 20, 1 << 20, 20_000),
 					new TimeoutSettings(60_000, 10_000, 60_000, 500, 60_000, 1_000), 256, 1, configuration, cluster);
-			this.entry = new ClusterEntry(settings, cluster, this.invariants, EventLog.NONE);
+			this.entry = new ClusterEntry(settings, cluster, this.invariants, ClusterFleet.this.events);
 		}
 
 		private void start() {
