Explain a decision across the entry and the home, verified for all kinds

Cause: order, budget and placement of a program's call are decided at its home, but explain asked only the instance that issued the identifier; delayed placements were recorded as queue decisions, whose function can't read their inputs. Change: explain joins the records of all reachable instances and names those it could not ask; delayed placements keep the kind PLACEMENT.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/DecisionLog.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/DecisionLog.java
@@ -30,11 +30,11 @@
 	}
 
 	void placed(CallRequest request, PlacementInput input, PlacementDecision decision) {
-		placement(DecisionKind.PLACEMENT, request, input, decision);
+		placement(request, input, decision);
 	}
 
 	void delayed(CallRequest request, PlacementInput input, PlacementDecision decision) {
-		placement(DecisionKind.QUEUE, request, input, decision);
+		placement(request, input, decision);
 	}
 
 	void refused(CallRequest request, QueueInput input, Refusal refusal) {
@@ -46,7 +46,7 @@
 				"fewer queued calls or more time before the deadline would have let the call wait"));
 	}
 
-	private void placement(DecisionKind kind, CallRequest request, PlacementInput input, PlacementDecision decision) {
+	private void placement(CallRequest request, PlacementInput input, PlacementDecision decision) {
 		if (this.recorder == DecisionRecorder.NONE) {
 			return;
 		}
@@ -57,8 +57,9 @@
 							+ ", decode " + Math.round(replica.decodeMs()) + ", crossing "
 							+ Math.round(replica.crossingMs()) + (replica.hasPlace() ? "" : ", no place")));
 		}
-		this.recorder.record(new DecisionRecord(request.decision(), kind, this.timer.wallClockMs(), request.workspace(),
-				false, decision.rule().name(), input, decision, alternatives, decision.counterfactual()));
+		this.recorder.record(new DecisionRecord(request.decision(), DecisionKind.PLACEMENT, this.timer.wallClockMs(),
+				request.workspace(), false, decision.rule().name(), input, decision, alternatives,
+				decision.counterfactual()));
 	}
 
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/operator/InstanceEndpoints.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/operator/InstanceEndpoints.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.explain.Explanation;
 import dev.nutmegdoor.core.id.DecisionId;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.Member;
 import dev.nutmegdoor.core.membership.MembershipView;
 import dev.nutmegdoor.core.peer.PeerTransport;
 
@@ -91,16 +92,30 @@
 		return ask(new InstanceId(request.path("id")), new RemoteQuery(RemoteQuery.Subject.DRAIN, null));
 	}
 
+	/**
+	 * Asks all instances, because the entry instance that issued the identifier and the
+	 * home of the program both decide about a request, and the home can change.
+	 */
 	private CompletableFuture<?> explain(OperatorRequest request) {
 		DecisionId id = new DecisionId(request.path("id"));
-		InstanceId instance = DecisionIds.instanceOf(id);
-		if (instance == null) {
+		InstanceId issuer = DecisionIds.instanceOf(id);
+		if (issuer == null) {
 			throw new OperatorException(400, "malformed-request",
 					"a decision id has the form <instance>:<number> but is '" + id + "'");
 		}
 		RemoteQuery.Subject subject = request.hasFlag("verify") ? RemoteQuery.Subject.VERIFY
 				: RemoteQuery.Subject.EXPLAIN;
-		return ask(instance, new RemoteQuery(subject, id.value()));
+		RemoteQuery query = new RemoteQuery(subject, id.value());
+		ExplanationCollector collector = new ExplanationCollector(id, issuer);
+		List<CompletableFuture<Void>> pending = new ArrayList<>();
+		for (Member member : this.membership.members()) {
+			pending.add(ask(member.id(), query).handle((answer, error) -> {
+				collector.add(member.id(), (error == null) ? answer : null);
+				return null;
+			}));
+		}
+		return CompletableFuture.allOf(pending.toArray(new CompletableFuture<?>[0]))
+			.thenApply((ignored) -> collector.result(this.mapper));
 	}
 
 	private CompletableFuture<JsonNode> ask(InstanceId instance, RemoteQuery query) {
