--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
@@ -19,6 +19,7 @@
 import dev.nutmegdoor.core.membership.MembershipView;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.time.PauseWatch;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -70,6 +71,8 @@
 
 	private volatile ConfigurationDocument document = ConfigurationDocument.EMPTY;
 
+	private final PauseWatch pauses;
+
 	private boolean isLoading;
 
 	private boolean isFetching;
@@ -102,6 +105,7 @@
 		this.invariants = invariants;
 		this.steps = steps;
 		this.events = events;
+		this.pauses = new PauseWatch(timer);
 		this.store = new ConfigurationStore(store, timer, random);
 		this.archive = new ConfigurationArchive(persistence);
 		this.fetcher = new ConfigurationFetcher(timer, transport, settings.peerTimeoutMs());
@@ -310,9 +314,12 @@
 	}
 
 	private void check(long versionBefore, long version) {
-		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC,
-				version > versionBefore && this.lastApplyMs <= IN_FORCE_MS, () -> "version " + version + " follows "
-						+ versionBefore + " and was applied " + this.lastApplyMs + " ms after it was announced");
+		// While this process was paused it could not be reached.
+		boolean isInTime = this.lastApplyMs <= IN_FORCE_MS
+				|| this.pauses.hasPausedSince(this.timer.nowMs() - this.lastApplyMs);
+		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC, version > versionBefore && isInTime,
+				() -> "version " + version + " follows " + versionBefore + " and was applied " + this.lastApplyMs
+						+ " ms after it was announced");
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/key/WithdrawalController.java
@@ -26,6 +26,7 @@
 import dev.nutmegdoor.core.membership.MembershipView;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.time.PauseWatch;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -50,11 +51,6 @@
 	/** Peers that a starting instance asks. */
 	private static final int START_PEERS = 4;
 
-	private static final long TICK_MS = 500;
-
-	/** A tick that is later than this by itself shows a pause of this process. */
-	private static final long PAUSE_MS = 1_000;
-
 	private final KeySettings settings;
 
 	private final TimerService timer;
@@ -83,9 +79,7 @@
 
 	private volatile boolean isolated;
 
-	private long lastTickMs;
-
-	private @Nullable Long pauseEndMs;
+	private final PauseWatch pauses;
 
 	private long contactMs;
 
@@ -117,6 +111,7 @@
 		this.store = new WithdrawalStore(store, timer, membership, random, settings.storeWatchersPerZone(),
 				this.withdrawals, this::apply, this::onContact);
 		this.contactMs = timer.nowMs();
+		this.pauses = new PauseWatch(timer);
 	}
 
 	/**
@@ -126,8 +121,6 @@
 	 * must not report ready
 	 */
 	public CompletableFuture<Void> start() {
-		this.lastTickMs = this.timer.nowMs();
-		this.timer.subscribe(TICK_MS, this::tick);
 		this.transport.subscribe(WithdrawalPush.class, (from, message) -> {
 			onContact();
 			apply(message.withdrawals());
@@ -156,14 +149,6 @@
 		return result;
 	}
 
-	private void tick() {
-		long nowMs = this.timer.nowMs();
-		if (nowMs - this.lastTickMs > TICK_MS + PAUSE_MS) {
-			this.pauseEndMs = nowMs;
-		}
-		this.lastTickMs = nowMs;
-	}
-
 	/**
 	 * Withdraws a key.
 	 * @param key identifier of the key
@@ -183,7 +168,7 @@
 		return this.zones.confirm(List.of(withdrawal)).thenApply((answers) -> {
 			long durationMs = this.timer.nowMs() - startMs;
 			// An instance that was paused meanwhile could not be reached by its operator.
-			boolean isPaused = this.pauseEndMs != null && this.pauseEndMs >= startMs;
+			boolean isPaused = this.pauses.hasPausedSince(startMs);
 			this.invariants.check(Invariant.KEY_WITHDRAWAL, isPaused || durationMs <= IN_FORCE_MS,
 					() -> "key " + key + " was confirmed after " + durationMs + " ms");
 			boolean isStored = stored.isDone() && !stored.isCompletedExceptionally();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionTable.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/program/PartitionTable.java
@@ -105,7 +105,10 @@
 	}
 
 	private void refreshAfter(long ageMs) {
-		if (this.isLoading || this.timer.nowMs() - this.lastRefreshMs < ageMs) {
+		long sinceLastMs = this.timer.nowMs() - this.lastRefreshMs;
+		// A read whose answer never comes must not leave the table stale for good.
+		boolean isPending = this.isLoading && sinceLastMs < this.refreshMs;
+		if (isPending || sinceLastMs < ageMs) {
 			return;
 		}
 		this.isLoading = true;
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/time/PauseWatchTests.java
@@ -0,0 +1,48 @@
+package dev.nutmegdoor.core.time;
+
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class PauseWatchTests {
+
+	private final VirtualTimerService timer = new VirtualTimerService(0);
+
+	private final FakeHost host = new FakeHost(this.timer, new InstanceId("i-1"), new AvailabilityZone("a"), 0);
+
+	private final PauseWatch watch = new PauseWatch(this.host);
+
+	// Guards against a bound on time that a process breaks by its own pause.
+	@Test
+	void noticesAPauseFromTheFirstCallbackAfterIt() {
+		this.timer.advance(10_000);
+		long startMs = this.host.nowMs();
+		this.host.pause();
+		this.timer.advance(5_000);
+		this.host.resume();
+		assertThat(this.watch.hasPausedSince(startMs), is(true));
+	}
+
+	// Guards against a watch that excuses every late change.
+	@Test
+	void reportsNoPauseWhileTheProcessRuns() {
+		this.timer.advance(10_000);
+		assertThat(this.watch.hasPausedSince(0), is(false));
+	}
+
+	// Guards against a pause that excuses changes which began after it.
+	@Test
+	void forgetsAPauseThatEndedBefore() {
+		this.host.pause();
+		this.timer.advance(5_000);
+		this.host.resume();
+		this.timer.advance(1_000);
+		assertThat(this.watch.hasPausedSince(this.host.nowMs()), is(false));
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -28,6 +28,7 @@
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.key.WithdrawalResult;
 import dev.nutmegdoor.core.lease.LeaseState;
+import dev.nutmegdoor.core.membership.Member;
 import dev.nutmegdoor.core.placement.BlockPromptHasher;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
@@ -60,17 +61,16 @@
 	/** Longest wait for the shared state at the start; the platform may be slow. */
 	private static final long START_TIMEOUT_MS = 60_000;
 
-	private static final long HOME_POLL_MS = 100;
+	private static final long POLL_MS = 100;
 
-	private static final long MAX_SEED_DELAY_MS = 3_000;
+	/** Longer than it takes to put the first version in force on all instances. */
+	private static final long SEED_STEP_MS = 2_000;
 
 	/**
 	 * Additional cost of a call to another zone, each way twice the distance of zones.
 	 */
 	private static final double ZONE_CROSSING_MS = 10;
 
-	private final UniformRandomProvider random;
-
 	private final ControlThread control;
 
 	private final SharedState shared;
@@ -112,16 +112,16 @@
 	 */
 	public ClusterEntry(EntrySettings entrySettings, ClusterSettings settings, InvariantRegistry invariants,
 			EventLog events, Runnable fenced) {
-		this.random = RandomSource.XO_SHI_RO_256_PP.create();
+		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
 		// A restarted process owns nothing of its predecessor, so it needs another name.
 		InstanceId self = new InstanceId(
-				entrySettings.instance().value() + "~" + Long.toString(this.random.nextLong(1L << 40), 36));
+				entrySettings.instance().value() + "~" + Long.toString(random.nextLong(1L << 40), 36));
 		this.entrySettings = entrySettings.withInstance(self);
 		this.settings = settings;
 		this.invariants = invariants;
 		this.events = events;
 		this.control = new ControlThread("control-" + self);
-		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, this.random,
+		this.shared = new SharedState(self, entrySettings.availabilityZone(), settings, this.control, random,
 				invariants, events);
 		DecisionIds ids = new DecisionIds(self);
 		this.decisions = new DecisionLog(ids, settings.decisionLogBytes());
@@ -132,12 +132,12 @@
 		HttpEngineClient engines = new HttpEngineClient(this.http, outgoing, entrySettings.timeouts().callMs());
 		HttpServiceClient services = new HttpServiceClient(this.http, outgoing);
 		ProgramDependencies programs = new ProgramDependencies(this.control, this.shared.peers(), this.shared.store(),
-				this.shared.membership(), this.shared.lease(), this.shared.configuration(), this.random, invariants,
+				this.shared.membership(), this.shared.lease(), this.shared.configuration(), random, invariants,
 				StepListener.NONE, events, this.decisions, ProgramSettings.defaults(settings.availabilityZones())
 					.withPartitionsPerZone(settings.partitionsPerZone()));
 		this.homes = new ProgramHomes(programs, engines, services, Safeguards.ALL);
 		this.index = new ReplicaIndex(entrySettings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
-				this.control, this.random);
+				this.control, random);
 		this.scheduler = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, this.index,
 				this.control, this.shared.configuration(),
 				new UpstreamPorts(this.homes.engineClient(), services, new BlockPromptHasher()),
@@ -175,13 +175,9 @@
 				started.completeExceptionally(error);
 				return;
 			}
-			ConfigurationSeed seed = new ConfigurationSeed(this.entrySettings.configuration(), this.events);
-			// All instances of a new deployment may start at once; with a delay of their
-			// own most find the first version in force and write nothing.
-			this.control.schedule(this.random.nextLong(MAX_SEED_DELAY_MS),
-					() -> seed.commitIfEmpty(this.shared.configuration()));
+			this.control.schedule(SEED_STEP_MS, this::scheduleSeed);
 			this.reports.start(this.control, this.settings.reportPeriodMs());
-			started.complete(null);
+			completeOnceConfigured(started);
 		}));
 		try {
 			started.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -295,6 +291,28 @@
 				Map.entry("invariants", () -> InvariantDump.of(this.invariants)));
 	}
 
+	private void completeOnceConfigured(CompletableFuture<Void> started) {
+		// A new deployment with a configuration file gets its first version soon; until
+		// then every key would be refused as unknown.
+		boolean isSeedExpected = !this.entrySettings.configuration().workspaces().isEmpty();
+		if (this.shared.configuration().version() > 0 || !isSeedExpected) {
+			started.complete(null);
+		}
+		else {
+			this.control.schedule(POLL_MS, () -> completeOnceConfigured(started));
+		}
+	}
+
+	private void scheduleSeed() {
+		// All instances of a new deployment may start at once. If each wrote the first
+		// version, its shards would use up the call budgets that leases and partitions
+		// need, so they try one after the other.
+		List<Member> members = this.shared.membership().members();
+		int rank = members.indexOf(this.shared.membership().self());
+		ConfigurationSeed seed = new ConfigurationSeed(this.entrySettings.configuration(), this.events);
+		this.control.schedule(SEED_STEP_MS * Math.max(0, rank), () -> seed.commitIfEmpty(this.shared.configuration()));
+	}
+
 	private void pollHomes(int zones, long deadlineMs, CompletableFuture<Void> result) {
 		int expected = zones * this.settings.partitionsPerZone();
 		int known = this.homes.controller().table().names().size();
@@ -306,7 +324,7 @@
 					+ " partitions have an owner, configuration version is " + this.shared.configuration().version()));
 		}
 		else {
-			this.control.schedule(HOME_POLL_MS, () -> pollHomes(zones, deadlineMs, result));
+			this.control.schedule(POLL_MS, () -> pollHomes(zones, deadlineMs, result));
 		}
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/operator/InstanceEndpoints.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/operator/InstanceEndpoints.java
@@ -92,11 +92,9 @@
 		return ask(new InstanceId(request.path("id")), new RemoteQuery(RemoteQuery.Subject.DRAIN, null));
 	}
 
-	/**
-	 * Asks all instances, because the entry instance that issued the identifier and the
-	 * home of the program both decide about a request, and the home can change.
-	 */
 	private CompletableFuture<?> explain(OperatorRequest request) {
+		// The entry instance and the home of the program both decide about a request, and
+		// the home can change, so all instances are asked.
 		DecisionId id = new DecisionId(request.path("id"));
 		InstanceId issuer = DecisionIds.instanceOf(id);
 		if (issuer == null) {
@@ -110,7 +108,7 @@
 		List<CompletableFuture<Void>> pending = new ArrayList<>();
 		for (Member member : this.membership.members()) {
 			pending.add(ask(member.id(), query).handle((answer, error) -> {
-				collector.add(member.id(), (error == null) ? answer : null);
+				collector.add(member.id(), (error != null) ? null : answer);
 				return null;
 			}));
 		}
