--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -28,7 +28,6 @@
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.key.WithdrawalResult;
 import dev.nutmegdoor.core.lease.LeaseState;
-import dev.nutmegdoor.core.membership.Member;
 import dev.nutmegdoor.core.placement.BlockPromptHasher;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
@@ -63,8 +62,7 @@
 
 	private static final long POLL_MS = 100;
 
-	/** Longer than it takes to put the first version in force on all instances. */
-	private static final long SEED_STEP_MS = 2_000;
+	private static final long MAX_SEED_DELAY_MS = 3_000;
 
 	/**
 	 * Additional cost of a call to another zone, each way twice the distance of zones.
@@ -175,7 +173,7 @@
 				started.completeExceptionally(error);
 				return;
 			}
-			this.control.schedule(SEED_STEP_MS, this::scheduleSeed);
+			scheduleSeed();
 			this.reports.start(this.control, this.settings.reportPeriodMs());
 			completeOnceConfigured(started);
 		}));
@@ -306,11 +304,10 @@
 	private void scheduleSeed() {
 		// All instances of a new deployment may start at once. If each wrote the first
 		// version, its shards would use up the call budgets that leases and partitions
-		// need, so they try one after the other.
-		List<Member> members = this.shared.membership().members();
-		int rank = members.indexOf(this.shared.membership().self());
+		// need; the random part of the identifier spreads the attempts.
 		ConfigurationSeed seed = new ConfigurationSeed(this.entrySettings.configuration(), this.events);
-		this.control.schedule(SEED_STEP_MS * Math.max(0, rank), () -> seed.commitIfEmpty(this.shared.configuration()));
+		long delayMs = Math.floorMod(this.entrySettings.instance().hashCode(), MAX_SEED_DELAY_MS);
+		this.control.schedule(delayMs, () -> seed.commitIfEmpty(this.shared.configuration()));
 	}
 
 	private void pollHomes(int zones, long deadlineMs, CompletableFuture<Void> result) {
