--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/EntryCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/EntryCommand.java
@@ -1,7 +1,5 @@
 package dev.nutmegdoor.cli;
 
-import java.nio.file.Path;
-
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 
@@ -12,7 +10,6 @@
 import dev.nutmegdoor.node.cluster.ClusterEntry;
 import dev.nutmegdoor.node.settings.ClusterSettings;
 import dev.nutmegdoor.node.settings.EntrySettings;
-import dev.nutmegdoor.node.settings.SettingsException;
 
 /**
  * Runs an entry instance until it is asked to end by SIGTERM or SIGINT.
@@ -36,18 +33,10 @@
 
 	@Override
 	public ExitCode run(CommandLine line, Console console) {
-		Path file = Path.of(line.getOptionValue("config"));
-		EntrySettings settings;
-		try {
-			settings = EntrySettings.read(file);
-		}
-		catch (SettingsException ex) {
-			return SettingsOptions.report(ex, console);
-		}
-		if (line.hasOption("check")) {
-			console.out().println(file + ": valid");
-			return ExitCode.OK;
-		}
+		return SettingsOptions.run(line, console, EntrySettings::read, (settings) -> serve(settings, console));
+	}
+
+	private static ExitCode serve(EntrySettings settings, Console console) {
 		return (settings.cluster() != null) ? runCluster(settings, settings.cluster(), console)
 				: runStandalone(settings);
 	}
--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformStandinCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformStandinCommand.java
@@ -1,13 +1,11 @@
 package dev.nutmegdoor.cli;
 
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 
 import dev.nutmegdoor.node.LoggingEventLog;
-import dev.nutmegdoor.node.settings.SettingsException;
 import dev.nutmegdoor.standin.platform.PlatformStandin;
 import dev.nutmegdoor.standin.platform.PlatformStandinSettings;
 
@@ -33,18 +31,10 @@
 
 	@Override
 	public ExitCode run(CommandLine line, Console console) {
-		Path file = Path.of(line.getOptionValue("config"));
-		PlatformStandinSettings settings;
-		try {
-			settings = PlatformStandinSettings.read(file);
-		}
-		catch (SettingsException ex) {
-			return SettingsOptions.report(ex, console);
-		}
-		if (line.hasOption("check")) {
-			console.out().println(file + ": valid");
-			return ExitCode.OK;
-		}
+		return SettingsOptions.run(line, console, PlatformStandinSettings::read, PlatformStandinCommand::serve);
+	}
+
+	private static ExitCode serve(PlatformStandinSettings settings) {
 		PlatformStandin platform = PlatformStandin.start(settings);
 		InetSocketAddress address = platform.address();
 		new LoggingEventLog().record("standin.started", "kind", "platform", "address",
--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/StandinCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/StandinCommand.java
@@ -1,7 +1,6 @@
 package dev.nutmegdoor.cli;
 
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.node.LoggingEventLog;
 import dev.nutmegdoor.node.control.ControlThread;
-import dev.nutmegdoor.node.settings.SettingsException;
 import dev.nutmegdoor.standin.http.EngineStandin;
 import dev.nutmegdoor.standin.http.EngineStandinSettings;
 import dev.nutmegdoor.standin.http.ServiceStandin;
@@ -53,19 +51,12 @@
 
 	@Override
 	public ExitCode run(CommandLine line, Console console) {
-		Path file = Path.of(line.getOptionValue("config"));
-		StandinSettings settings;
-		try {
-			settings = this.kind.equals("engine") ? StandinSettings.readEngines(file)
-					: StandinSettings.readServices(file);
-		}
-		catch (SettingsException ex) {
-			return SettingsOptions.report(ex, console);
-		}
-		if (line.hasOption("check")) {
-			console.out().println(file + ": valid");
-			return ExitCode.OK;
-		}
+		return SettingsOptions.run(line, console,
+				this.kind.equals("engine") ? StandinSettings::readEngines : StandinSettings::readServices,
+				StandinCommand::serve);
+	}
+
+	private static ExitCode serve(StandinSettings settings) {
 		List<AutoCloseable> running = start(settings);
 		return Daemon.await(() -> {
 			for (AutoCloseable standin : running) {
