--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -16,6 +16,8 @@
 	static List<Command> all() {
 		List<Command> commands = new ArrayList<>();
 		commands.add(new EntryCommand());
+		commands.add(new GatewayCommand());
+		commands.add(new LedgerCommand());
 		commands.add(new StandinCommand("engine"));
 		commands.add(new StandinCommand("service"));
 		commands.add(new PlatformStandinCommand());
--- /dev/null
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformSettings.java
@@ -0,0 +1,56 @@
+package dev.nutmegdoor.cli;
+
+import java.nio.file.Path;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import org.apache.commons.cli.CommandLine;
+
+import dev.nutmegdoor.platform.ProcessSettings;
+import dev.nutmegdoor.platform.ProcessSettingsException;
+
+/**
+ * Reads the settings that the platform gives a process.
+ */
+final class PlatformSettings {
+
+	private PlatformSettings() {
+	}
+
+	/**
+	 * Reads and checks the settings; with {@code --check} that is all.
+	 * @param line parsed options
+	 * @param console where to print problems
+	 * @param isSufficient whether the settings have what the process needs
+	 * @param needed what it needs, for the report
+	 * @param action runs with valid settings
+	 * @return the exit code
+	 */
+	static ExitCode run(CommandLine line, Console console, Predicate<ProcessSettings> isSufficient, String needed,
+			Function<ProcessSettings, ExitCode> action) {
+		Path path = path();
+		ProcessSettings settings;
+		try {
+			settings = ProcessSettings.read(path);
+		}
+		catch (ProcessSettingsException ex) {
+			console.err().println(ex.getMessage());
+			return ExitCode.USAGE;
+		}
+		if (!isSufficient.test(settings)) {
+			console.err().println(path + ": the process needs " + needed);
+			return ExitCode.USAGE;
+		}
+		if (line.hasOption("check")) {
+			console.out().println(path + ": valid");
+			return ExitCode.OK;
+		}
+		return action.apply(settings);
+	}
+
+	private static Path path() {
+		String path = System.getenv(ProcessSettings.PATH_VARIABLE);
+		return Path.of((path != null && !path.isBlank()) ? path : ProcessSettings.DEFAULT_PATH);
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/CallPayload.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/CallPayload.java
@@ -3,6 +3,6 @@
 /**
  * What a call asks of an upstream.
  */
-public sealed interface CallPayload permits ModelCall, ServiceCall {
+public sealed interface CallPayload permits ModelCall, ServiceCall, RelayedCall {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RefusalReason.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RefusalReason.java
@@ -7,9 +7,9 @@
 
 	MALFORMED_REQUEST(400), UNAUTHENTICATED(401), KEY_WITHDRAWN(401), KEY_STATE_UNKNOWN(503), FORBIDDEN(403),
 	NOT_FOUND(404), OUT_OF_ORDER(409), PROGRAM_CLOSED(409), IDEMPOTENCY_KEY_EXPIRED(409), IDEMPOTENCY_KEY_REUSED(422),
-	REQUEST_TOO_LARGE(413), BUDGET_EXHAUSTED(402), RATE_LIMITED(429), QUEUE_FULL(503), DEADLINE_EXCEEDED(504),
-	NO_UPSTREAM(503), HOME_UNREACHABLE(503), DRAINING(503), NOT_OWNER(503), OUTCOME_UNKNOWN(502), UPSTREAM_FAILED(502),
-	CANCELLED(499), INTERNAL(500);
+	REQUEST_TOO_LARGE(413), BUDGET_EXHAUSTED(402), RATE_LIMITED(429), QUEUE_FULL(503), NOT_STARTED(503),
+	DEADLINE_EXCEEDED(504), NO_UPSTREAM(503), HOME_UNREACHABLE(503), DRAINING(503), NOT_OWNER(503),
+	OUTCOME_UNKNOWN(502), UPSTREAM_FAILED(502), CANCELLED(499), INTERNAL(500);
 
 	private final int httpStatus;
 
@@ -21,6 +21,15 @@
 		return this.httpStatus;
 	}
 
+	/**
+	 * Returns whether the HTTP status tells a client that the request did not run and
+	 * never will.
+	 * @return {@code true} for 402, 429, 503 and the faults of the request itself
+	 */
+	public boolean isPromiseNotRun() {
+		return this.httpStatus < 500 || this.httpStatus == 503;
+	}
+
 	/**
 	 * Returns the stable name used in problem details.
 	 * @return the name in lower case with hyphens
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
@@ -0,0 +1,61 @@
+package dev.nutmegdoor.core.call;
+
+/**
+ * What became of one send of a relayed request.
+ */
+public enum RelayOutcome {
+
+	/** The caller has the replica's whole answer. */
+	ANSWERED(RunState.RAN, true, false),
+
+	/** No connection was established; no byte of the request was written. */
+	NOT_CONNECTED(RunState.NOT_RUN, false, true),
+
+	/** Another replica has taken over the address; it did not run the request. */
+	MISDIRECTED(RunState.NOT_RUN, false, true),
+
+	/** The replica stated that it did not run the request. */
+	DECLINED(RunState.NOT_RUN, true, false),
+
+	/** The connection failed before any piece of an answer was passed on. */
+	BROKEN(RunState.UNKNOWN, true, true),
+
+	/** The answer broke off after a piece of it had been passed on. */
+	TRUNCATED(RunState.RAN, true, true),
+
+	/** The send was ended by this process. */
+	CANCELLED(RunState.UNKNOWN, true, false);
+
+	private final RunState run;
+
+	private final boolean sent;
+
+	private final boolean failure;
+
+	RelayOutcome(RunState run, boolean sent, boolean failure) {
+		this.run = run;
+		this.sent = sent;
+		this.failure = failure;
+	}
+
+	public RunState run() {
+		return this.run;
+	}
+
+	/**
+	 * Returns whether the replica that was meant received the request.
+	 * @return {@code true} if it counts as one of the replicas the request was sent to
+	 */
+	public boolean isSent() {
+		return this.sent;
+	}
+
+	/**
+	 * Returns whether the outcome speaks against the health of the replica.
+	 * @return {@code true} if it does
+	 */
+	public boolean isFailure() {
+		return this.failure;
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
@@ -43,6 +43,8 @@
 
 	private final Map<String, SortedMap<String, StoredObject>> kinds = new HashMap<>();
 
+	private final Map<String, String> statuses = new HashMap<>();
+
 	private final List<StoreEvent> events = new ArrayList<>();
 
 	private final Set<AvailabilityZone> cutZones = new HashSet<>();
@@ -110,6 +112,16 @@
 		return kind(kind).get(name);
 	}
 
+	/**
+	 * Returns the status of an object without a call.
+	 * @param kind kind of the object
+	 * @param name name within the kind
+	 * @return the status as JSON, or {@code null} if none was reported
+	 */
+	public @Nullable String peekStatus(String kind, String name) {
+		return this.statuses.get(kind + "/" + name);
+	}
+
 	public long calls() {
 		return this.calls;
 	}
@@ -221,6 +233,15 @@
 			});
 		}
 
+		@Override
+		public CompletableFuture<Void> reportStatus(String kind, String name, String status) {
+			return call(true, () -> {
+				require(kind, name);
+				FakeObjectStore.this.statuses.put(kind + "/" + name, status);
+				return null;
+			});
+		}
+
 		@Override
 		public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
 			long deadlineMs = FakeObjectStore.this.timer.nowMs() + timeoutMs;
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerLogException.java
@@ -0,0 +1,14 @@
+package dev.nutmegdoor.core.ledger;
+
+/**
+ * The log of a ledger replica can't be written or read.
+ */
+public class LedgerLogException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	public LedgerLogException(String message, Throwable cause) {
+		super(message, cause);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -0,0 +1,78 @@
+package dev.nutmegdoor.core.ledger;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.InstanceId;
+
+/**
+ * The replicas of the ledger that a process knows, with the time of their last answer.
+ * Changed on the control thread; addresses are read from any thread.
+ */
+public final class LedgerMembers {
+
+	private final Map<InstanceId, Long> unreachableSinceMs = new HashMap<>();
+
+	private volatile Map<InstanceId, LedgerMember> members = Map.of();
+
+	/**
+	 * Returns a replica; may be called from any thread.
+	 * @param id the instance
+	 * @return the replica, or {@code null} if it is not known
+	 */
+	public @Nullable LedgerMember member(InstanceId id) {
+		return this.members.get(id);
+	}
+
+	public Collection<LedgerMember> all() {
+		return this.members.values();
+	}
+
+	int size() {
+		return this.members.size();
+	}
+
+	boolean isReachable(InstanceId id) {
+		return !this.unreachableSinceMs.containsKey(id);
+	}
+
+	long unreachableMs(InstanceId id, long nowMs) {
+		Long sinceMs = this.unreachableSinceMs.get(id);
+		return (sinceMs != null) ? nowMs - sinceMs : 0;
+	}
+
+	void answered(InstanceId id) {
+		this.unreachableSinceMs.remove(id);
+	}
+
+	void failed(InstanceId id, long nowMs) {
+		this.unreachableSinceMs.putIfAbsent(id, nowMs);
+	}
+
+	/**
+	 * Adds or moves a replica.
+	 * @param member the replica
+	 * @return whether it was new
+	 */
+	public boolean add(LedgerMember member) {
+		if (member.equals(this.members.get(member.id()))) {
+			return false;
+		}
+		Map<InstanceId, LedgerMember> changed = new HashMap<>(this.members);
+		boolean isNew = changed.put(member.id(), member) == null;
+		this.members = Map.copyOf(changed);
+		this.unreachableSinceMs.remove(member.id());
+		return isNew;
+	}
+
+	void remove(InstanceId id) {
+		Map<InstanceId, LedgerMember> changed = new HashMap<>(this.members);
+		changed.remove(id);
+		this.members = Map.copyOf(changed);
+		this.unreachableSinceMs.remove(id);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMessages.java
@@ -0,0 +1,20 @@
+package dev.nutmegdoor.core.ledger;
+
+import java.util.List;
+
+import dev.nutmegdoor.core.peer.PeerMessage;
+
+/**
+ * The messages of the ledger.
+ */
+public final class LedgerMessages {
+
+	private LedgerMessages() {
+	}
+
+	public static List<Class<? extends PeerMessage>> types() {
+		return List.of(LedgerReserve.class, LedgerAnswer.class, LedgerUpdate.class, LedgerSync.class,
+				LedgerSyncAnswer.class);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -0,0 +1,320 @@
+package dev.nutmegdoor.core.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.InstanceRegistry;
+import dev.nutmegdoor.core.peer.PeerException;
+import dev.nutmegdoor.core.peer.PeerFailure;
+import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * One replica of the ledger. It answers only while it has everything that it ever
+ * acknowledged: a replica with an empty disk first takes over the entries of the others.
+ * Runs on the control thread.
+ */
+public final class LedgerReplica {
+
+	private static final long EXPIRY_PERIOD_MS = 5_000;
+
+	private static final long REGISTRATION_RETRY_MS = 400;
+
+	/**
+	 * Longest wait in milliseconds for the other replicas' entries. One that does not
+	 * answer by then is down or cut off, and what only it knows stays uncounted here.
+	 */
+	private static final long SYNC_PATIENCE_MS = 1_500;
+
+	/** Longest wait in milliseconds if others answer but are not complete either. */
+	private static final long SYNC_LIMIT_MS = 6_000;
+
+	private final LedgerMember self;
+
+	private final PeerTransport transport;
+
+	private final InstanceRegistry registry;
+
+	private final LedgerLog log;
+
+	private final TimerService timer;
+
+	private final EventLog events;
+
+	private final LedgerSettings settings;
+
+	private final LedgerMembers members;
+
+	private final LedgerTable table = new LedgerTable();
+
+	private boolean isServing;
+
+	private boolean isRegistered;
+
+	private boolean isLeaving;
+
+	private boolean isCompacting;
+
+	private long syncStartedMs;
+
+	/**
+	 * Creates a replica and subscribes to messages; {@link #start} starts it.
+	 * @param self this replica as others reach it
+	 * @param transport messages to instances and to other replicas
+	 * @param registry list of replicas in the platform's store
+	 * @param log durable log
+	 * @param timer source of time
+	 * @param events receives each change of what this replica believes
+	 * @param settings figures of the ledger
+	 * @param members receives the other replicas
+	 */
+	public LedgerReplica(LedgerMember self, PeerTransport transport, InstanceRegistry registry, LedgerLog log,
+			TimerService timer, EventLog events, LedgerSettings settings, LedgerMembers members) {
+		this.self = self;
+		this.transport = transport;
+		this.registry = registry;
+		this.log = log;
+		this.timer = timer;
+		this.events = events;
+		this.settings = settings;
+		this.members = members;
+		transport.subscribe(LedgerReserve.class, (from, message) -> reserve(message));
+		transport.subscribe(LedgerUpdate.class, (from, message) -> update(message));
+		transport.subscribe(LedgerSync.class, (from, message) -> sync(message));
+	}
+
+	/**
+	 * Starts the replica.
+	 * @param recovered entries of the log
+	 * @param isComplete whether the log holds everything that this replica acknowledged;
+	 * {@code false} for an empty disk, unless the whole system starts for the first time
+	 */
+	public void start(List<LedgerEntry> recovered, boolean isComplete) {
+		recovered.forEach((entry) -> this.table.merge(entry, this.timer.nowMs()));
+		this.isServing = isComplete;
+		this.syncStartedMs = this.timer.nowMs();
+		this.events.record("ledger.started", "replica", this.self.id(), "entries", recovered.size(), "complete",
+				isComplete);
+		join();
+		this.timer.subscribe(this.settings.probePeriodMs(), this::probe);
+		this.timer.subscribe(EXPIRY_PERIOD_MS, this::expire);
+	}
+
+	public boolean isServing() {
+		return this.isServing;
+	}
+
+	public int programs() {
+		return this.table.programs();
+	}
+
+	/**
+	 * Hands all entries over to the other replicas and leaves the ledger.
+	 * @return completes when all reachable replicas have stored the entries; fails if
+	 * there is none
+	 */
+	public CompletableFuture<Void> leave() {
+		this.isLeaving = true;
+		List<LedgerEntry> entries = this.table.all();
+		List<InstanceId> receivers = this.members.all().stream().map(LedgerMember::id).toList();
+		this.events.record("ledger.leaving", "replica", this.self.id(), "entries", entries.size(), "receivers",
+				receivers);
+		List<CompletableFuture<Boolean>> stored = receivers.stream().map((id) -> handOver(id, entries)).toList();
+		return CompletableFuture.allOf(stored.toArray(CompletableFuture[]::new)).thenCompose((ignored) -> {
+			if (stored.stream().noneMatch((result) -> result.getNow(false))) {
+				return CompletableFuture.failedFuture(
+						new PeerException(PeerFailure.TIMEOUT, "no other replica of the ledger stored the entries"));
+			}
+			this.isServing = false;
+			return this.registry.unregister(this.self.toEntry());
+		});
+	}
+
+	private CompletableFuture<Boolean> handOver(InstanceId receiver, List<LedgerEntry> entries) {
+		CompletableFuture<Boolean> done = CompletableFuture.completedFuture(true);
+		int step = this.settings.maxSyncEntries();
+		for (int at = 0; at == 0 || at < entries.size(); at += step) {
+			List<LedgerEntry> part = entries.subList(at, Math.min(entries.size(), at + step));
+			done = done.thenCompose((isStored) -> isStored ? send(receiver, part) : done(false));
+		}
+		return done;
+	}
+
+	private static CompletableFuture<Boolean> done(boolean value) {
+		return CompletableFuture.completedFuture(value);
+	}
+
+	private CompletableFuture<Boolean> send(InstanceId receiver, List<LedgerEntry> entries) {
+		return this.transport
+			.request(receiver, new LedgerSync(this.self, true, false, entries), LedgerSyncAnswer.class,
+					this.settings.answerTimeoutMs() * 4)
+			.handle((answer, error) -> error == null);
+	}
+
+	private CompletableFuture<? extends PeerMessage> reserve(LedgerReserve message) {
+		if (!this.isServing) {
+			return notServing();
+		}
+		this.table.merge(message.entry(), this.timer.nowMs());
+		return this.log.append(List.of(message.entry()))
+			.thenApply((stored) -> new LedgerAnswer(this.table.entries(message.entry().program()), listed()));
+	}
+
+	private static <T> CompletableFuture<T> notServing() {
+		return CompletableFuture
+			.failedFuture(new PeerException(PeerFailure.REMOTE_ERROR, "the replica does not have all entries yet"));
+	}
+
+	private @Nullable CompletableFuture<? extends PeerMessage> update(LedgerUpdate message) {
+		store(message.entries());
+		return null;
+	}
+
+	private CompletableFuture<Void> store(List<LedgerEntry> entries) {
+		long nowMs = this.timer.nowMs();
+		List<LedgerEntry> fresh = new ArrayList<>();
+		for (LedgerEntry entry : entries) {
+			if (this.table.merge(entry, nowMs)) {
+				fresh.add(entry);
+			}
+		}
+		return fresh.isEmpty() ? CompletableFuture.completedFuture(null) : this.log.append(fresh);
+	}
+
+	private CompletableFuture<? extends PeerMessage> sync(LedgerSync message) {
+		if (message.isLeaving()) {
+			this.members.remove(message.sender().id());
+		}
+		else if (this.members.add(message.sender())) {
+			this.events.record("ledger.joined", "replica", message.sender().id());
+		}
+		this.members.answered(message.sender().id());
+		return store(message.entries()).thenApply((stored) -> new LedgerSyncAnswer(this.isServing,
+				message.isStateWanted() ? this.table.all() : List.of(), listed()));
+	}
+
+	private List<LedgerMember> listed() {
+		Stream<LedgerMember> own = this.isLeaving ? Stream.empty() : Stream.of(this.self);
+		return Stream.concat(own, this.members.all().stream()).toList();
+	}
+
+	private void join() {
+		if (this.isLeaving) {
+			return;
+		}
+		this.registry.register(this.self.toEntry())
+			.thenCompose((registered) -> this.registry.list())
+			.whenComplete((entries, error) -> {
+				if (error != null) {
+					this.timer.schedule(REGISTRATION_RETRY_MS, this::join);
+					return;
+				}
+				this.isRegistered = true;
+				entries.stream()
+					.filter((entry) -> !entry.id().equals(this.self.id()))
+					.forEach((entry) -> this.members.add(LedgerMember.of(entry)));
+				this.syncStartedMs = this.timer.nowMs();
+				this.members.all().forEach((member) -> probe(member, true));
+				serveIfAlone();
+			});
+	}
+
+	private void probe() {
+		if (this.isLeaving) {
+			return;
+		}
+		for (LedgerMember member : List.copyOf(this.members.all())) {
+			if (this.members.unreachableMs(member.id(), this.timer.nowMs()) > this.settings.evictMs()) {
+				evict(member);
+			}
+			else {
+				probe(member, !this.isServing || !this.members.isReachable(member.id()));
+			}
+		}
+		long waitedMs = this.timer.nowMs() - this.syncStartedMs;
+		if (!this.isServing && this.isRegistered && waitedMs > SYNC_PATIENCE_MS) {
+			// Waiting on would only keep this replica's share of the budgets unused.
+			boolean hasReachable = this.members.all()
+				.stream()
+				.anyMatch((member) -> this.members.isReachable(member.id()));
+			if (!hasReachable || waitedMs > SYNC_LIMIT_MS) {
+				serve("no complete replica answers");
+			}
+		}
+	}
+
+	private void probe(LedgerMember member, boolean isStateWanted) {
+		this.transport
+			.request(member.id(), new LedgerSync(this.self, false, isStateWanted, List.of()), LedgerSyncAnswer.class,
+					this.settings.answerTimeoutMs())
+			.whenComplete((answer, error) -> {
+				if (error != null) {
+					if (this.members.isReachable(member.id())) {
+						this.events.record("ledger.lost", "replica", member.id(), "error",
+								String.valueOf(error.getMessage()));
+					}
+					this.members.failed(member.id(), this.timer.nowMs());
+				}
+				else {
+					answered(member, isStateWanted, answer);
+				}
+			});
+	}
+
+	private void answered(LedgerMember member, boolean isStateWanted, LedgerSyncAnswer answer) {
+		if (!this.members.isReachable(member.id())) {
+			this.events.record("ledger.regained", "replica", member.id());
+		}
+		this.members.answered(member.id());
+		answer.members().stream().filter((listed) -> !listed.id().equals(this.self.id())).forEach(this.members::add);
+		if (!isStateWanted) {
+			return;
+		}
+		store(answer.entries()).whenComplete((stored, error) -> {
+			// The entries of one complete replica suffice: each reservation is sent to
+			// all.
+			if (error == null && answer.isComplete() && !this.isServing && !this.isLeaving) {
+				serve("entries taken over from " + member.id());
+			}
+		});
+	}
+
+	private void serveIfAlone() {
+		if (!this.isServing && this.members.size() == 0) {
+			serve("no other replica is listed");
+		}
+	}
+
+	private void serve(String reason) {
+		this.isServing = true;
+		this.events.record("ledger.serving", "replica", this.self.id(), "reason", reason, "programs",
+				this.table.programs());
+	}
+
+	private void evict(LedgerMember member) {
+		this.members.remove(member.id());
+		this.events.record("ledger.evicted", "replica", member.id());
+		this.registry.unregister(member.toEntry()).whenComplete((done, error) -> {
+			if (error != null) {
+				this.events.record("ledger.evict-failed", "replica", member.id(), "error",
+						String.valueOf(error.getMessage()));
+			}
+		});
+	}
+
+	private void expire() {
+		this.table.expire(this.timer.nowMs());
+		if (this.log.sizeBytes() > this.settings.compactBytes() && !this.isCompacting) {
+			this.isCompacting = true;
+			this.log.compact(this.table.all()).whenComplete((done, error) -> this.isCompacting = false);
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerTable.java
@@ -0,0 +1,76 @@
+package dev.nutmegdoor.core.ledger;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Entries by program. Used on one thread.
+ */
+final class LedgerTable {
+
+	private final Map<String, Account> accounts = new HashMap<>();
+
+	/**
+	 * Merges an entry.
+	 * @param entry the entry
+	 * @param nowMs present time in milliseconds
+	 * @return whether the entry added anything
+	 */
+	boolean merge(LedgerEntry entry, long nowMs) {
+		Account account = this.accounts.computeIfAbsent(entry.program(), (program) -> new Account());
+		account.expiresMs = Math.max(account.expiresMs, nowMs + entry.retentionMs());
+		LedgerEntry known = account.entries.get(entry.holder());
+		LedgerEntry merged = (known != null) ? known.merge(entry) : entry;
+		account.entries.put(entry.holder(), merged);
+		return !merged.equals(known);
+	}
+
+	/**
+	 * Returns the tokens charged to a program.
+	 * @param program the program
+	 * @return tokens handed out or held
+	 */
+	long charged(String program) {
+		Account account = this.accounts.get(program);
+		return (account != null) ? account.entries.values().stream().mapToLong(LedgerEntry::chargedTokens).sum() : 0;
+	}
+
+	List<LedgerEntry> entries(String program) {
+		Account account = this.accounts.get(program);
+		return (account != null) ? List.copyOf(account.entries.values()) : List.of();
+	}
+
+	List<LedgerEntry> all() {
+		List<LedgerEntry> all = new ArrayList<>();
+		this.accounts.values()
+			.stream()
+			.map((account) -> account.entries.values())
+			.forEach((Collection<LedgerEntry> entries) -> all.addAll(entries));
+		return all;
+	}
+
+	void expire(long nowMs) {
+		for (Iterator<Account> iterator = this.accounts.values().iterator(); iterator.hasNext();) {
+			if (iterator.next().expiresMs < nowMs) {
+				iterator.remove();
+			}
+		}
+	}
+
+	int programs() {
+		return this.accounts.size();
+	}
+
+	private static final class Account {
+
+		private final Map<String, LedgerEntry> entries = new HashMap<>(2);
+
+		private long expiresMs;
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -0,0 +1,274 @@
+package dev.nutmegdoor.core.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Holds and releases tokens of programs' budgets for the turns that this instance runs. A
+ * turn is granted once the replicas that have stored its reservation hold enough of the
+ * budget, mostly after the first answer. Runs on the control thread.
+ */
+public final class TokenBudgets {
+
+	private static final long EXPIRY_PERIOD_MS = 5_000;
+
+	private final PeerTransport transport;
+
+	private final LedgerMembers members;
+
+	private final TimerService timer;
+
+	private final InvariantRegistry invariants;
+
+	private final EventLog events;
+
+	private final LedgerSettings settings;
+
+	private final String holder;
+
+	private final LedgerTable table = new LedgerTable();
+
+	private final Map<String, LedgerEntry> own = new HashMap<>();
+
+	private final Set<String> changed = new LinkedHashSet<>();
+
+	/**
+	 * Creates the budgets and subscribes to time.
+	 * @param transport messages to the replicas
+	 * @param members replicas of the ledger
+	 * @param timer source of time
+	 * @param invariants checks that a granted turn fits into its budget
+	 * @param events receives replicas that are lost or regained
+	 * @param settings figures of the ledger
+	 * @param holder identifies this run of the instance
+	 */
+	public TokenBudgets(PeerTransport transport, LedgerMembers members, TimerService timer,
+			InvariantRegistry invariants, EventLog events, LedgerSettings settings, String holder) {
+		this.transport = transport;
+		this.members = members;
+		this.timer = timer;
+		this.invariants = invariants;
+		this.events = events;
+		this.settings = settings;
+		this.holder = holder;
+		timer.subscribe(settings.updatePeriodMs(), this::sendUpdates);
+		timer.subscribe(EXPIRY_PERIOD_MS, this::expire);
+	}
+
+	/**
+	 * Holds tokens for a turn.
+	 * @param program workspace and identifier of the program
+	 * @param tokens most tokens that the turn generates
+	 * @param budgetTokens tokens that all turns of the program may generate
+	 * @param retentionMs time for which the program is remembered in milliseconds
+	 * @return the decision; never fails
+	 */
+	public CompletableFuture<TokenReservation> reserve(String program, long tokens, long budgetTokens,
+			long retentionMs) {
+		LedgerEntry entry = charge(program, tokens, 0, retentionMs);
+		Attempt attempt = new Attempt(program, tokens, budgetTokens);
+		attempt.send(entry);
+		return attempt.result;
+	}
+
+	/**
+	 * Releases tokens that were held and not handed out.
+	 * @param program workspace and identifier of the program
+	 * @param tokens number of tokens
+	 */
+	public void release(String program, long tokens) {
+		LedgerEntry known = this.own.get(program);
+		if (known != null && tokens > 0) {
+			charge(program, 0, tokens, known.retentionMs());
+			this.changed.add(program);
+		}
+	}
+
+	public int programs() {
+		return this.table.programs();
+	}
+
+	private boolean isFirstReservation(String program, long tokens) {
+		return this.table.entries(program).stream().mapToLong(LedgerEntry::reservedTokens).sum() == tokens;
+	}
+
+	private LedgerEntry charge(String program, long reserved, long released, long retentionMs) {
+		LedgerEntry known = this.own.getOrDefault(program, new LedgerEntry(program, this.holder, 0, 0, retentionMs));
+		LedgerEntry entry = new LedgerEntry(program, this.holder, known.reservedTokens() + reserved,
+				known.releasedTokens() + released, Math.max(retentionMs, known.retentionMs()));
+		this.own.put(program, entry);
+		this.table.merge(entry, this.timer.nowMs());
+		return entry;
+	}
+
+	private void sendUpdates() {
+		if (this.changed.isEmpty()) {
+			return;
+		}
+		List<LedgerEntry> entries = new ArrayList<>();
+		for (String program : this.changed) {
+			LedgerEntry entry = this.own.get(program);
+			if (entry != null) {
+				entries.add(entry);
+			}
+		}
+		this.changed.clear();
+		LedgerUpdate update = new LedgerUpdate(entries);
+		this.members.all().forEach((member) -> this.transport.send(member.id(), update));
+	}
+
+	private void expire() {
+		this.table.expire(this.timer.nowMs());
+		this.own.keySet().removeIf((program) -> this.table.entries(program).isEmpty());
+	}
+
+	// Replicas may differ in what they know for a while. A replica counts as gone if
+	// another one no longer lists it and this instance does not reach it either.
+	private void learn(List<LedgerMember> known) {
+		boolean isChanged = false;
+		for (LedgerMember member : known) {
+			isChanged |= this.members.add(member);
+		}
+		for (LedgerMember member : List.copyOf(this.members.all())) {
+			if (!this.members.isReachable(member.id())
+					&& known.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
+				this.members.remove(member.id());
+				isChanged = true;
+			}
+		}
+		if (isChanged) {
+			this.events.record("ledger.members", "members", this.members.all().stream().map(LedgerMember::id).toList());
+		}
+	}
+
+	/**
+	 * One reservation until it is decided.
+	 */
+	private final class Attempt {
+
+		private final CompletableFuture<TokenReservation> result = new CompletableFuture<>();
+
+		private final String program;
+
+		private final long tokens;
+
+		private final long budgetTokens;
+
+		private int asked;
+
+		private int answers;
+
+		private int failures;
+
+		private int waitedFor;
+
+		private boolean isGraceStarted;
+
+		private Attempt(String program, long tokens, long budgetTokens) {
+			this.program = program;
+			this.tokens = tokens;
+			this.budgetTokens = budgetTokens;
+		}
+
+		private void send(LedgerEntry entry) {
+			List<LedgerMember> receivers = List.copyOf(TokenBudgets.this.members.all());
+			this.asked = receivers.size();
+			LedgerReserve message = new LedgerReserve(entry);
+			for (LedgerMember member : receivers) {
+				// An unreachable replica is asked, but not waited for.
+				boolean isWaitedFor = TokenBudgets.this.members.isReachable(member.id());
+				this.waitedFor += isWaitedFor ? 1 : 0;
+				TokenBudgets.this.transport
+					.request(member.id(), message, LedgerAnswer.class, TokenBudgets.this.settings.answerTimeoutMs())
+					.whenComplete((answer, error) -> {
+						if (error != null) {
+							failed(member.id(), isWaitedFor, error);
+						}
+						else {
+							answered(member.id(), isWaitedFor, answer);
+						}
+					});
+			}
+			if (receivers.isEmpty()) {
+				finish(LedgerRule.UNDECIDED);
+			}
+		}
+
+		private void answered(InstanceId from, boolean isWaitedFor, LedgerAnswer answer) {
+			if (!TokenBudgets.this.members.isReachable(from)) {
+				TokenBudgets.this.events.record("ledger.regained", "replica", from);
+			}
+			TokenBudgets.this.members.answered(from);
+			long nowMs = TokenBudgets.this.timer.nowMs();
+			answer.entries().forEach((entry) -> TokenBudgets.this.table.merge(entry, nowMs));
+			learn(answer.members());
+			this.answers++;
+			this.waitedFor -= isWaitedFor ? 1 : 0;
+			decide();
+		}
+
+		private void failed(InstanceId from, boolean isWaitedFor, Throwable error) {
+			if (TokenBudgets.this.members.isReachable(from)) {
+				TokenBudgets.this.events.record("ledger.lost", "replica", from, "error",
+						String.valueOf(error.getMessage()));
+			}
+			TokenBudgets.this.members.failed(from, TokenBudgets.this.timer.nowMs());
+			this.failures++;
+			this.waitedFor -= isWaitedFor ? 1 : 0;
+			decide();
+		}
+
+		private void decide() {
+			if (this.result.isDone()) {
+				return;
+			}
+			LedgerRule rule = LedgerRule.decide(inputs());
+			boolean areAllHeard = this.answers + this.failures >= this.asked;
+			if (rule == LedgerRule.GRANTED || rule == LedgerRule.SPENT || areAllHeard) {
+				finish(rule);
+			}
+			else if (this.waitedFor <= 0 && this.answers > 0 && !this.isGraceStarted) {
+				// A replica that was out of reach may answer again.
+				this.isGraceStarted = true;
+				TokenBudgets.this.timer.schedule(TokenBudgets.this.settings.unreachableGraceMs(), () -> {
+					if (!this.result.isDone()) {
+						finish(LedgerRule.decide(inputs()));
+					}
+				});
+			}
+		}
+
+		private void finish(LedgerRule rule) {
+			LedgerInputs inputs = inputs();
+			if (rule == LedgerRule.GRANTED) {
+				TokenBudgets.this.invariants.check(Invariant.BUDGET, inputs.chargedTokens() <= this.budgetTokens,
+						() -> "program " + this.program + " is charged " + inputs.chargedTokens() + " of "
+								+ this.budgetTokens);
+			}
+			else {
+				release(this.program, this.tokens);
+			}
+			this.result.complete(new TokenReservation(rule, inputs, (rule == LedgerRule.GRANTED) ? this.tokens : 0,
+					isFirstReservation(this.program, this.tokens)));
+		}
+
+		private LedgerInputs inputs() {
+			return new LedgerInputs(this.budgetTokens, TokenBudgets.this.table.charged(this.program),
+					TokenBudgets.this.members.size(), this.answers);
+		}
+
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/RateLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/RateLimiter.java
@@ -16,4 +16,14 @@
 	 */
 	CompletableFuture<Admission> admit(WorkspaceId workspace);
 
+	/**
+	 * Asks for the admission of one request at a known place in its caller's work.
+	 * @param workspace workspace of the request
+	 * @param stage place of the request
+	 * @return the decision; never fails
+	 */
+	default CompletableFuture<Admission> admit(WorkspaceId workspace, RequestStage stage) {
+		return admit(workspace);
+	}
+
 }
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/PlatformDirectory.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/InstanceRegistry.java
@@ -1,16 +1,13 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.membership;
 
 import java.util.concurrent.CompletableFuture;
 
-import dev.nutmegdoor.core.membership.DirectoryEntry;
-import dev.nutmegdoor.core.membership.InstanceDirectory;
-
 /**
  * The platform's list of live and leaving instances, and the own entry in it. Futures
  * fail with {@link dev.nutmegdoor.core.store.StoreException} and complete on the control
  * thread.
  */
-public interface PlatformDirectory extends InstanceDirectory {
+public interface InstanceRegistry extends InstanceDirectory {
 
 	/**
 	 * Registers an instance, or replaces its entry.
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/StoredInstanceRegistry.java
@@ -0,0 +1,128 @@
+package dev.nutmegdoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreException;
+import dev.nutmegdoor.core.store.StoreFailure;
+import dev.nutmegdoor.core.store.StoredObject;
+
+/**
+ * Keeps the list of instances as objects of a kind of its own in the platform's store.
+ */
+public final class StoredInstanceRegistry implements InstanceRegistry {
+
+	private static final int MAX_CONFLICTS = 3;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final ObjectStore store;
+
+	private final String kind;
+
+	private final EventLog events;
+
+	/**
+	 * Creates a registry.
+	 * @param store the platform's store
+	 * @param kind kind of the objects, one for each group of instances
+	 * @param events receives entries that can't be read
+	 */
+	public StoredInstanceRegistry(ObjectStore store, String kind, EventLog events) {
+		this.store = store;
+		this.kind = kind;
+		this.events = events;
+	}
+
+	@Override
+	public CompletableFuture<List<DirectoryEntry>> list() {
+		return this.store.list(this.kind, "").thenApply((page) -> {
+			List<DirectoryEntry> entries = new ArrayList<>();
+			for (StoredObject object : page.objects()) {
+				try {
+					entries.add(decode(object));
+				}
+				catch (JsonProcessingException | IllegalArgumentException ex) {
+					this.events.record("registry.entry-unreadable", "kind", this.kind, "name", object.name(), "error",
+							String.valueOf(ex.getMessage()));
+				}
+			}
+			return entries;
+		});
+	}
+
+	@Override
+	public CompletableFuture<Void> register(DirectoryEntry instance) {
+		return put(instance, MAX_CONFLICTS);
+	}
+
+	@Override
+	public CompletableFuture<Void> unregister(DirectoryEntry instance) {
+		String name = instance.id().value();
+		return this.store.get(this.kind, name)
+			.thenCompose((object) -> this.store.delete(this.kind, name, object.version()))
+			.handle((done, error) -> {
+				if (error != null && failureOf(error) != StoreFailure.NOT_FOUND) {
+					throw new CompletionException(error);
+				}
+				return null;
+			});
+	}
+
+	private CompletableFuture<Void> put(DirectoryEntry instance, int attemptsLeft) {
+		String name = instance.id().value();
+		String value = encode(instance);
+		return this.store.create(this.kind, name, value).<CompletableFuture<Void>>handle((created, error) -> {
+			if (error == null) {
+				return CompletableFuture.completedFuture(null);
+			}
+			if (failureOf(error) != StoreFailure.CONFLICT || attemptsLeft == 0) {
+				return CompletableFuture.failedFuture(error);
+			}
+			return this.store.get(this.kind, name)
+				.thenCompose((known) -> known.value().equals(value) ? CompletableFuture.completedFuture(known)
+						: this.store.update(this.kind, name, known.version(), value))
+				.<CompletableFuture<Void>>handle((updated, failure) -> {
+					if (failure == null) {
+						return CompletableFuture.completedFuture(null);
+					}
+					StoreFailure reason = failureOf(failure);
+					boolean isRace = reason == StoreFailure.CONFLICT || reason == StoreFailure.NOT_FOUND;
+					return isRace ? put(instance, attemptsLeft - 1) : CompletableFuture.failedFuture(failure);
+				})
+				.thenCompose((result) -> result);
+		}).thenCompose((result) -> result);
+	}
+
+	private static StoreFailure failureOf(Throwable error) {
+		Throwable cause = (error instanceof CompletionException && error.getCause() != null) ? error.getCause() : error;
+		return (cause instanceof StoreException failure) ? failure.failure() : StoreFailure.OUTCOME_UNKNOWN;
+	}
+
+	private static String encode(DirectoryEntry entry) {
+		return JsonNodeFactory.instance.objectNode()
+			.put("zone", entry.availabilityZone().value())
+			.put("host", entry.host())
+			.put("port", entry.port())
+			.put("leaving", entry.isLeaving())
+			.toString();
+	}
+
+	private DirectoryEntry decode(StoredObject object) throws JsonProcessingException {
+		JsonNode node = this.mapper.readTree(object.value());
+		return new DirectoryEntry(new InstanceId(object.name()), new AvailabilityZone(node.path("zone").asText()),
+				node.path("host").asText(), node.path("port").asInt(), node.path("leaving").asBoolean());
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/LoadReport.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/LoadReport.java
@@ -21,4 +21,16 @@
 		models = List.copyOf(models);
 	}
 
+	/**
+	 * Creates a report from the load that a replica states with an answer. It says
+	 * nothing about cache memory.
+	 * @param nowMs present time in milliseconds, which orders the reports
+	 * @param runningCalls calls that the replica runs
+	 * @param waitingCalls calls that wait at the replica
+	 * @return the report
+	 */
+	public static LoadReport ofAnswer(long nowMs, int runningCalls, int waitingCalls) {
+		return new LoadReport(nowMs, 0, runningCalls, waitingCalls, 0, 0, Long.MAX_VALUE / 4, List.of());
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
@@ -24,8 +24,6 @@
 	private static final double WAIT_DOUBLING_MS = 5_000;
 
 	/** Spread of the tie-breaking term; below the cost of two decode steps. */
-	private static final double TIE_BREAK_MS = 40;
-
 	/** Crossing zones also makes a copy slower, in milliseconds for each token. */
 	private static final double ZONE_COPY_PER_TOKEN_MS = 0.01;
 
@@ -91,7 +89,7 @@
 		double evictionMs = Math.max(0, uncached + input.answerTokens() - replica.freeCacheTokens()) * perTokenMs * 0.5;
 		double waitMs = waitMs(input, replica, stepMs);
 		double scoreMs = waitMs + prefillMs + decodeMs + evictionMs + replica.crossingMs()
-				+ tieBreak(input.seed(), replica.id()) * TIE_BREAK_MS;
+				+ tieBreak(input.seed(), replica.id()) * costs.tieBreakMs();
 		return new ScoredReplica(replica.id(), scoreMs, waitMs, prefillMs + evictionMs, decodeMs, replica.crossingMs(),
 				copyFrom, hasPlace(input, replica));
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -111,21 +111,21 @@
 	/**
 	 * Collects what decides the placement of a call.
 	 * @param pool pool of the call
-	 * @param owner owner of the prompt's prefix, empty if nothing of it is cached
-	 * @param promptTokens tokens of the prompt
+	 * @param prompt parts of the prompt, none for a call without one
 	 * @param answerTokens expected tokens of the answer
 	 * @param waitedMs time in the queue in milliseconds
 	 * @param excluded replicas that have failed the call already
 	 * @return an immutable input
 	 */
-	public PlacementInput collect(String pool, String owner, int promptTokens, int answerTokens, long waitedMs,
+	public PlacementInput collect(String pool, List<PromptPart> prompt, int answerTokens, long waitedMs,
 			Set<UpstreamId> excluded) {
 		List<ReplicaState> members = this.byPool.getOrDefault(pool, List.of());
-		List<ReplicaState> candidates = sample(members, owner);
+		List<ReplicaState> candidates = sample(members, prompt);
+		int promptTokens = PromptPart.tokensOf(prompt);
 		List<ReplicaView> views = new ArrayList<>(candidates.size());
 		for (ReplicaState state : candidates) {
 			if (!excluded.contains(state.upstream().id())) {
-				views.add(view(state, owner, promptTokens));
+				views.add(view(state, prompt));
 			}
 		}
 		return new PlacementInput(pool, promptTokens, answerTokens, waitedMs, this.instances, this.random.nextLong(),
@@ -146,15 +146,16 @@
 	/**
 	 * Ends a call that the replica has answered.
 	 * @param reservation place of the call
-	 * @param owner owner of the prompt's prefix, empty if nothing of it is cached
-	 * @param cachedTokens tokens that the replica now has cached
+	 * @param prompt parts that the replica now has cached
 	 * @param actualMs time that the answer took
 	 * @param expectedMs time that it was expected to take
 	 */
-	public void answered(Reservation reservation, String owner, int cachedTokens, double actualMs, double expectedMs) {
+	public void answered(Reservation reservation, List<PromptPart> prompt, double actualMs, double expectedMs) {
 		Upstream upstream = release(reservation);
-		if (!owner.isEmpty()) {
-			this.cache.sent(owner, upstream.id(), cachedTokens, this.timer.nowMs());
+		for (PromptPart part : prompt) {
+			if (!part.id().isEmpty()) {
+				this.cache.sent(part.id(), upstream.id(), part.tokens(), this.timer.nowMs());
+			}
 		}
 		this.outliers.answered(upstream.id(), actualMs, expectedMs, poolSize(upstream), this.timer.nowMs());
 	}
@@ -230,8 +231,22 @@
 		return this.cache.holders(owner);
 	}
 
-	public int cachedTokens(String owner, UpstreamId id) {
-		return this.cache.tokens(owner, id);
+	/**
+	 * Returns how much of a prompt a replica is expected to hold.
+	 * @param prompt parts of the prompt
+	 * @param id the replica
+	 * @return tokens of the leading parts that the replica holds
+	 */
+	public int cachedTokens(List<PromptPart> prompt, UpstreamId id) {
+		int cached = 0;
+		for (PromptPart part : prompt) {
+			int known = part.id().isEmpty() ? 0 : Math.min(part.tokens(), this.cache.tokens(part.id(), id));
+			cached += known;
+			if (known < part.tokens()) {
+				break;
+			}
+		}
+		return cached;
 	}
 
 	public long lastEventSequence(UpstreamId id) {
@@ -263,14 +278,16 @@
 		return this.byPool.getOrDefault(poolOf(upstream.kind(), name), List.of()).size();
 	}
 
-	private List<ReplicaState> sample(List<ReplicaState> members, String owner) {
+	private List<ReplicaState> sample(List<ReplicaState> members, List<PromptPart> prompt) {
 		if (members.size() <= SAMPLE_SIZE) {
 			return members;
 		}
 		List<ReplicaState> sampled = new ArrayList<>(SAMPLE_SIZE + 2);
-		for (UpstreamId holder : this.cache.holders(owner)) {
+		// The last part is the one that belongs to the call's own history.
+		String ownPart = prompt.isEmpty() ? "" : prompt.get(prompt.size() - 1).id();
+		for (UpstreamId holder : this.cache.holders(ownPart)) {
 			ReplicaState state = this.replicas.get(holder);
-			if (state != null && !state.upstream().isLeaving()) {
+			if (state != null && members.contains(state)) {
 				sampled.add(state);
 			}
 		}
@@ -283,10 +300,10 @@
 		return sampled;
 	}
 
-	private ReplicaView view(ReplicaState state, String owner, int promptTokens) {
+	private ReplicaView view(ReplicaState state, List<PromptPart> prompt) {
 		Upstream upstream = state.upstream();
 		long nowMs = this.timer.nowMs();
-		int cached = owner.isEmpty() ? 0 : Math.min(promptTokens, this.cache.tokens(owner, upstream.id()));
+		int cached = cachedTokens(prompt, upstream.id());
 		double crossingMs = upstream.availabilityZone().equals(this.ownZone) ? 0 : this.zoneCrossingMs;
 		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.others(), state.othersAgeMs(nowMs),
 				state.ownAtReport(), state.freeAtReport(), state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()),
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
@@ -0,0 +1,116 @@
+package dev.nutmegdoor.core.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+
+/**
+ * What this process knows of the deployment: the newest configuration and the replicas.
+ * Changed on the control thread, read from any thread.
+ */
+public final class Deployment implements ConfigurationView {
+
+	private final InvariantRegistry invariants;
+
+	private final EventLog events;
+
+	private final List<Consumer<Configuration>> listeners = new ArrayList<>();
+
+	private final List<Consumer<RouteTable>> routeListeners = new ArrayList<>();
+
+	private volatile Configuration configuration = Configuration.EMPTY;
+
+	private volatile @Nullable RouteTable routes;
+
+	private Map<UpstreamId, Upstream> replicas = Map.of();
+
+	private boolean areReplicasKnown;
+
+	public Deployment(InvariantRegistry invariants, EventLog events) {
+		this.invariants = invariants;
+		this.events = events;
+	}
+
+	/**
+	 * Takes over a version of the configuration unless a newer one is in force.
+	 * @param table the version
+	 * @param source where it was learned, for the log
+	 */
+	public void accept(RouteTable table, String source) {
+		RouteTable current = this.routes;
+		if (current != null && table.version() <= current.version()) {
+			return;
+		}
+		long before = (current != null) ? current.version() : 0;
+		this.invariants.check(Invariant.CONFIGURATION_MONOTONIC, table.version() > before,
+				() -> "version " + table.version() + " after " + before);
+		this.routes = table;
+		this.events.record("configuration.applied", "version", table.version(), "before", before, "routes",
+				table.routes(), "source", source);
+		publish();
+		this.routeListeners.forEach((listener) -> listener.accept(table));
+	}
+
+	/**
+	 * Takes over the list of replicas.
+	 * @param upstreams all replicas that are ready or leaving
+	 */
+	public void accept(Map<UpstreamId, Upstream> upstreams) {
+		this.replicas = Map.copyOf(upstreams);
+		this.areReplicasKnown = true;
+		publish();
+	}
+
+	/**
+	 * Returns the newest configuration.
+	 * @return the table, or {@code null} if this process knows none yet
+	 */
+	public @Nullable RouteTable routes() {
+		return this.routes;
+	}
+
+	/**
+	 * Returns whether requests can be served.
+	 * @return {@code true} once a configuration and the replicas are known
+	 */
+	public boolean isKnown() {
+		return this.routes != null && this.areReplicasKnown;
+	}
+
+	/**
+	 * Registers a listener for new versions, called on the control thread.
+	 * @param listener receives each version that is taken over
+	 */
+	public void subscribeRoutes(Consumer<RouteTable> listener) {
+		this.routeListeners.add(listener);
+	}
+
+	@Override
+	public Configuration current() {
+		return this.configuration;
+	}
+
+	@Override
+	public void subscribe(Consumer<Configuration> listener) {
+		this.listeners.add(listener);
+	}
+
+	private void publish() {
+		RouteTable table = this.routes;
+		this.configuration = new Configuration((table != null) ? table.version() : 0,
+				(table != null) ? table.workspaces() : Map.of(), Map.of(), Map.of(), Map.of(), this.replicas);
+		this.listeners.forEach((listener) -> listener.accept(this.configuration));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -0,0 +1,137 @@
+package dev.nutmegdoor.core.route;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiFunction;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.store.KindListener;
+import dev.nutmegdoor.core.store.StoreEvent;
+import dev.nutmegdoor.core.store.StoreHealth;
+import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Keeps the list of replicas as the platform's store shows it. Entries can lapse while
+ * the store is out although the replica lives; after an outage a missing entry is
+ * therefore kept for a while, since a live replica's entry comes back within that time.
+ */
+public final class ReplicaList implements KindListener {
+
+	/**
+	 * Time in milliseconds for which a missing entry is kept after an outage: the
+	 * platform promises the entries of live replicas about 2 s after its return.
+	 */
+	static final long LAPSE_GRACE_MS = 2_000;
+
+	/** Time after a failed call in milliseconds during which entries may have lapsed. */
+	private static final long OUTAGE_MEMORY_MS = 2_500;
+
+	private final Deployment deployment;
+
+	private final TimerService timer;
+
+	private final EventLog events;
+
+	private final BiFunction<String, String, @Nullable Upstream> decoder;
+
+	private final StoreHealth health;
+
+	private final Map<UpstreamId, Upstream> replicas = new HashMap<>();
+
+	private final Map<UpstreamId, Long> missingSinceMs = new HashMap<>();
+
+	/**
+	 * Creates an empty list.
+	 * @param deployment receives the list after each change
+	 * @param timer source of time
+	 * @param events receives each change
+	 * @param decoder turns name and value of an entry into a replica, or {@code null} if
+	 * the entry names none
+	 * @param health tells when the store last failed a call
+	 */
+	public ReplicaList(Deployment deployment, TimerService timer, EventLog events,
+			BiFunction<String, String, @Nullable Upstream> decoder, StoreHealth health) {
+		this.deployment = deployment;
+		this.timer = timer;
+		this.events = events;
+		this.decoder = decoder;
+		this.health = health;
+	}
+
+	@Override
+	public void listed(List<StoredObject> objects) {
+		Set<UpstreamId> present = new HashSet<>();
+		for (StoredObject object : objects) {
+			Upstream replica = this.decoder.apply(object.name(), object.value());
+			if (replica != null) {
+				present.add(replica.id());
+				put(replica);
+			}
+		}
+		for (UpstreamId known : List.copyOf(this.replicas.keySet())) {
+			if (!present.contains(known)) {
+				missing(known);
+			}
+		}
+		this.deployment.accept(this.replicas);
+	}
+
+	@Override
+	public void changed(List<StoreEvent> changes) {
+		for (StoreEvent change : changes) {
+			String value = change.value();
+			Upstream replica = (value != null) ? this.decoder.apply(change.name(), value) : null;
+			if (replica != null) {
+				put(replica);
+			}
+			else if (this.replicas.containsKey(new UpstreamId(change.name()))) {
+				missing(new UpstreamId(change.name()));
+			}
+		}
+		this.deployment.accept(this.replicas);
+	}
+
+	private void put(Upstream replica) {
+		this.missingSinceMs.remove(replica.id());
+		Upstream known = this.replicas.put(replica.id(), replica);
+		if (!replica.equals(known)) {
+			this.events.record("replica.listed", "replica", replica.id(), "service", replica.serves(), "address",
+					replica.host() + ":" + replica.port(), "zone", replica.availabilityZone(), "leaving",
+					replica.isLeaving());
+		}
+	}
+
+	private void missing(UpstreamId id) {
+		if (this.health.sinceFailureMs() > OUTAGE_MEMORY_MS) {
+			remove(id, "removed from the list");
+			return;
+		}
+		if (this.missingSinceMs.putIfAbsent(id, this.timer.nowMs()) != null) {
+			return;
+		}
+		this.events.record("replica.missing", "replica", id, "sinceOutageMs", this.health.sinceFailureMs());
+		this.timer.schedule(LAPSE_GRACE_MS, () -> {
+			Long sinceMs = this.missingSinceMs.get(id);
+			if (sinceMs != null && this.timer.nowMs() - sinceMs >= LAPSE_GRACE_MS) {
+				remove(id, "still missing after an outage");
+				this.deployment.accept(this.replicas);
+			}
+		});
+	}
+
+	private void remove(UpstreamId id, String reason) {
+		this.missingSinceMs.remove(id);
+		if (this.replicas.remove(id) != null) {
+			this.events.record("replica.removed", "replica", id, "reason", reason);
+		}
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RouteTable.java
@@ -0,0 +1,114 @@
+package dev.nutmegdoor.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * One version of the operators' configuration: routes, services, workspaces and keys.
+ * Immutable.
+ */
+public final class RouteTable {
+
+	private final long version;
+
+	private final Map<String, List<ServiceRoute>> routesByHost;
+
+	private final Map<String, RoutedService> services;
+
+	private final Map<WorkspaceId, Workspace> workspaces;
+
+	private final Map<String, WorkspaceId> workspacesByKey;
+
+	private final RequestLimits limits;
+
+	/**
+	 * Creates a table.
+	 * @param version version of the configuration
+	 * @param routes all routes
+	 * @param services all services
+	 * @param workspaces workspaces with their rates; none if requests need no key
+	 * @param workspacesByKey workspace of each key
+	 * @param limits bounds of what clients may send
+	 */
+	public RouteTable(long version, List<ServiceRoute> routes, List<RoutedService> services, List<Workspace> workspaces,
+			Map<String, WorkspaceId> workspacesByKey, RequestLimits limits) {
+		this.version = version;
+		this.routesByHost = new HashMap<>();
+		for (ServiceRoute route : routes) {
+			this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+		}
+		Comparator<ServiceRoute> byLength = Comparator.comparingInt((route) -> route.prefix().length());
+		this.routesByHost.values().forEach((list) -> list.sort(byLength.reversed()));
+		this.services = new HashMap<>();
+		services.forEach((service) -> this.services.put(service.name(), service));
+		this.workspaces = new HashMap<>();
+		workspaces.forEach((workspace) -> this.workspaces.put(workspace.id(), workspace));
+		this.workspacesByKey = Map.copyOf(workspacesByKey);
+		this.limits = limits;
+	}
+
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Finds the route of a request: among the routes of its host the one with the longest
+	 * prefix.
+	 * @param host value of the request's Host header, with or without a port
+	 * @param path path of the request without its query
+	 * @return the route, or {@code null} if none matches
+	 */
+	public @Nullable ServiceRoute routeOf(String host, String path) {
+		int port = host.lastIndexOf(':');
+		String name = ((port > host.lastIndexOf(']')) ? host.substring(0, port) : host).toLowerCase(Locale.ROOT);
+		for (ServiceRoute route : this.routesByHost.getOrDefault(name, List.of())) {
+			if (path.startsWith(route.prefix())) {
+				return route;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Returns the workspace that holds a key.
+	 * @param key the key as the client sent it
+	 * @return the workspace, or {@code null} if this version has no such key
+	 */
+	public @Nullable WorkspaceId workspaceOf(String key) {
+		return this.workspacesByKey.get(key);
+	}
+
+	/**
+	 * Returns whether requests need a key.
+	 * @return {@code false} if the configuration has no workspaces
+	 */
+	public boolean isKeyRequired() {
+		return !this.workspaces.isEmpty();
+	}
+
+	public @Nullable RoutedService service(String name) {
+		return this.services.get(name);
+	}
+
+	public Map<WorkspaceId, Workspace> workspaces() {
+		return Map.copyOf(this.workspaces);
+	}
+
+	public RequestLimits limits() {
+		return this.limits;
+	}
+
+	public int routes() {
+		return this.routesByHost.values().stream().mapToInt(List::size).sum();
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallClassifier.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallClassifier.java
@@ -3,6 +3,7 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.configuration.Configuration;
 import dev.nutmegdoor.core.configuration.ConfigurationView;
 import dev.nutmegdoor.core.configuration.WorkKind;
@@ -36,6 +37,9 @@
 	CallOrder classify(CallRequest request, long nowMs) {
 		Configuration current = this.configuration.current();
 		Workspace workspace = current.workspaces().get(request.workspace());
+		if (request.payload() instanceof RelayedCall relayed) {
+			return classify(request, relayed, (workspace != null) ? workspace.weight() : 1, nowMs);
+		}
 		int priority = priorityOf(current, workspace, request.workKind());
 		ProgramId program = request.program();
 		String account = (program != null) ? program.toString() : request.decision().value();
@@ -53,6 +57,15 @@
 		return new CallOrder(priority, (workspace != null) ? workspace.weight() : 1, account, orderMs);
 	}
 
+	// The program with the least time left until its objective goes first. A request
+	// without a program counts as due when its own time is up.
+	private CallOrder classify(CallRequest request, RelayedCall relayed, int weight, long nowMs) {
+		String account = (relayed.account() != null) ? relayed.account() : request.decision().value();
+		long dueMs = (relayed.finishMs() != null) ? Math.max(relayed.finishMs(), 0) : request.timeoutMs();
+		double orderMs = nowMs + dueMs + (double) relayed.priority() * this.settings.priorityStepMs();
+		return new CallOrder(relayed.priority(), weight, account, orderMs);
+	}
+
 	private static int priorityOf(Configuration current, @Nullable Workspace workspace, String workKind) {
 		if (workspace != null) {
 			Integer override = workspace.workPriorities().get(workKind);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
@@ -1,10 +1,14 @@
 package dev.nutmegdoor.core.schedule;
 
+import java.util.List;
+
 import dev.nutmegdoor.core.call.CallRequest;
 import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.call.ServiceCall;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
 import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.PromptPart;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 
 /**
@@ -32,14 +36,39 @@
 	}
 
 	double minServiceMs(CallRequest request) {
+		if (request.payload() instanceof RelayedCall relayed) {
+			return relayed.minServiceMs();
+		}
 		return (request.payload() instanceof ModelCall model)
 				? model.maxTokens() * this.costs.stepBaseMs() * FASTEST_STEP_SHARE : 1;
 	}
 
+	static int answerTokensOf(CallRequest request) {
+		if (request.payload() instanceof RelayedCall relayed) {
+			return relayed.maxAnswerTokens();
+		}
+		return (request.payload() instanceof ModelCall model) ? model.maxTokens() : 0;
+	}
+
+	static List<PromptPart> promptOf(CallRequest request, String owner) {
+		if (request.payload() instanceof RelayedCall relayed) {
+			return relayed.prompt();
+		}
+		return (request.payload() instanceof ModelCall model) ? List.of(new PromptPart(owner, model.promptTokens()))
+				: List.of();
+	}
+
+	static boolean isWithPrompt(RelayedCall call) {
+		return call.maxAnswerTokens() > 0;
+	}
+
 	static String poolOf(CallRequest request) {
 		if (request.payload() instanceof ModelCall model) {
 			return ReplicaIndex.poolOf(UpstreamKind.MODEL_ENGINE, model.model());
 		}
+		if (request.payload() instanceof RelayedCall relayed) {
+			return ReplicaIndex.poolOf(UpstreamKind.SERVICE, relayed.service());
+		}
 		ServiceCall service = (ServiceCall) request.payload();
 		return ReplicaIndex.poolOf(UpstreamKind.SERVICE, service.service());
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.ModelCall;
+import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.call.Repeatability;
 import dev.nutmegdoor.core.call.ServiceCall;
 import dev.nutmegdoor.core.configuration.ConfigurationView;
@@ -62,7 +63,7 @@
 			}
 			return false;
 		}
-		int uncached = Math.max(0, input.promptTokens() - this.index.cachedTokens(call.owner, chosen.id()));
+		int uncached = Math.max(0, input.promptTokens() - this.index.cachedTokens(call.prompt, chosen.id()));
 		Reservation reservation = this.index.reserve(chosen.id(), uncached);
 		if (reservation == null) {
 			return false;
@@ -86,18 +87,19 @@
 	}
 
 	private PlacementInput collect(QueuedCall call) {
-		int promptTokens = 0;
-		int answerTokens = 0;
-		if (call.request.payload() instanceof ModelCall model) {
-			promptTokens = model.promptTokens();
-			answerTokens = model.maxTokens();
-		}
-		return this.index.collect(call.pool, call.owner, promptTokens, answerTokens,
+		return this.index.collect(call.pool, call.prompt, CallCosts.answerTokensOf(call.request),
 				this.timer.nowMs() - call.queuedAtMs, Set.copyOf(call.failedReplicas));
 	}
 
 	private void send(QueuedCall call, Reservation reservation, ScoredReplica chosen, int uncached) {
-		if (call.request.payload() instanceof ModelCall model) {
+		if (call.request.payload() instanceof RelayedCall relayed) {
+			call.chargedMs = CallCosts.isWithPrompt(relayed)
+					? this.runner.serviceMs(uncached, relayed.maxAnswerTokens())
+					: this.runner.settings().serviceCallCostMs();
+			call.isInterruptible = relayed.isInterruptible();
+			new RelayAttempt(this.runner, this.timer, call, relayed, reservation).start();
+		}
+		else if (call.request.payload() instanceof ModelCall model) {
 			call.chargedMs = this.runner.serviceMs(uncached, model.maxTokens());
 			new ModelAttempt(this.runner, this.timer, call, model, reservation, chosen).start();
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ModelAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ModelAttempt.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.core.schedule;
 
+import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.CallResult;
@@ -9,6 +11,7 @@
 import dev.nutmegdoor.core.fault.Step;
 import dev.nutmegdoor.core.id.ProgramId;
 import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.PromptPart;
 import dev.nutmegdoor.core.placement.Reservation;
 import dev.nutmegdoor.core.placement.ScoredReplica;
 import dev.nutmegdoor.core.time.Subscription;
@@ -132,7 +135,7 @@
 		double decodeMs = Math.max(0, this.lastOutputMs - this.firstOutputMs);
 		int cachedTokens = result.promptTokens() + result.generatedTokens();
 		this.runner.index()
-			.answered(this.reservation, this.call.owner, cachedTokens, decodeMs,
+			.answered(this.reservation, List.of(new PromptPart(this.call.owner, cachedTokens)), decodeMs,
 					stepMs * Math.max(1, result.generatedTokens() - 1));
 		double serviceMs = this.runner.serviceMs(result.promptTokens() - result.cachedTokens(),
 				result.generatedTokens());
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/NoUpstreams.java
@@ -0,0 +1,67 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.concurrent.CompletableFuture;
+
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.call.ServiceCall;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.id.ProgramId;
+import dev.nutmegdoor.core.upstream.EngineClient;
+import dev.nutmegdoor.core.upstream.EngineRequest;
+import dev.nutmegdoor.core.upstream.EngineResult;
+import dev.nutmegdoor.core.upstream.ServiceAnswer;
+import dev.nutmegdoor.core.upstream.ServiceClient;
+import dev.nutmegdoor.core.upstream.TokenListener;
+import dev.nutmegdoor.core.upstream.UpstreamException;
+
+/**
+ * Refuses every call.
+ */
+final class NoUpstreams implements EngineClient, ServiceClient {
+
+	static final NoUpstreams INSTANCE = new NoUpstreams();
+
+	private NoUpstreams() {
+	}
+
+	@Override
+	public CompletableFuture<EngineResult> generate(Upstream upstream, EngineRequest request, TokenListener listener) {
+		return refused();
+	}
+
+	@Override
+	public CompletableFuture<Void> cancel(Upstream upstream, String streamId) {
+		return refused();
+	}
+
+	@Override
+	public CompletableFuture<Void> release(Upstream upstream, ProgramId program) {
+		return refused();
+	}
+
+	@Override
+	public CompletableFuture<Integer> copyCache(Upstream source, Upstream target, ProgramId program) {
+		return refused();
+	}
+
+	@Override
+	public CompletableFuture<Void> loadModel(Upstream upstream, String model, long fencingNumber, long timeoutMs) {
+		return refused();
+	}
+
+	@Override
+	public CompletableFuture<ServiceAnswer> call(Upstream upstream, ServiceCall call, long timeoutMs) {
+		return refused();
+	}
+
+	@Override
+	public CompletableFuture<ServiceAnswer> query(Upstream upstream, ServiceCall call, long timeoutMs) {
+		return refused();
+	}
+
+	private static <T> CompletableFuture<T> refused() {
+		return CompletableFuture
+			.failedFuture(new UpstreamException(RunState.NOT_RUN, "this instance only relays requests"));
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueuedCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueuedCall.java
@@ -9,6 +9,7 @@
 import dev.nutmegdoor.core.call.CallListener;
 import dev.nutmegdoor.core.call.CallRequest;
 import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.placement.PromptPart;
 
 /**
  * A call between its acceptance and its outcome.
@@ -23,6 +24,8 @@
 
 	final String owner;
 
+	final List<PromptPart> prompt;
+
 	final int priority;
 
 	final int weight;
@@ -47,6 +50,9 @@
 
 	int attempts;
 
+	/** Replicas that were sent the call and may have begun to run it. */
+	int sends;
+
 	double chargedMs;
 
 	boolean isEnded;
@@ -65,6 +71,7 @@
 		this.listener = listener;
 		this.pool = pool;
 		this.owner = (request.program() != null) ? request.program().toString() : "";
+		this.prompt = CallCosts.promptOf(request, this.owner);
 		this.priority = order.priority();
 		this.weight = order.weight();
 		this.account = order.account();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ServiceAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ServiceAttempt.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.core.schedule;
 
+import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.call.CallResult;
@@ -79,7 +81,7 @@
 		if (isAnswered) {
 			double tookMs = this.timer.nowMs() - startedMs;
 			this.runner.index()
-				.answered(reservation, "", 0, tookMs, Math.max(tookMs, this.runner.settings().serviceCallCostMs()));
+				.answered(reservation, List.of(), tookMs, Math.max(tookMs, this.runner.settings().serviceCallCostMs()));
 		}
 		else {
 			this.runner.index().failed(reservation);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/UpstreamPorts.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/UpstreamPorts.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.core.schedule;
 
+import java.util.List;
+
 import dev.nutmegdoor.core.placement.PromptHasher;
 import dev.nutmegdoor.core.upstream.EngineClient;
 import dev.nutmegdoor.core.upstream.ServiceClient;
@@ -13,4 +15,11 @@
  */
 public record UpstreamPorts(EngineClient engines, ServiceClient services, PromptHasher hasher) {
 
+	/**
+	 * For instances that only relay requests: a relayed request brings its own way to the
+	 * upstreams.
+	 */
+	public static final UpstreamPorts RELAY_ONLY = new UpstreamPorts(NoUpstreams.INSTANCE, NoUpstreams.INSTANCE,
+			(program, call) -> List.of());
+
 }
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/BudgetedObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/BudgetedObjectStore.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -11,12 +11,6 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.event.EventLog;
-import dev.nutmegdoor.core.store.ObjectStore;
-import dev.nutmegdoor.core.store.StoreException;
-import dev.nutmegdoor.core.store.StoreFailure;
-import dev.nutmegdoor.core.store.StorePage;
-import dev.nutmegdoor.core.store.StoreWatchResult;
-import dev.nutmegdoor.core.store.StoredObject;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -111,6 +105,11 @@
 		return submit(kind, () -> this.store.delete(kind, name, expectedVersion));
 	}
 
+	@Override
+	public CompletableFuture<Void> reportStatus(String kind, String name, String status) {
+		return submit(kind, () -> this.store.reportStatus(kind, name, status));
+	}
+
 	@Override
 	public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
 		return submit(kind, () -> this.store.watch(kind, afterVersion,
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/CallBudget.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/CallBudget.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 import dev.nutmegdoor.core.time.TimerService;
 
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/CallBudgetDump.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/CallBudgetDump.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 /**
  * State of the client's call budget.
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/CallBudgetSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/CallBudgetSettings.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 /**
  * Limits of the calls that one process makes to the platform.
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/CircuitBreaker.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ObjectStore.java
@@ -57,6 +57,16 @@
 	 */
 	CompletableFuture<Void> delete(String kind, String name, long expectedVersion);
 
+	/**
+	 * Replaces the status of an object that another party has written. The status is not
+	 * part of the value that the other operations read.
+	 * @param kind kind of the object
+	 * @param name name within the kind
+	 * @param status new status as JSON
+	 * @return completes when the status is stored
+	 */
+	CompletableFuture<Void> reportStatus(String kind, String name, String status);
+
 	/**
 	 * Waits for changes of a kind.
 	 * @param kind kind of the objects
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/PendingCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/PendingCall.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
--- a/nutmegdoor-platform/src/main/java/dev/nutmegdoor/platform/ReadCoalescer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ReadCoalescer.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreFailure.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreFailure.java
@@ -17,6 +17,9 @@
 	/** The call was refused before it had any effect, because of the rate limit. */
 	RATE_LIMITED(true, true),
 
+	/** A watch asked for changes that the store no longer keeps. */
+	HISTORY_GONE(true, false),
+
 	/** The value is too large or malformed. */
 	INVALID(true, false),
 
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -0,0 +1,238 @@
+package dev.nutmegdoor.core.usage;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.limit.Admission;
+import dev.nutmegdoor.core.limit.RateLimiter;
+import dev.nutmegdoor.core.limit.RequestStage;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Admits requests of workspaces within rate and burst of all instances together. Each
+ * instance keeps a bucket per workspace, from which it takes its own admissions at once
+ * and those of the others as they are reported. A bucket may fall below zero, so that an
+ * excess admitted between two reports is paid back. While instances are out of reach, an
+ * instance uses only the part of rate and burst that corresponds to the part of the
+ * instances that it reaches. Runs on the control thread.
+ */
+public final class UsageLimiter implements RateLimiter {
+
+	private static final long MS_PER_SECOND = 1_000;
+
+	private final PeerTransport transport;
+
+	private final UsagePeers peers;
+
+	private final ConfigurationView configuration;
+
+	private final TimerService timer;
+
+	private final EventLog events;
+
+	private final UsageSettings settings;
+
+	private final String incarnation;
+
+	private final AvailabilityZone zone;
+
+	private final String host;
+
+	private final int port;
+
+	private final boolean isFirstStart;
+
+	private final long startedMs;
+
+	private final Map<WorkspaceId, UsageBucket> buckets = new HashMap<>();
+
+	private final Map<String, Long> admitted = new HashMap<>();
+
+	private boolean isChanged = true;
+
+	private long reportedMs = Long.MIN_VALUE / 2;
+
+	private double shownShare = 1;
+
+	/**
+	 * Creates a limiter and subscribes to time and reports.
+	 * @param transport messages to other instances
+	 * @param peers the other instances
+	 * @param configuration workspaces with their rates
+	 * @param timer source of time
+	 * @param events receives changes of the reachable part
+	 * @param settings figures of the exchange
+	 * @param self this instance as others reach it
+	 * @param isFirstStart whether the whole system starts for the first time, so that no
+	 * instance can have admitted anything
+	 */
+	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
+			EventLog events, UsageSettings settings, UsageSelf self, boolean isFirstStart) {
+		this.transport = transport;
+		this.peers = peers;
+		this.configuration = configuration;
+		this.timer = timer;
+		this.events = events;
+		this.settings = settings;
+		this.incarnation = self.incarnation();
+		this.zone = self.zone();
+		this.host = self.host();
+		this.port = self.port();
+		this.isFirstStart = isFirstStart;
+		this.startedMs = timer.nowMs();
+		transport.subscribe(UsageReport.class, (from, report) -> {
+			receive(from, report);
+			return null;
+		});
+		timer.subscribe(settings.reportPeriodMs(), this::report);
+	}
+
+	@Override
+	public CompletableFuture<Admission> admit(WorkspaceId workspace) {
+		return admit(workspace, RequestStage.CONTINUING);
+	}
+
+	@Override
+	public CompletableFuture<Admission> admit(WorkspaceId workspace, RequestStage stage) {
+		return CompletableFuture.completedFuture(decide(workspace, stage));
+	}
+
+	private Admission decide(WorkspaceId id, RequestStage stage) {
+		Workspace workspace = this.configuration.current().workspaces().get(id);
+		if (workspace == null || workspace.ratePerSecond() <= 0) {
+			return new Admission(true, 0, Integer.MAX_VALUE, "unlimited");
+		}
+		UsageBucket bucket = refilled(workspace);
+		double needed = 1 + stage.reservedShare() * workspace.burst() * share();
+		if (bucket.tokens < needed) {
+			double rate = workspace.ratePerSecond() * share();
+			long waitMs = (long) Math.ceil((needed - bucket.tokens) * MS_PER_SECOND / Math.max(rate, 0.001));
+			return new Admission(false, waitMs, (long) Math.max(0, bucket.tokens),
+					(bucket.tokens < 1) ? "exhausted" : "kept for programs under way");
+		}
+		bucket.tokens--;
+		this.admitted.merge(id.value(), 1L, Long::sum);
+		this.isChanged = true;
+		return new Admission(true, 0, (long) bucket.tokens, "within the rate");
+	}
+
+	private UsageBucket refilled(Workspace workspace) {
+		long nowMs = this.timer.nowMs();
+		double share = share();
+		double capacity = Math.max(1, workspace.burst() * share);
+		UsageBucket bucket = this.buckets.computeIfAbsent(workspace.id(), (id) -> {
+			// After a restart the burst may have been used just before.
+			double part = this.isFirstStart ? 1 : 0.5;
+			return new UsageBucket(capacity * part, nowMs);
+		});
+		double earned = (nowMs - bucket.refilledMs) * workspace.ratePerSecond() * share / MS_PER_SECOND;
+		bucket.tokens = Math.min(capacity, bucket.tokens + earned);
+		bucket.refilledMs = nowMs;
+		return bucket;
+	}
+
+	private double share() {
+		return this.peers.reachableShare(this.timer.nowMs(), this.settings);
+	}
+
+	private void receive(InstanceId from, UsageReport report) {
+		long nowMs = this.timer.nowMs();
+		boolean isStarting = nowMs - this.startedMs < this.settings.startMs();
+		UsagePeer peer = this.peers.heard(from, report, nowMs);
+		boolean isContinuous = peer.isContinuous(report, nowMs, this.settings.freshMs());
+		report.admitted().forEach((name, total) -> {
+			long before = peer.totals.getOrDefault(name, 0L);
+			if (isContinuous && total > before) {
+				take(new WorkspaceId(name), total - before);
+			}
+			peer.totals.put(name, total);
+		});
+		peer.reported(report, nowMs);
+		if (isStarting && !this.isFirstStart) {
+			report.levels().forEach((name, level) -> adopt(new WorkspaceId(name), level));
+		}
+		if (report.isStarting()) {
+			this.transport.send(from, build(true));
+		}
+	}
+
+	private void take(WorkspaceId id, long requests) {
+		Workspace workspace = this.configuration.current().workspaces().get(id);
+		if (workspace != null && workspace.ratePerSecond() > 0) {
+			UsageBucket bucket = refilled(workspace);
+			bucket.tokens -= (double) requests;
+		}
+	}
+
+	private void adopt(WorkspaceId id, long level) {
+		Workspace workspace = this.configuration.current().workspaces().get(id);
+		if (workspace != null && workspace.ratePerSecond() > 0) {
+			UsageBucket bucket = refilled(workspace);
+			bucket.tokens = Math.min(bucket.tokens, (double) level);
+		}
+	}
+
+	private void report() {
+		long nowMs = this.timer.nowMs();
+		double share = share();
+		if (Math.abs(share - this.shownShare) > 0.01) {
+			this.events.record("usage.share", "share", share, "before", this.shownShare, "known",
+					this.peers.known(nowMs, this.settings));
+			this.shownShare = share;
+		}
+		long sinceMs = nowMs - this.reportedMs;
+		if (!this.isChanged && sinceMs < this.settings.quietPeriodMs()) {
+			return;
+		}
+		this.isChanged = false;
+		this.reportedMs = nowMs;
+		UsageReport report = build(false);
+		this.peers.ids().forEach((id) -> this.transport.send(id, report));
+	}
+
+	private UsageReport build(boolean isAnswer) {
+		Map<String, Long> levels = new HashMap<>();
+		this.configuration.current().workspaces().forEach((id, workspace) -> {
+			UsageBucket bucket = this.buckets.get(id);
+			if (bucket != null && bucket.tokens < workspace.burst() * 0.9) {
+				levels.put(id.value(), (long) bucket.tokens);
+			}
+		});
+		boolean isStarting = !isAnswer && this.timer.nowMs() - this.startedMs < this.settings.startMs();
+		return new UsageReport(this.incarnation, this.zone, this.host, this.port, isStarting, this.admitted, levels);
+	}
+
+	/**
+	 * Returns the tokens of a workspace for the state dump.
+	 * @param id the workspace
+	 * @return tokens, or {@code null} if it has made no request here
+	 */
+	public @Nullable Double tokens(WorkspaceId id) {
+		UsageBucket bucket = this.buckets.get(id);
+		return (bucket != null) ? bucket.tokens : null;
+	}
+
+	private static final class UsageBucket {
+
+		private double tokens;
+
+		private long refilledMs;
+
+		private UsageBucket(double tokens, long refilledMs) {
+			this.tokens = tokens;
+			this.refilledMs = refilledMs;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeer.java
@@ -0,0 +1,47 @@
+package dev.nutmegdoor.core.usage;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What is known of another instance.
+ */
+final class UsagePeer {
+
+	final Map<String, Long> totals = new HashMap<>();
+
+	private String incarnation = "";
+
+	private long heardMs;
+
+	UsagePeer(long nowMs) {
+		this.heardMs = nowMs;
+	}
+
+	long heardMs() {
+		return this.heardMs;
+	}
+
+	/**
+	 * Returns whether the counts of a report continue those of the last one. After a gap
+	 * they do not: both sides used only their part of the rate in between.
+	 * @param report the report
+	 * @param nowMs present time in milliseconds
+	 * @param freshMs longest time between reports of a reachable instance in milliseconds
+	 * @return {@code true} if the difference of the counts is to be taken from the
+	 * buckets
+	 */
+	boolean isContinuous(UsageReport report, long nowMs, long freshMs) {
+		if (!report.incarnation().equals(this.incarnation)) {
+			this.totals.clear();
+			return !this.incarnation.isEmpty();
+		}
+		return nowMs - this.heardMs <= freshMs;
+	}
+
+	void reported(UsageReport report, long nowMs) {
+		this.incarnation = report.incarnation();
+		this.heardMs = nowMs;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -0,0 +1,85 @@
+package dev.nutmegdoor.core.usage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+
+/**
+ * The other instances: those that the platform's store listed and those that sent a
+ * report. Changed on the control thread; addresses are read from any thread.
+ */
+public final class UsagePeers {
+
+	private final InstanceId self;
+
+	private final Map<InstanceId, UsagePeer> peers = new HashMap<>();
+
+	private volatile Map<InstanceId, DirectoryEntry> entries = Map.of();
+
+	public UsagePeers(InstanceId self) {
+		this.self = self;
+	}
+
+	/**
+	 * Adds instances from the platform's store.
+	 * @param listed the instances
+	 */
+	public void listed(List<DirectoryEntry> listed) {
+		Map<InstanceId, DirectoryEntry> known = new HashMap<>(this.entries);
+		for (DirectoryEntry entry : listed) {
+			if (!entry.id().equals(this.self)) {
+				known.putIfAbsent(entry.id(), entry);
+			}
+		}
+		this.entries = Map.copyOf(known);
+	}
+
+	/**
+	 * Returns the address of an instance; may be called from any thread.
+	 * @param id the instance
+	 * @return its entry, or {@code null} if it is not known
+	 */
+	public @Nullable DirectoryEntry entry(InstanceId id) {
+		return this.entries.get(id);
+	}
+
+	List<InstanceId> ids() {
+		return new ArrayList<>(this.entries.keySet());
+	}
+
+	UsagePeer heard(InstanceId from, UsageReport report, long nowMs) {
+		DirectoryEntry known = this.entries.get(from);
+		if (known == null || !known.host().equals(report.host()) || known.port() != report.port()) {
+			Map<InstanceId, DirectoryEntry> changed = new HashMap<>(this.entries);
+			changed.put(from, new DirectoryEntry(from, report.zone(), report.host(), report.port(), false));
+			this.entries = Map.copyOf(changed);
+		}
+		return this.peers.computeIfAbsent(from, (id) -> new UsagePeer(nowMs));
+	}
+
+	// An instance that was listed but never heard does not count: it may be long gone.
+	double reachableShare(long nowMs, UsageSettings settings) {
+		int fresh = 1;
+		int known = 1;
+		for (UsagePeer peer : this.peers.values()) {
+			long ageMs = nowMs - peer.heardMs();
+			fresh += (ageMs <= settings.freshMs()) ? 1 : 0;
+			known += (ageMs <= settings.forgetMs()) ? 1 : 0;
+		}
+		return (double) fresh / known;
+	}
+
+	int known(long nowMs, UsageSettings settings) {
+		return 1 + (int) this.peers.values()
+			.stream()
+			.filter((peer) -> nowMs - peer.heardMs() <= settings.forgetMs())
+			.count();
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
@@ -0,0 +1,177 @@
+package dev.nutmegdoor.core.ledger;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class LedgerTests {
+
+	private static final long BUDGET = 396;
+
+	private static final long TURN = 132;
+
+	private final LedgerFleet fleet = new LedgerFleet(1);
+
+	@Nested
+	class Budgets {
+
+		// Guards against a program that gets more than its budget through several
+		// instances.
+		@Test
+		void holdOverAllInstances() {
+			long granted = LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			granted += LedgerTests.this.fleet.spendAll("g-b", "p", TURN, BUDGET);
+			assertThat(granted, is(BUDGET));
+			assertThat(LedgerTests.this.fleet.reserve("g-c", "p", TURN, BUDGET).rule(), is(LedgerRule.SPENT));
+		}
+
+		// Guards against tokens that stay charged although they were never generated.
+		@Test
+		void regainWhatATurnDidNotUse() {
+			LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			LedgerTests.this.fleet.gateways.get("g-a").release("p", TURN);
+			LedgerTests.this.fleet.timer.advance(200);
+			assertThat(LedgerTests.this.fleet.reserve("g-b", "p", TURN, BUDGET).rule(), is(LedgerRule.GRANTED));
+		}
+
+		// Guards against a program under way that is taken for a new one, and the other
+		// way round.
+		@Test
+		void tellTheFirstTurnOfAProgram() {
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET).isFirst(), is(true));
+			assertThat(LedgerTests.this.fleet.reserve("g-b", "p", TURN, BUDGET).isFirst(), is(false));
+		}
+
+		// Guards against concurrent turns at two instances that both use the last tokens.
+		@Test
+		void holdForConcurrentTurns() {
+			for (int i = 0; i < 20; i++) {
+				String program = "p" + i;
+				var one = LedgerTests.this.fleet.gateways.get("g-a").reserve(program, TURN, TURN, 60_000);
+				var other = LedgerTests.this.fleet.gateways.get("g-b").reserve(program, TURN, TURN, 60_000);
+				LedgerTests.this.fleet.timer.advance(600);
+				assertThat(one.join().tokens() + other.join().tokens(), lessThanOrEqualTo(TURN));
+			}
+		}
+
+	}
+
+	@Nested
+	class Partitions {
+
+		// Guards against a budget that is spent once on each side of a cut.
+		@Test
+		void neverGrantMoreThanTheBudgetOnBothSides() {
+			LedgerTests.this.fleet.cut("a", true);
+			long granted = LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			granted += LedgerTests.this.fleet.spendAll("g-b", "p", TURN, BUDGET);
+			assertThat(granted, lessThanOrEqualTo(BUDGET));
+		}
+
+		// Guards against a zone that stands still because it is cut off.
+		@Test
+		void leaveACutZoneItsShare() {
+			LedgerTests.this.fleet.cut("a", true);
+			assertThat(LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET), is(TURN));
+		}
+
+		// Guards against a refusal for good while the rest of the budget may be free on
+		// the other side.
+		@Test
+		void leaveTheDecisionOpenWhenTheShareIsUsed() {
+			LedgerTests.this.fleet.cut("a", true);
+			LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET).rule(), is(LedgerRule.UNDECIDED));
+			LedgerTests.this.fleet.cut("a", false);
+			LedgerTests.this.fleet.timer.advance(2_000);
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET).rule(), is(LedgerRule.GRANTED));
+		}
+
+	}
+
+	@Nested
+	class Failures {
+
+		// Guards against a budget that starts anew after all processes were killed.
+		@Test
+		void keepSpentBudgetsOverTheLossOfAllProcesses() {
+			long granted = LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			for (String zone : LedgerFleet.ZONES) {
+				LedgerTests.this.fleet.crash("r-" + zone);
+				LedgerTests.this.fleet.crash("g-" + zone);
+			}
+			for (String zone : LedgerFleet.ZONES) {
+				LedgerTests.this.fleet.startReplica("r-" + zone, zone, false);
+			}
+			LedgerTests.this.fleet.timer.advance(2_000);
+			LedgerTests.this.fleet.startGateway("g-a", "a");
+			LedgerTests.this.fleet.timer.advance(100);
+			assertThat(granted, is(BUDGET));
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET).tokens(), is(0L));
+		}
+
+		// Guards against an empty disk that brings spent tokens back.
+		@Test
+		void takeOverTheEntriesOfOthersAfterTheLossOfADisk() {
+			LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			LedgerTests.this.fleet.crash("r-a");
+			LedgerTests.this.fleet.disks.remove("r-a");
+			LedgerTests.this.fleet.startReplica("r-a", "a", false);
+			assertThat(LedgerTests.this.fleet.replicas.get("r-a").isServing(), is(false));
+			LedgerTests.this.fleet.timer.advance(2_000);
+			assertThat(LedgerTests.this.fleet.replicas.get("r-a").isServing(), is(true));
+			LedgerTests.this.fleet.cut("a", true);
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET).tokens(), is(0L));
+		}
+
+		// Guards against turns that wait for a replica that is gone.
+		@Test
+		void grantWithoutAReplicaThatIsDown() {
+			LedgerTests.this.fleet.crash("r-b");
+			LedgerTests.this.fleet.reserve("g-a", "first", TURN, BUDGET);
+			assertThat(LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET), is(2 * TURN));
+		}
+
+		// Guards against a replica that is replaced at another address and never used.
+		@Test
+		void useAReplicaThatReplacesALostOne() {
+			LedgerTests.this.fleet.spendAll("g-a", "old", TURN, BUDGET);
+			LedgerTests.this.fleet.crash("r-b");
+			LedgerTests.this.fleet.startReplica("r-d", "b", false);
+			LedgerTests.this.fleet.timer.advance(30_000);
+			LedgerTests.this.fleet.reserve("g-a", "first", TURN, BUDGET);
+			assertThat(LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET), is(BUDGET));
+			assertThat(LedgerTests.this.fleet.replicas.get("r-d").programs(), greaterThan(0));
+		}
+
+	}
+
+	@Nested
+	class Retirement {
+
+		// Guards against spent tokens that are lost with a machine that was emptied, when
+		// another one loses its disk just after.
+		@Test
+		void leavesTheEntriesWithTheOthers() {
+			LedgerTests.this.fleet.cut("a", true);
+			LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET);
+			LedgerTests.this.fleet.cut("a", false);
+			LedgerTests.this.fleet.timer.advance(2_000);
+			var left = LedgerTests.this.fleet.replicas.get("r-a").leave();
+			LedgerTests.this.fleet.timer.advance(2_000);
+			left.join();
+			LedgerTests.this.fleet.crash("r-a");
+			LedgerTests.this.fleet.crash("r-b");
+			LedgerTests.this.fleet.disks.remove("r-b");
+			LedgerTests.this.fleet.startReplica("r-b", "b", false);
+			LedgerTests.this.fleet.timer.advance(3_000);
+			assertThat(LedgerTests.this.fleet.spendAll("g-b", "p", TURN, BUDGET), lessThanOrEqualTo(BUDGET - TURN));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/RouteTableTests.java
@@ -0,0 +1,81 @@
+package dev.nutmegdoor.core.route;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+class RouteTableTests {
+
+	private static ServiceRoute route(String name, String prefix, ServiceShare... shares) {
+		return new ServiceRoute(name, "h.example", prefix, RouteKind.SAFE, List.of(shares), 1, 1_000, 100, 0, false, 0);
+	}
+
+	private static RouteTable table(long version, ServiceRoute... routes) {
+		return new RouteTable(version, List.of(routes), List.of(), List.of(), Map.of(),
+				new RequestLimits(1_000, 1_000, 1_000, 1_000));
+	}
+
+	@Nested
+	class Routes {
+
+		private final ServiceRoute general = route("general", "/a/", new ServiceShare("s", 1));
+
+		private final ServiceRoute special = route("special", "/a/b/", new ServiceShare("t", 1));
+
+		private final RouteTable table = table(1, this.general, this.special);
+
+		// Guards against a request that a less specific route takes away.
+		@Test
+		void areChosenByTheLongestPrefix() {
+			assertThat(this.table.routeOf("h.example", "/a/b/c"), is(this.special));
+			assertThat(this.table.routeOf("H.example:80", "/a/c"), is(this.general));
+		}
+
+		// Guards against a prefix that matches within a segment, and against hosts that
+		// share routes.
+		@Test
+		void matchWholeSegmentsOfTheirHostOnly() {
+			assertThat(this.table.routeOf("h.example", "/ab/"), is(nullValue()));
+			assertThat(this.table.routeOf("other.example", "/a/"), is(nullValue()));
+		}
+
+		// Guards against a share of a divided route that gets nothing or everything.
+		@Test
+		void divideRequestsByWeight() {
+			ServiceRoute divided = route("divided", "/d/", new ServiceShare("s", 90), new ServiceShare("t", 10));
+			int first = 0;
+			for (int i = 0; i < 1_000; i++) {
+				first += divided.serviceFor(i / 1_000.0).equals("s") ? 1 : 0;
+			}
+			assertThat(first, is(900));
+		}
+
+	}
+
+	@Nested
+	class Versions {
+
+		// Guards against an older version that a late answer brings back.
+		@Test
+		void neverGoBack() {
+			InvariantRegistry invariants = new InvariantRegistry();
+			Deployment deployment = new Deployment(invariants, EventLog.NONE);
+			deployment.accept(table(5), "watch");
+			deployment.accept(table(4), "list");
+			assertThat(deployment.routes().version(), is(5L));
+			assertThat(invariants.violated(Invariant.CONFIGURATION_MONOTONIC), is(0L));
+		}
+
+	}
+
+}
--- a/nutmegdoor-platform/src/test/java/dev/nutmegdoor/platform/BudgetedObjectStoreTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/BudgetedObjectStoreTests.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.platform;
+package dev.nutmegdoor.core.store;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -16,8 +16,6 @@
 import dev.nutmegdoor.core.fake.StoreFaults;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
-import dev.nutmegdoor.core.store.StoreException;
-import dev.nutmegdoor.core.store.StoreFailure;
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/KindFollowerTests.java
@@ -0,0 +1,83 @@
+package dev.nutmegdoor.core.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.fake.FakeObjectStore;
+import dev.nutmegdoor.core.fake.StoreFaults;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+class KindFollowerTests implements KindListener {
+
+	private final VirtualTimerService timer = new VirtualTimerService(0);
+
+	private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(3);
+
+	private final FakeObjectStore store = new FakeObjectStore(this.timer, this.random, StoreFaults.NONE);
+
+	private final FakeHost host = new FakeHost(this.timer, new InstanceId("i"), new AvailabilityZone("a"), 0);
+
+	private final ObjectStore client = this.store.clientOf(this.host);
+
+	private final List<String> seen = new ArrayList<>();
+
+	private int lists;
+
+	private void start() {
+		new KindFollower(this.client, this.host, this.random, new StoreHealth(this.host), EventLog.NONE, "k", 30_000,
+				this)
+			.start();
+	}
+
+	@Override
+	public void listed(List<StoredObject> objects) {
+		this.lists++;
+		objects.forEach((object) -> this.seen.add(object.value()));
+	}
+
+	@Override
+	public void changed(List<StoreEvent> changes) {
+		changes.forEach((change) -> this.seen.add(change.value()));
+	}
+
+	// Guards against a change made during an outage that is seen too late to be in force
+	// within 2 s of the store's return.
+	@Test
+	void seesChangesSoonAfterAnOutage() {
+		start();
+		this.timer.advance(1_000);
+		this.store.setAvailable(false);
+		this.timer.advance(20_000);
+		this.store.setAvailable(true);
+		this.client.create("k", "n", "new");
+		this.timer.advance(1_500);
+		assertThat(this.seen, hasItem("new"));
+	}
+
+	// Guards against objects that exist before the follower starts, and against a second
+	// list where a watch is enough.
+	@Test
+	void listsOnceAndThenWatches() {
+		this.client.create("k", "old", "old");
+		this.timer.advance(10);
+		start();
+		this.timer.advance(100);
+		this.client.create("k", "n", "new");
+		this.timer.advance(100);
+		assertThat(this.seen, is(List.of("old", "new")));
+		assertThat(this.lists, is(1));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -0,0 +1,180 @@
+package dev.nutmegdoor.core.usage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ProgramBudget;
+import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.fake.FakeConfigurationView;
+import dev.nutmegdoor.core.fake.FakeHost;
+import dev.nutmegdoor.core.fake.FakePeerNetwork;
+import dev.nutmegdoor.core.fake.LinkSettings;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.limit.RequestStage;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class UsageLimiterTests {
+
+	private static final WorkspaceId WORKSPACE = new WorkspaceId("w");
+
+	private static final int RATE = 100;
+
+	/** What the deployments tolerate above rate and burst in a window of 5 s. */
+	private static final double TOLERATED = (RATE * 5 + RATE) * 1.1 + 20;
+
+	private final VirtualTimerService timer = new VirtualTimerService(0);
+
+	private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(7);
+
+	private final FakePeerNetwork network = new FakePeerNetwork(this.random, LinkSettings.RELIABLE);
+
+	private final FakeConfigurationView configuration = new FakeConfigurationView(new Configuration(1,
+			Map.of(WORKSPACE, new Workspace(WORKSPACE, RATE, RATE, 1, Map.of(), ProgramBudget.DEFAULT)), Map.of(),
+			Map.of(), Map.of(), Map.of()));
+
+	private final List<UsageLimiter> limiters = new ArrayList<>();
+
+	private final List<FakeHost> hosts = new ArrayList<>();
+
+	private final List<DirectoryEntry> entries = new ArrayList<>();
+
+	private void start(int instances, boolean isFirstStart) {
+		for (int i = 0; i < instances; i++) {
+			this.entries.add(new DirectoryEntry(new InstanceId("i-" + i), zone(i), "10.0.0." + i, 1, false));
+		}
+		for (int i = 0; i < instances; i++) {
+			startOne(i, isFirstStart);
+		}
+		this.timer.advance(1_000);
+	}
+
+	private UsageLimiter startOne(int index, boolean isFirstStart) {
+		FakeHost host = new FakeHost(this.timer, new InstanceId("i-" + index), zone(index), 0);
+		this.hosts.add(host);
+		UsagePeers peers = new UsagePeers(host.id());
+		peers.listed(this.entries);
+		UsageLimiter limiter = new UsageLimiter(this.network.join(host), peers, this.configuration, host, EventLog.NONE,
+				UsageSettings.DEFAULT, new UsageSelf("run-" + this.hosts.size(), zone(index), "10.0.0." + index, 1),
+				isFirstStart);
+		this.limiters.add(limiter);
+		return limiter;
+	}
+
+	private static AvailabilityZone zone(int index) {
+		return new AvailabilityZone("z" + index % 3);
+	}
+
+	private boolean admit(UsageLimiter limiter, RequestStage stage) {
+		return limiter.admit(WORKSPACE, stage).join().isAdmitted();
+	}
+
+	/** Sends requests evenly to random instances; returns how many were admitted. */
+	private int send(int perSecond, long durationMs) {
+		int admitted = 0;
+		int total = (int) (perSecond * durationMs / 1_000);
+		for (int i = 0; i < total; i++) {
+			this.timer.advance(durationMs * (i + 1) / total - durationMs * i / total);
+			admitted += admit(this.limiters.get(this.random.nextInt(this.limiters.size())), RequestStage.CONTINUING) ? 1
+					: 0;
+		}
+		return admitted;
+	}
+
+	@Nested
+	class AllInReach {
+
+		// Guards against a workspace that gets its rate once on each instance.
+		@Test
+		void keepTheRateTogether() {
+			start(9, true);
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(TOLERATED));
+		}
+
+		// Guards against refusals within the rate because the load is uneven.
+		@Test
+		void refuseNothingWithinTheRate() {
+			start(9, true);
+			assertThat(send(RATE * 6 / 10, 5_000), is(RATE * 6 / 10 * 5));
+		}
+
+		// Guards against programs that are begun and then starved by new ones.
+		@Test
+		void keepTokensForProgramsUnderWay() {
+			start(1, true);
+			UsageLimiter limiter = UsageLimiterTests.this.limiters.get(0);
+			int opened = 0;
+			while (admit(limiter, RequestStage.OPENING)) {
+				opened++;
+			}
+			assertThat((double) opened, closeTo(RATE * 0.6, 1));
+			assertThat(admit(limiter, RequestStage.CONTINUING), is(true));
+		}
+
+	}
+
+	@Nested
+	class Partitions {
+
+		// Guards against rate and burst that are granted on both sides of a cut.
+		@Test
+		void keepTheRateOnBothSidesTogether() {
+			start(9, true);
+			AvailabilityZone cut = zone(0);
+			for (int other = 1; other < 3; other++) {
+				UsageLimiterTests.this.network.setCut(cut, zone(other), true);
+			}
+			UsageLimiterTests.this.timer.advance(UsageSettings.DEFAULT.freshMs() + 200);
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(TOLERATED));
+		}
+
+		// Guards against a side of a cut that stops serving.
+		@Test
+		void leaveEachSideItsShare() {
+			start(9, true);
+			for (int other = 1; other < 3; other++) {
+				UsageLimiterTests.this.network.setCut(zone(0), zone(other), true);
+			}
+			UsageLimiterTests.this.timer.advance(UsageSettings.DEFAULT.freshMs() + 200);
+			assertThat(send(7 * RATE, 5_000), greaterThan(RATE * 4));
+		}
+
+	}
+
+	@Nested
+	class Restarts {
+
+		// Guards against a restarted instance that grants a burst that was used before.
+		@Test
+		void adoptTheLevelOfTheOthers() {
+			start(3, true);
+			send(7 * RATE, 3_000);
+			UsageLimiterTests.this.hosts.get(0).crash();
+			UsageLimiter restarted = startOne(0, false);
+			UsageLimiterTests.this.timer.advance(150);
+			int admitted = 0;
+			while (admit(restarted, RequestStage.CONTINUING)) {
+				admitted++;
+			}
+			assertThat((double) admitted, lessThanOrEqualTo(RATE * 0.4));
+		}
+
+	}
+
+}
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/capacity/CapacityQuantity.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/capacity/CapacityQuantity.java
@@ -26,6 +26,7 @@
 import dev.nutmegdoor.core.placement.Placement;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.PlacementInput;
+import dev.nutmegdoor.core.placement.PromptPart;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
@@ -107,7 +108,8 @@
 				if (i == WARM_UP) {
 					startNs = System.nanoTime();
 				}
-				PlacementInput input = index.collect("model:m-" + i % MODELS, "program-" + i, 8_000, 400, 0, Set.of());
+				PlacementInput input = index.collect("model:m-" + i % MODELS,
+						List.of(new PromptPart("program-" + i, 8_000)), 400, 0, Set.of());
 				sink += Placement.decide(input).hashCode();
 				if (inputs.isEmpty()) {
 					inputs.add(input);
@@ -129,7 +131,8 @@
 		double measure(int size) {
 			DecisionIds ids = new DecisionIds(new InstanceId("i-1"));
 			DecisionLog log = new DecisionLog(ids, 8_000_000);
-			PlacementInput input = index(size).collect("model:m-1", "program-1", 8_000, 400, 0, Set.of());
+			PlacementInput input = index(size).collect("model:m-1", List.of(new PromptPart("program-1", 8_000)), 400, 0,
+					Set.of());
 			Object decision = Placement.decide(input);
 			long startNs = 0;
 			for (int i = 0; i < WARM_UP + MEASURED; i++) {
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/DecisionCost.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/DecisionCost.java
@@ -13,6 +13,7 @@
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.placement.Placement;
 import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.PromptPart;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.placement.Reservation;
 import dev.nutmegdoor.core.time.VirtualTimerService;
@@ -46,7 +47,7 @@
 		for (int program = 0; program < PROGRAMS; program++) {
 			Reservation place = index.reserve(new UpstreamId("e-" + program % replicas), 100);
 			if (place != null) {
-				index.answered(place, "program-" + program, 10_000, 1, 1);
+				index.answered(place, List.of(new PromptPart("program-" + program, 10_000)), 1, 1);
 			}
 		}
 		long startedNs = 0;
@@ -55,8 +56,8 @@
 				startedNs = System.nanoTime();
 			}
 			int program = i % PROGRAMS;
-			Placement.decide(index.collect(pools.get(program % replicas % MODELS), "program-" + program, 12_000, 100, 0,
-					Set.of()));
+			Placement.decide(index.collect(pools.get(program % replicas % MODELS),
+					List.of(new PromptPart("program-" + program, 12_000)), 100, 0, Set.of()));
 		}
 		double decisionNs = (double) (System.nanoTime() - startedNs) / DECISIONS;
 		return new ResultRow("shipped", "replicas_" + replicas, 0, 1, Map.of("decision_ns", decisionNs),
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimStore.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/soak/SimStore.java
@@ -55,6 +55,11 @@
 		return Outbound.call(this.host, () -> this.target.delete(kind, name, expectedVersion));
 	}
 
+	@Override
+	public CompletableFuture<Void> reportStatus(String kind, String name, String status) {
+		return Outbound.call(this.host, () -> this.target.reportStatus(kind, name, status));
+	}
+
 	@Override
 	public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
 		return Outbound.call(this.host, () -> this.target.watch(kind, afterVersion, timeoutMs));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
@@ -11,6 +11,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
+import reactor.netty.http.HttpResources;
 
 import dev.nutmegdoor.core.call.CallMessages;
 import dev.nutmegdoor.core.configuration.ConfigurationController;
@@ -37,23 +38,24 @@
 import dev.nutmegdoor.core.limit.LimitMessages;
 import dev.nutmegdoor.core.limit.LimitSettings;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.Member;
 import dev.nutmegdoor.core.membership.MemberState;
 import dev.nutmegdoor.core.membership.MembershipController;
 import dev.nutmegdoor.core.membership.MembershipMessages;
 import dev.nutmegdoor.core.membership.MembershipSettings;
+import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.program.ProgramMessages;
+import dev.nutmegdoor.core.store.BudgetedObjectStore;
+import dev.nutmegdoor.core.store.CallBudgetSettings;
 import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.node.operator.RemoteAnswer;
 import dev.nutmegdoor.node.operator.RemoteQuery;
 import dev.nutmegdoor.node.peer.TcpPeerTransport;
 import dev.nutmegdoor.node.persistence.FileLocalPersistence;
 import dev.nutmegdoor.node.settings.ClusterSettings;
-import dev.nutmegdoor.platform.BudgetedObjectStore;
-import dev.nutmegdoor.platform.CallBudgetSettings;
 import dev.nutmegdoor.platform.HttpObjectStore;
-import dev.nutmegdoor.platform.HttpPlatformDirectory;
 import dev.nutmegdoor.platform.PlatformHttp;
 import dev.nutmegdoor.protocol.FrameCodec;
 import dev.nutmegdoor.protocol.MessageTypes;
@@ -73,7 +75,7 @@
 
 	private final PlatformHttp platformHttp;
 
-	private final HttpPlatformDirectory directory;
+	private final InstanceRegistry directory;
 
 	private final LocalPersistence persistence;
 
@@ -111,12 +113,12 @@
 			UniformRandomProvider random, InvariantRegistry invariants, EventLog events) {
 		this.self = self;
 		this.zone = zone;
-		this.platformHttp = new PlatformHttp(settings.platform(), control);
-		this.directory = new HttpPlatformDirectory(this.platformHttp);
+		this.platformHttp = new PlatformHttp(settings.platform(), control, HttpResources.get());
 		this.folder = openFolder(settings.dataFolder(), control, events);
 		this.persistence = (this.folder != null) ? this.folder : LocalPersistence.NONE;
 		this.store = new BudgetedObjectStore(new HttpObjectStore(this.platformHttp), control, random,
 				CallBudgetSettings.DEFAULT, URGENT_KINDS, events);
+		this.directory = new StoredInstanceRegistry(this.store, "instances", events);
 		this.peers = new TcpPeerTransport(self, settings.peer(), new FrameCodec(new MessageTypes(messageTypes())),
 				control, this::addressOf);
 		int peerPort = this.peers.start();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Answers.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Answers.java
@@ -15,7 +15,7 @@
 /**
  * Writes answers in JSON, and refusals as problem details (RFC 9457).
  */
-final class Answers {
+public final class Answers {
 
 	/** Prefix of the stable {@code type} of problems. */
 	static final String TYPE_PREFIX = "urn:nutmegdoor:problem:";
@@ -28,8 +28,11 @@
 
 	private final ConfigurationView configuration;
 
-	Answers(ConfigurationView configuration) {
+	private final RetryAfterStyle retryAfterStyle;
+
+	public Answers(ConfigurationView configuration, RetryAfterStyle retryAfterStyle) {
 		this.configuration = configuration;
+		this.retryAfterStyle = retryAfterStyle;
 	}
 
 	/**
@@ -72,7 +75,7 @@
 		begin(exchange, refusal.reason().httpStatus(), "application/problem+json");
 		exchange.response().header(RUN_HEADER, refusal.run().wireName());
 		if (refusal.retryAfterMs() > 0) {
-			exchange.response().header("Retry-After", Long.toString(seconds(refusal.retryAfterMs())));
+			exchange.response().header("Retry-After", this.retryAfterStyle.format(refusal.retryAfterMs()));
 		}
 		if (refusal.reason().httpStatus() == HttpResponseStatus.UNAUTHORIZED.code()) {
 			exchange.response().header("WWW-Authenticate", "Bearer");
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/AuthenticationFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/AuthenticationFilter.java
@@ -16,7 +16,7 @@
  * Finds the workspace of the caller's key and takes the key out of the request, so that
  * nothing behind this filter can pass it on.
  */
-final class AuthenticationFilter implements RequestFilter {
+public final class AuthenticationFilter implements RequestFilter {
 
 	private static final String SCHEME = "bearer ";
 
@@ -24,7 +24,7 @@
 
 	private final KeyAuthenticator authenticator;
 
-	AuthenticationFilter(KeyAuthenticator authenticator) {
+	public AuthenticationFilter(KeyAuthenticator authenticator) {
 		this.authenticator = authenticator;
 	}
 
@@ -32,6 +32,10 @@
 	public Mono<Void> filter(Exchange exchange) {
 		String field = exchange.header(AUTHORIZATION);
 		exchange.request().requestHeaders().remove(AUTHORIZATION);
+		RoutedRequest routed = exchange.routedOrNull();
+		if (routed != null && !routed.isKeyRequired()) {
+			return Mono.empty();
+		}
 		if (field == null || !field.toLowerCase(Locale.ROOT).startsWith(SCHEME)) {
 			return refuse(RefusalReason.UNAUTHENTICATED, "the header Authorization: Bearer <key> is missing");
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/BodyReader.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/BodyReader.java
@@ -27,7 +27,7 @@
  * that contains a caller's key. The parsed form is what goes on, so that no escaping can
  * hide a key from the check.
  */
-final class BodyReader {
+public final class BodyReader {
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
@@ -53,21 +53,31 @@
 	 * @return the JSON object, an empty one if there is no body
 	 */
 	Mono<ObjectNode> read(Exchange exchange) {
+		return readBytes(exchange, this.limits.maxBodyBytes(), this.timeout).map((body) -> parse(exchange, body));
+	}
+
+	/**
+	 * Reads the body as it is.
+	 * @param exchange the request
+	 * @param maxBytes most bytes that the body may have
+	 * @param timeout longest time until the body is complete
+	 * @return the bytes, none if there is no body
+	 */
+	public static Mono<byte[]> readBytes(Exchange exchange, int maxBytes, Duration timeout) {
 		return exchange.request()
 			.receive()
 			.asByteArray()
-			.reduceWith(ByteArrayOutputStream::new, this::append)
-			.timeout(this.timeout)
+			.reduceWith(ByteArrayOutputStream::new, (body, bytes) -> append(body, bytes, maxBytes))
+			.timeout(timeout)
 			.onErrorMap(TimeoutException.class,
-					(ex) -> RefusalException
-						.malformed("the body was not complete after " + this.timeout.toMillis() + " ms"))
-			.map((body) -> parse(exchange, body.toByteArray()));
+					(ex) -> RefusalException.malformed("the body was not complete after " + timeout.toMillis() + " ms"))
+			.map(ByteArrayOutputStream::toByteArray);
 	}
 
-	private ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] bytes) {
-		if (body.size() + bytes.length > this.limits.maxBodyBytes()) {
+	private static ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] bytes, int maxBytes) {
+		if (body.size() + bytes.length > maxBytes) {
 			throw new RefusalException(Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE,
-					"the body has more than " + this.limits.maxBodyBytes() + " bytes", 0));
+					"the body has more than " + maxBytes + " bytes", 0));
 		}
 		body.writeBytes(bytes);
 		return body;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ControlBridge.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/ControlBridge.java
@@ -12,19 +12,23 @@
 /**
  * Passage from the event loop of a connection to the control thread and back.
  */
-final class ControlBridge {
+public final class ControlBridge {
 
 	private final TimerService timers;
 
-	ControlBridge(TimerService timers) {
+	public ControlBridge(TimerService timers) {
 		this.timers = timers;
 	}
 
-	void execute(Runnable task) {
+	/**
+	 * Runs a task on the control thread.
+	 * @param task the task
+	 */
+	public void execute(Runnable task) {
 		this.timers.schedule(0, task);
 	}
 
-	TimerService timers() {
+	public TimerService timers() {
 		return this.timers;
 	}
 
@@ -35,7 +39,7 @@
 	 * @param <T> type of the result
 	 * @return the result
 	 */
-	<T> Mono<T> call(Exchange exchange, Supplier<CompletableFuture<T>> operation) {
+	public <T> Mono<T> call(Exchange exchange, Supplier<CompletableFuture<T>> operation) {
 		return Mono.<T>create((sink) -> execute(() -> {
 			try {
 				operation.get().whenComplete((value, error) -> {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryDecisions.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryDecisions.java
@@ -14,13 +14,13 @@
 /**
  * Records the decisions of the filter chain.
  */
-final class EntryDecisions {
+public final class EntryDecisions {
 
 	private final DecisionRecorder recorder;
 
 	private final TimerService timers;
 
-	EntryDecisions(DecisionRecorder recorder, TimerService timers) {
+	public EntryDecisions(DecisionRecorder recorder, TimerService timers) {
 		this.recorder = recorder;
 		this.timers = timers;
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/EntryServer.java
@@ -25,10 +25,8 @@
 
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
-import dev.nutmegdoor.core.call.RunState;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.DecisionId;
-import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.node.settings.EntrySettings;
 
 /**
@@ -57,6 +55,8 @@
 
 	private final EntryDecisions decisions;
 
+	private final RefusalAnswers refusals;
+
 	private volatile InstanceState state = InstanceState.STARTING;
 
 	private @Nullable DisposableServer server;
@@ -71,8 +71,9 @@
 		this.dependencies = dependencies;
 		this.metrics = dependencies.metrics();
 		this.eventLog = dependencies.eventLog();
-		this.answers = new Answers(dependencies.configuration());
+		this.answers = new Answers(dependencies.configuration(), RetryAfterStyle.WHOLE_SECONDS);
 		this.decisions = new EntryDecisions(dependencies.decisionRecorder(), dependencies.timers());
+		this.refusals = new RefusalAnswers(this.answers, this.decisions, this.metrics, this.eventLog);
 		this.chain = chain();
 		this.metrics.gauge("entry.requests.running", () -> this.running::get);
 	}
@@ -158,10 +159,12 @@
 			return open;
 		}
 		this.running.incrementAndGet();
-		return this.chain.run(exchange).onErrorResume((error) -> refuse(exchange, error)).doFinally((signal) -> {
-			this.running.decrementAndGet();
-			finished(exchange);
-		});
+		return this.chain.run(exchange)
+			.onErrorResume((error) -> this.refusals.answer(exchange, error))
+			.doFinally((signal) -> {
+				this.running.decrementAndGet();
+				finished(exchange);
+			});
 	}
 
 	private Mono<Void> refuseIfDraining(Exchange exchange) {
@@ -173,28 +176,6 @@
 				"the instance takes no work; another one does", DRAINING_RETRY_MS)));
 	}
 
-	private Mono<Void> refuse(Exchange exchange, Throwable error) {
-		Refusal refusal = refusalOf(exchange, error);
-		this.metrics.counter("entry.refused." + refusal.reason().typeName()).inc();
-		WorkspaceId workspace = exchange.workspaceOrNull();
-		this.decisions.refusal(exchange, refusal);
-		this.eventLog.record("request.refused", "decision", exchange.decision(), "workspace",
-				(workspace != null) ? workspace : "-", "reason", refusal.reason().typeName(), "run",
-				refusal.run().wireName());
-		if (exchange.isAnswered()) {
-			return Mono.error(error);
-		}
-		return this.answers.problem(exchange, refusal);
-	}
-
-	private Refusal refusalOf(Exchange exchange, Throwable error) {
-		if (error instanceof RefusalException refused) {
-			return refused.refusal();
-		}
-		this.eventLog.record("request.failed", "decision", exchange.decision(), "error", error);
-		return new Refusal(RefusalReason.INTERNAL, RunState.UNKNOWN, "the request failed inside the scheduler", 0);
-	}
-
 	private void finished(Exchange exchange) {
 		this.metrics.timer("entry.requests").update(Duration.ofMillis(exchange.elapsedMs()));
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Exchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Exchange.java
@@ -16,7 +16,7 @@
  * One request and its answer on their way through the filter chain. Used by the event
  * loop of the connection, one thread at a time.
  */
-final class Exchange {
+public final class Exchange {
 
 	private final HttpServerRequest request;
 
@@ -38,30 +38,36 @@
 
 	private @Nullable Admission admission;
 
-	Exchange(HttpServerRequest request, HttpServerResponse response, Channel channel, DecisionId decision) {
+	private @Nullable RoutedRequest routed;
+
+	private TurnReservation reservation = TurnReservation.NONE;
+
+	private boolean isRelayed;
+
+	public Exchange(HttpServerRequest request, HttpServerResponse response, Channel channel, DecisionId decision) {
 		this.request = request;
 		this.response = response;
 		this.channel = channel;
 		this.decision = decision;
 	}
 
-	HttpServerRequest request() {
+	public HttpServerRequest request() {
 		return this.request;
 	}
 
-	HttpServerResponse response() {
+	public HttpServerResponse response() {
 		return this.response;
 	}
 
-	Channel channel() {
+	public Channel channel() {
 		return this.channel;
 	}
 
-	DecisionId decision() {
+	public DecisionId decision() {
 		return this.decision;
 	}
 
-	String method() {
+	public String method() {
 		return this.request.method().name();
 	}
 
@@ -69,17 +75,17 @@
 	 * Returns the path without the query.
 	 * @return the path, starting with a slash
 	 */
-	String path() {
+	public String path() {
 		String uri = this.request.uri();
 		int query = uri.indexOf('?');
 		return (query >= 0) ? uri.substring(0, query) : uri;
 	}
 
-	@Nullable String header(String name) {
+	public @Nullable String header(String name) {
 		return this.request.requestHeaders().get(name);
 	}
 
-	long elapsedMs() {
+	public long elapsedMs() {
 		return (System.nanoTime() - this.startedNs) / 1_000_000;
 	}
 
@@ -89,15 +95,15 @@
 		this.workspace = workspaceId;
 	}
 
-	KeyId key() {
+	public KeyId key() {
 		return required(this.key);
 	}
 
-	WorkspaceId workspace() {
+	public WorkspaceId workspace() {
 		return required(this.workspace);
 	}
 
-	@Nullable WorkspaceId workspaceOrNull() {
+	public @Nullable WorkspaceId workspaceOrNull() {
 		return this.workspace;
 	}
 
@@ -117,14 +123,61 @@
 	 * Claims the right to answer.
 	 * @return {@code false} if an answer was begun before
 	 */
-	boolean beginAnswer() {
+	public boolean beginAnswer() {
 		return this.isAnswered.compareAndSet(false, true);
 	}
 
-	boolean isAnswered() {
+	public boolean isAnswered() {
 		return this.isAnswered.get();
 	}
 
+	/**
+	 * Notes the route of a request that is passed on to a replica.
+	 * @param value route and facts of the request
+	 */
+	public void routed(RoutedRequest value) {
+		this.routed = value;
+	}
+
+	/**
+	 * Notes the tokens that are held for the request.
+	 * @param value the reservation
+	 */
+	public void reserved(TurnReservation value) {
+		this.reservation = value;
+	}
+
+	public TurnReservation reservation() {
+		return this.reservation;
+	}
+
+	/**
+	 * Notes that the scheduler has the request and settles its reservation.
+	 */
+	public void relayed() {
+		this.isRelayed = true;
+	}
+
+	public boolean isRelayed() {
+		return this.isRelayed;
+	}
+
+	public @Nullable RoutedRequest routedOrNull() {
+		return this.routed;
+	}
+
+	/**
+	 * Returns the route of a request that is passed on to a replica.
+	 * @return route and facts of the request
+	 */
+	public RoutedRequest routed() {
+		RoutedRequest value = this.routed;
+		if (value == null) {
+			throw new IllegalStateException("the request has no route");
+		}
+		return value;
+	}
+
 	private static <T> T required(@Nullable T value) {
 		if (value == null) {
 			throw new IllegalStateException("the request has not been authenticated");
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/FilterChain.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/FilterChain.java
@@ -11,18 +11,28 @@
 /**
  * Leads a request through the filters, in order, to its route.
  */
-final class FilterChain {
+public final class FilterChain {
 
 	private final List<RequestFilter> filters;
 
 	private final List<Route> routes;
 
-	FilterChain(List<RequestFilter> filters, List<Route> routes) {
+	/**
+	 * Creates a chain.
+	 * @param filters filters in their order
+	 * @param routes routes, of which the first that fits answers a request
+	 */
+	public FilterChain(List<RequestFilter> filters, List<Route> routes) {
 		this.filters = List.copyOf(filters);
 		this.routes = List.copyOf(routes);
 	}
 
-	Mono<Void> run(Exchange exchange) {
+	/**
+	 * Runs a request.
+	 * @param exchange the request
+	 * @return completes after the answer, fails with {@link RefusalException}
+	 */
+	public Mono<Void> run(Exchange exchange) {
 		return Flux.fromIterable(this.filters)
 			.concatMap((filter) -> filter.filter(exchange))
 			.then(Mono.defer(() -> route(exchange)));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RateFilter.java
@@ -10,7 +10,7 @@
 /**
  * Admits requests within the rate of their workspace.
  */
-final class RateFilter implements RequestFilter {
+public final class RateFilter implements RequestFilter {
 
 	private final RateLimiter limiter;
 
@@ -18,7 +18,7 @@
 
 	private final EntryDecisions decisions;
 
-	RateFilter(RateLimiter limiter, ControlBridge control, EntryDecisions decisions) {
+	public RateFilter(RateLimiter limiter, ControlBridge control, EntryDecisions decisions) {
 		this.limiter = limiter;
 		this.control = control;
 		this.decisions = decisions;
@@ -26,7 +26,11 @@
 
 	@Override
 	public Mono<Void> filter(Exchange exchange) {
-		return this.control.call(exchange, () -> this.limiter.admit(exchange.workspace()))
+		if (exchange.workspaceOrNull() == null) {
+			return Mono.empty();
+		}
+		return this.control
+			.call(exchange, () -> this.limiter.admit(exchange.workspace(), exchange.reservation().stage()))
 			.flatMap((admission) -> decide(exchange, admission));
 	}
 
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RefusalAnswers.java
@@ -0,0 +1,63 @@
+package dev.nutmegdoor.node.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import reactor.core.publisher.Mono;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.WorkspaceId;
+
+/**
+ * Answers requests that failed or were refused, and records why.
+ */
+public final class RefusalAnswers {
+
+	private final Answers answers;
+
+	private final EntryDecisions decisions;
+
+	private final MetricRegistry metrics;
+
+	private final EventLog eventLog;
+
+	public RefusalAnswers(Answers answers, EntryDecisions decisions, MetricRegistry metrics, EventLog eventLog) {
+		this.answers = answers;
+		this.decisions = decisions;
+		this.metrics = metrics;
+		this.eventLog = eventLog;
+	}
+
+	/**
+	 * Answers a request that has no answer of its own.
+	 * @param exchange the request
+	 * @param error the refusal, or an unexpected failure
+	 * @return completes after the answer; fails with the error if an answer was begun
+	 * before
+	 */
+	public Mono<Void> answer(Exchange exchange, Throwable error) {
+		Refusal refusal = refusalOf(exchange, error);
+		this.metrics.counter("entry.refused." + refusal.reason().typeName()).inc();
+		WorkspaceId workspace = exchange.workspaceOrNull();
+		RoutedRequest routed = exchange.routedOrNull();
+		this.decisions.refusal(exchange, refusal);
+		this.eventLog.record("request.refused", "decision", exchange.decision(), "attempt",
+				(routed != null) ? routed.attemptId() : "-", "workspace", (workspace != null) ? workspace : "-",
+				"reason", refusal.reason().typeName(), "run", refusal.run().wireName(), "retryAfterMs",
+				refusal.retryAfterMs(), "elapsedMs", exchange.elapsedMs(), "detail", refusal.detail());
+		if (exchange.isAnswered()) {
+			return Mono.error(error);
+		}
+		return this.answers.problem(exchange, refusal);
+	}
+
+	private Refusal refusalOf(Exchange exchange, Throwable error) {
+		if (error instanceof RefusalException refused) {
+			return refused.refusal();
+		}
+		this.eventLog.record("request.failed", "decision", exchange.decision(), "error", error);
+		return new Refusal(RefusalReason.INTERNAL, RunState.UNKNOWN, "the request failed inside the scheduler", 0);
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RequestFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/RequestFilter.java
@@ -6,7 +6,7 @@
  * A step that each request passes before it runs.
  */
 @FunctionalInterface
-interface RequestFilter {
+public interface RequestFilter {
 
 	/**
 	 * Checks a request.
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Route.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Route.java
@@ -5,7 +5,7 @@
 /**
  * Runs requests of one path after the filter chain.
  */
-interface Route {
+public interface Route {
 
 	/**
 	 * Returns whether the route answers a request.
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -0,0 +1,126 @@
+package dev.nutmegdoor.node.ledger;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import reactor.netty.resources.LoopResources;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.ledger.LedgerMember;
+import dev.nutmegdoor.core.ledger.LedgerMembers;
+import dev.nutmegdoor.core.ledger.LedgerMessages;
+import dev.nutmegdoor.core.ledger.LedgerReplica;
+import dev.nutmegdoor.core.ledger.LedgerSettings;
+import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
+import dev.nutmegdoor.core.store.KindFollower;
+import dev.nutmegdoor.core.store.StoreHealth;
+import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.node.peer.PeerTransportSettings;
+import dev.nutmegdoor.node.peer.TcpPeerTransport;
+import dev.nutmegdoor.node.relay.PlatformConnection;
+import dev.nutmegdoor.platform.ProcessSettings;
+import dev.nutmegdoor.platform.RetirementTranslator;
+import dev.nutmegdoor.protocol.FrameCodec;
+import dev.nutmegdoor.protocol.MessageTypes;
+
+/**
+ * A process that keeps one replica of the token ledger on the disk of its machine.
+ */
+public final class LedgerNode {
+
+	/** Kind of the store's objects that list the replicas. */
+	public static final String REGISTRY_KIND = "ledger-replicas";
+
+	private static final String SUBFOLDER = "ledger";
+
+	private final ProcessSettings settings;
+
+	private final EventLog events;
+
+	private final ControlThread control = new ControlThread("control");
+
+	private final LoopResources loops = LoopResources.create("traffic", 1, true);
+
+	private final LedgerMembers members = new LedgerMembers();
+
+	private final TcpPeerTransport transport;
+
+	private final FileLedgerLog log;
+
+	private final LedgerReplica replica;
+
+	private final KindFollower retirements;
+
+	/**
+	 * Creates a replica; {@link #start} starts it.
+	 * @param settings settings of the process; its machine must have a disk
+	 * @param events log of events
+	 */
+	public LedgerNode(ProcessSettings settings, EventLog events) {
+		this.settings = settings;
+		this.events = events;
+		Path folder = Objects.requireNonNull(settings.dataFolder(), "the settings have no folder for data");
+		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+		PlatformConnection platform = new PlatformConnection(settings, this.control, this.loops, random, events,
+				Set.of(RetirementTranslator.KIND));
+		this.transport = new TcpPeerTransport(settings.instance(),
+				new PeerTransportSettings(settings.host(), settings.firstPort(), "",
+						PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
+						PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
+				new FrameCodec(new MessageTypes(LedgerMessages.types())), this.control, this::addressOf, this.loops);
+		this.log = open(folder.resolve(SUBFOLDER));
+		LedgerMember self = new LedgerMember(settings.instance(), settings.zone(), settings.host(),
+				settings.firstPort());
+		this.replica = new LedgerReplica(self, this.transport,
+				new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events), this.log, this.control, events,
+				LedgerSettings.DEFAULT, this.members);
+		this.retirements = new KindFollower(platform.store(), this.control, random, new StoreHealth(this.control),
+				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(),
+				new RetirementListener(settings.instance(), this.replica, platform.store(), this.control, events));
+	}
+
+	private FileLedgerLog open(Path folder) {
+		try {
+			return new FileLedgerLog(folder, this.control);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("the ledger's log in " + folder + " can't be opened", ex);
+		}
+	}
+
+	/**
+	 * Starts the replica.
+	 */
+	public void start() {
+		this.transport.start();
+		boolean isComplete = !this.log.isNew() || this.settings.isFirstStart();
+		this.control.execute(() -> {
+			this.replica.start(this.log.recovered(), isComplete);
+			this.retirements.start();
+		});
+	}
+
+	/**
+	 * Stops the replica. What it acknowledged is on its disk.
+	 * @return {@code true}
+	 */
+	public boolean stop() {
+		this.events.record("ledger.stopped", "replica", this.settings.instance());
+		this.transport.close();
+		return true;
+	}
+
+	private @Nullable InetSocketAddress addressOf(InstanceId id) {
+		LedgerMember member = this.members.member(id);
+		return (member != null) ? new InetSocketAddress(member.host(), member.port()) : null;
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/PeerConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/PeerConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -13,6 +14,12 @@
  */
 final class PeerConnection {
 
+	/**
+	 * Time after which a connection on which nothing comes back is given up. A receiver
+	 * acknowledges messages at least every 500 ms.
+	 */
+	private static final long SILENCE_NS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
 	private final int maxQueuedFrames;
 
 	private final Deque<byte[]> waiting = new ArrayDeque<>();
@@ -23,6 +30,11 @@
 
 	private boolean closed;
 
+	/** Time of the first frame that was sent after the last one received. */
+	private long unansweredSinceNs;
+
+	private boolean isUnanswered;
+
 	PeerConnection(int maxQueuedFrames) {
 		this.maxQueuedFrames = maxQueuedFrames;
 	}
@@ -37,6 +49,16 @@
 		if (this.closed || this.waiting.size() + this.inFlightFrames >= this.maxQueuedFrames) {
 			return false;
 		}
+		long nowNs = System.nanoTime();
+		if (this.isUnanswered && nowNs - this.unansweredSinceNs > SILENCE_NS) {
+			// A connection can go silent without being closed; a new one may work.
+			close();
+			return false;
+		}
+		if (!this.isUnanswered) {
+			this.isUnanswered = true;
+			this.unansweredSinceNs = nowNs;
+		}
 		if (this.channel == null) {
 			this.waiting.addLast(envelope);
 			return true;
@@ -45,6 +67,13 @@
 		return true;
 	}
 
+	/**
+	 * Notes that the peer has sent a frame on this connection.
+	 */
+	synchronized void received() {
+		this.isUnanswered = false;
+	}
+
 	synchronized void open(Channel opened, byte[] hello) {
 		this.channel = opened;
 		write(opened, hello);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.buffer.ByteBuf;
@@ -19,7 +20,9 @@
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import reactor.netty.DisposableServer;
+import reactor.netty.resources.LoopResources;
 import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpResources;
 import reactor.netty.tcp.TcpServer;
 
 import dev.nutmegdoor.core.id.InstanceId;
@@ -43,6 +46,8 @@
 
 	private static final Logger logger = Logger.getLogger(TcpPeerTransport.class);
 
+	private static final long ACKNOWLEDGEMENT_PERIOD_NS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private final InstanceId self;
 
 	private final PeerTransportSettings settings;
@@ -53,6 +58,8 @@
 
 	private final PeerAddresses addresses;
 
+	private final LoopResources loops;
+
 	private final Map<Class<?>, PeerHandler<?>> handlers = new ConcurrentHashMap<>();
 
 	private final Map<InstanceId, PeerConnection> connections = new ConcurrentHashMap<>();
@@ -69,13 +76,36 @@
 
 	private @Nullable DisposableServer server;
 
+	/**
+	 * Creates a transport on event loops of its own.
+	 * @param self this instance
+	 * @param settings where to listen, and limits
+	 * @param codec encodes frames
+	 * @param control control thread, on which handlers run
+	 * @param addresses addresses of other instances
+	 */
 	public TcpPeerTransport(InstanceId self, PeerTransportSettings settings, FrameCodec codec, ControlThread control,
 			PeerAddresses addresses) {
+		this(self, settings, codec, control, addresses, TcpResources.get());
+	}
+
+	/**
+	 * Creates a transport.
+	 * @param self this instance
+	 * @param settings where to listen, and limits
+	 * @param codec encodes frames
+	 * @param control control thread, on which handlers run
+	 * @param addresses addresses of other instances
+	 * @param loops event loops of the connections
+	 */
+	public TcpPeerTransport(InstanceId self, PeerTransportSettings settings, FrameCodec codec, ControlThread control,
+			PeerAddresses addresses, LoopResources loops) {
 		this.self = self;
 		this.settings = settings;
 		this.codec = codec;
 		this.control = control;
 		this.addresses = addresses;
+		this.loops = loops;
 	}
 
 	/**
@@ -84,9 +114,10 @@
 	 */
 	public int start() {
 		DisposableServer bound = TcpServer.create()
+			.runOn(this.loops, false)
 			.host(this.settings.host())
 			.port(this.settings.port())
-			.doOnConnection((connection) -> install(connection.channel(), new Inbound(null)))
+			.doOnConnection((connection) -> install(connection.channel(), new Inbound(null, null)))
 			.bindNow();
 		this.server = bound;
 		return bound.port();
@@ -176,11 +207,12 @@
 		byte[] hello = this.codec.encode(new Frame(FrameKind.HELLO, this.self.value(), 0, 0,
 				this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8)));
 		TcpClient.newConnection()
+			.runOn(this.loops, false)
 			.remoteAddress(() -> address)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.settings.connectTimeoutMs())
 			.connect()
 			.subscribe((established) -> {
-				install(established.channel(), new Inbound(to));
+				install(established.channel(), new Inbound(to, connection));
 				established.onDispose(() -> disconnected(to, connection));
 				connection.open(established.channel(), hello);
 			}, (error) -> {
@@ -310,10 +342,15 @@
 	private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
 
 		/** Peer at the other end; unknown on accepted connections until its hello. */
+		private final @Nullable PeerConnection connection;
+
 		private @Nullable InstanceId peer;
 
-		private Inbound(@Nullable InstanceId peer) {
+		private long acknowledgedNs = System.nanoTime() - ACKNOWLEDGEMENT_PERIOD_NS;
+
+		private Inbound(@Nullable InstanceId peer, @Nullable PeerConnection connection) {
 			this.peer = peer;
+			this.connection = connection;
 		}
 
 		@Override
@@ -326,6 +363,13 @@
 				this.peer = authenticate(frame);
 				return;
 			}
+			if (this.connection != null) {
+				this.connection.received();
+			}
+			if (frame.kind() == FrameKind.ACKNOWLEDGEMENT) {
+				return;
+			}
+			acknowledge(context.channel(), frame);
 			PeerMessage message = (frame.kind() != FrameKind.ERROR) ? TcpPeerTransport.this.codec.message(frame) : null;
 			if (frame.kind() == FrameKind.ANSWER || frame.kind() == FrameKind.ERROR) {
 				TcpPeerTransport.this.control.execute(() -> complete(frame, message));
@@ -338,6 +382,14 @@
 			}
 		}
 
+		private void acknowledge(Channel channel, Frame frame) {
+			long nowNs = System.nanoTime();
+			if (frame.kind() == FrameKind.ONE_WAY && nowNs - this.acknowledgedNs >= ACKNOWLEDGEMENT_PERIOD_NS) {
+				this.acknowledgedNs = nowNs;
+				write(channel, new Frame(FrameKind.ACKNOWLEDGEMENT, "", 0, 0, new byte[0]));
+			}
+		}
+
 		private InstanceId authenticate(Frame frame) {
 			byte[] expected = TcpPeerTransport.this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8);
 			if (frame.kind() != FrameKind.HELLO || !MessageDigest.isEqual(expected, frame.body())) {
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -0,0 +1,283 @@
+package dev.nutmegdoor.node.relay;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.explain.DecisionIds;
+import dev.nutmegdoor.core.explain.DecisionLog;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.ledger.LedgerMember;
+import dev.nutmegdoor.core.ledger.LedgerMembers;
+import dev.nutmegdoor.core.ledger.LedgerMessages;
+import dev.nutmegdoor.core.ledger.LedgerSettings;
+import dev.nutmegdoor.core.ledger.TokenBudgets;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.membership.InstanceRegistry;
+import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
+import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.placement.ReplicaIndex;
+import dev.nutmegdoor.core.route.Deployment;
+import dev.nutmegdoor.core.route.ReplicaList;
+import dev.nutmegdoor.core.schedule.Observers;
+import dev.nutmegdoor.core.schedule.ProgramFactsSource;
+import dev.nutmegdoor.core.schedule.ScheduledCallRunner;
+import dev.nutmegdoor.core.schedule.UpstreamPorts;
+import dev.nutmegdoor.core.store.KindFollower;
+import dev.nutmegdoor.core.store.ObjectStore;
+import dev.nutmegdoor.core.store.StoreHealth;
+import dev.nutmegdoor.core.usage.UsageLimiter;
+import dev.nutmegdoor.core.usage.UsagePeers;
+import dev.nutmegdoor.core.usage.UsageReport;
+import dev.nutmegdoor.core.usage.UsageSelf;
+import dev.nutmegdoor.core.usage.UsageSettings;
+import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.node.entry.Answers;
+import dev.nutmegdoor.node.entry.AuthenticationFilter;
+import dev.nutmegdoor.node.entry.ControlBridge;
+import dev.nutmegdoor.node.entry.EntryDecisions;
+import dev.nutmegdoor.node.entry.FilterChain;
+import dev.nutmegdoor.node.entry.RateFilter;
+import dev.nutmegdoor.node.entry.RefusalAnswers;
+import dev.nutmegdoor.node.entry.RetryAfterStyle;
+import dev.nutmegdoor.node.ledger.LedgerNode;
+import dev.nutmegdoor.node.peer.PeerTransportSettings;
+import dev.nutmegdoor.node.peer.TcpPeerTransport;
+import dev.nutmegdoor.platform.ConfigurationDecoder;
+import dev.nutmegdoor.platform.ProcessSettings;
+import dev.nutmegdoor.platform.ReplicaDecoder;
+import dev.nutmegdoor.platform.RequestTranslator;
+import dev.nutmegdoor.protocol.FrameCodec;
+import dev.nutmegdoor.protocol.MessageTypes;
+
+/**
+ * An entry instance on the platform: clients in front, replicas behind, the platform's
+ * store for configuration and the list of replicas.
+ */
+public final class GatewayNode {
+
+	/** Kind of the store's objects that list the entry instances. */
+	private static final String REGISTRY_KIND = "gateways";
+
+	private static final long REGISTRATION_RETRY_MS = 400;
+
+	/** Time between readings of the list of ledger replicas while none is known. */
+	private static final long LEDGER_LIST_PERIOD_MS = 1_000;
+
+	/** Memory for records of decisions in bytes. */
+	private static final long DECISION_BYTES = 2_000_000;
+
+	/** One way between zones takes 4 to 6 ms on the users' links. */
+	private static final double ZONE_CROSSING_MS = 9;
+
+	private static final long POLL_MS = 20;
+
+	private final ProcessSettings settings;
+
+	private final EventLog events;
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final InvariantRegistry invariants = new InvariantRegistry();
+
+	private final ControlThread control = new ControlThread("control");
+
+	private final LoopResources loops = LoopResources.create("traffic", 1, true);
+
+	private final ObjectStore store;
+
+	private final Deployment deployment;
+
+	private final UsagePeers peers;
+
+	private final LedgerMembers ledgerMembers = new LedgerMembers();
+
+	private final TcpPeerTransport transport;
+
+	private final KindFollower configurationFollower;
+
+	private final KindFollower replicaFollower;
+
+	private final ScheduledCallRunner runner;
+
+	private final GatewayServer server;
+
+	private final ObservationServer readiness;
+
+	private volatile boolean isLeaving;
+
+	/**
+	 * Creates an instance; {@link #start} binds its servers.
+	 * @param settings settings of the process; clients must reach it
+	 * @param events log of events
+	 */
+	public GatewayNode(ProcessSettings settings, EventLog events) {
+		this.settings = settings;
+		this.events = events;
+		InetSocketAddress front = Objects.requireNonNull(settings.front(), "the settings have no address for clients");
+		InetSocketAddress ready = Objects.requireNonNull(settings.readiness(),
+				"the settings have no address for readiness checks");
+		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+		this.store = new PlatformConnection(settings, this.control, this.loops, random, events,
+				Set.of(ConfigurationDecoder.KIND))
+			.store();
+		this.deployment = new Deployment(this.invariants, events);
+		StoreHealth health = new StoreHealth(this.control);
+		this.configurationFollower = new KindFollower(this.store, this.control, random, health, events,
+				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(),
+				new ConfigurationListener(this.deployment, new ConfigurationDecoder(), events));
+		this.replicaFollower = new KindFollower(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
+				settings.storeWaitMaxMs(),
+				new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode, health));
+		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
+				random);
+		DecisionIds decisionIds = new DecisionIds(settings.instance());
+		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_BYTES);
+		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
+				this.deployment, UpstreamPorts.RELAY_ONLY, ProgramFactsSource.NONE,
+				new Observers(decisions, this.invariants, StepListener.NONE));
+		InetSocketAddress control = Objects.requireNonNull(settings.control(),
+				"the settings have no address for other processes");
+		this.peers = new UsagePeers(settings.instance());
+		this.transport = new TcpPeerTransport(settings.instance(),
+				new PeerTransportSettings(control.getHostString(), control.getPort(), "",
+						PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
+						PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
+				new FrameCodec(new MessageTypes(messageTypes())), this.control, this::addressOf, this.loops);
+		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
+		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, events,
+				UsageSettings.DEFAULT,
+				new UsageSelf(incarnation, settings.zone(), control.getHostString(), control.getPort()),
+				settings.isFirstStart());
+		TokenBudgets budgets = new TokenBudgets(this.transport, this.ledgerMembers, this.control, this.invariants,
+				events, LedgerSettings.DEFAULT, incarnation);
+		EventLoop eventLoop = this.loops.onServer(false).next();
+		RequestTranslator translator = new RequestTranslator();
+		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics);
+		ControlBridge bridge = new ControlBridge(this.control);
+		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
+		RelayRoute route = new RelayRoute(this.runner, pool, bridge, RandomSource.XO_SHI_RO_256_PP.create(), events);
+		FilterChain chain = new FilterChain(
+				List.of(new RouteFilter(this.deployment, translator),
+						new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
+						new BudgetFilter(budgets, bridge, events), new RateFilter(limiter, bridge, entryDecisions)),
+				List.of(route));
+		RefusalAnswers refusals = new RefusalAnswers(new Answers(this.deployment, RetryAfterStyle.FRACTIONS),
+				entryDecisions, this.metrics, events);
+		this.server = new GatewayServer(front, this.loops, chain, refusals, decisionIds, bridge, this.metrics);
+		this.readiness = new ObservationServer(ready, this.loops, this::isReady,
+				() -> MetricsText.of(this.metrics, this.invariants), this::dump);
+	}
+
+	/**
+	 * Binds the servers and begins to follow the platform's store.
+	 */
+	public void start() {
+		this.readiness.start();
+		InetSocketAddress address = this.server.start();
+		this.transport.start();
+		this.control.execute(() -> {
+			this.configurationFollower.start();
+			this.replicaFollower.start();
+			register(new StoredInstanceRegistry(this.store, REGISTRY_KIND, this.events));
+			listLedger(new StoredInstanceRegistry(this.store, LedgerNode.REGISTRY_KIND, this.events));
+		});
+		this.events.record("gateway.started", "instance", this.settings.instance(), "zone", this.settings.zone(),
+				"address", address.getHostString() + ":" + address.getPort(), "firstStart",
+				this.settings.isFirstStart());
+	}
+
+	/**
+	 * Stops gracefully: readiness turns false, open connections are used up, running
+	 * requests finish. Blocks until that is done or the time is up.
+	 * @return whether no request was interrupted
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean drain() throws InterruptedException {
+		long startedNs = System.nanoTime();
+		this.isLeaving = true;
+		this.server.leave();
+		this.events.record("gateway.draining", "instance", this.settings.instance(), "running",
+				this.server.runningRequests());
+		Thread.sleep(GatewaySettings.DRAIN_NOTICE_MS);
+		this.server.stopAccepting();
+		long limitNs = startedNs
+				+ Duration.ofMillis(this.settings.graceMs() - GatewaySettings.GRACE_MARGIN_MS).toNanos();
+		while (this.server.runningRequests() > 0 && System.nanoTime() < limitNs) {
+			Thread.sleep(POLL_MS);
+		}
+		int interrupted = this.server.runningRequests();
+		this.events.record("gateway.stopped", "instance", this.settings.instance(), "interrupted", interrupted);
+		this.server.stop();
+		this.readiness.stop();
+		return interrupted == 0;
+	}
+
+	private void register(InstanceRegistry registry) {
+		InetSocketAddress control = Objects.requireNonNull(this.settings.control());
+		registry
+			.register(new DirectoryEntry(this.settings.instance(), this.settings.zone(), control.getHostString(),
+					control.getPort(), false))
+			.thenCompose((registered) -> registry.list())
+			.whenComplete((entries, error) -> {
+				if (error != null) {
+					this.control.schedule(REGISTRATION_RETRY_MS, () -> register(registry));
+					return;
+				}
+				this.peers.listed(entries);
+			});
+	}
+
+	// Later changes are learned from the replicas themselves.
+	private void listLedger(InstanceRegistry registry) {
+		registry.list().whenComplete((entries, error) -> {
+			if (error == null) {
+				entries.forEach((entry) -> this.ledgerMembers.add(LedgerMember.of(entry)));
+			}
+			if (this.ledgerMembers.all().isEmpty()) {
+				this.control.schedule(LEDGER_LIST_PERIOD_MS, () -> listLedger(registry));
+			}
+		});
+	}
+
+	private @Nullable InetSocketAddress addressOf(InstanceId id) {
+		DirectoryEntry peer = this.peers.entry(id);
+		LedgerMember replica = this.ledgerMembers.member(id);
+		if (replica != null) {
+			return new InetSocketAddress(replica.host(), replica.port());
+		}
+		return (peer != null) ? new InetSocketAddress(peer.host(), peer.port()) : null;
+	}
+
+	private static List<Class<? extends PeerMessage>> messageTypes() {
+		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
+		types.add(UsageReport.class);
+		return types;
+	}
+
+	private boolean isReady() {
+		return !this.isLeaving && this.deployment.isKnown();
+	}
+
+	private Mono<String> dump() {
+		return Mono.fromFuture(this.control
+			.call(() -> "instance=" + this.settings.instance() + " leaving=" + this.isLeaving + " configuration="
+					+ this.deployment.current().version() + " replicas=" + this.deployment.current().upstreams().size()
+					+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/MetricsText.java
@@ -0,0 +1,60 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+
+/**
+ * Writes metrics as lines of a name and a number, the text form that Prometheus reads.
+ */
+final class MetricsText {
+
+	private static final double MEDIAN = 0.5;
+
+	private static final double P95 = 0.95;
+
+	private static final double P99 = 0.99;
+
+	private MetricsText() {
+	}
+
+	static String of(MetricRegistry metrics, InvariantRegistry invariants) {
+		StringBuilder text = new StringBuilder();
+		metrics.getCounters().forEach((name, counter) -> line(text, name + "_total", (double) counter.getCount()));
+		metrics.getGauges().forEach((name, gauge) -> {
+			if (gauge.getValue() instanceof Number number) {
+				line(text, name, number.doubleValue());
+			}
+		});
+		metrics.getTimers().forEach((name, timer) -> {
+			Snapshot snapshot = timer.getSnapshot();
+			line(text, name + "_ms_count", (double) timer.getCount());
+			line(text, name + "_ms{quantile=\"0.5\"}", millis(snapshot.getValue(MEDIAN)));
+			line(text, name + "_ms{quantile=\"0.95\"}", millis(snapshot.getValue(P95)));
+			line(text, name + "_ms{quantile=\"0.99\"}", millis(snapshot.getValue(P99)));
+		});
+		for (Invariant invariant : Invariant.values()) {
+			String name = invariant.name().toLowerCase(Locale.ROOT);
+			line(text, "invariant_checked_total{name=\"" + name + "\"}", (double) invariants.checked(invariant));
+			line(text, "invariant_violated_total{name=\"" + name + "\"}", (double) invariants.violated(invariant));
+		}
+		return text.toString();
+	}
+
+	private static double millis(double nanoseconds) {
+		return nanoseconds / TimeUnit.MILLISECONDS.toNanos(1);
+	}
+
+	private static void line(StringBuilder text, String name, double value) {
+		int brace = name.indexOf('{');
+		String plain = ((brace >= 0) ? name.substring(0, brace) : name).replace('.', '_').replace('-', '_');
+		text.append("nutmegdoor_").append(plain).append((brace >= 0) ? name.substring(brace) : "");
+		text.append(' ').append(value).append('\n');
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayOutcomes.java
@@ -0,0 +1,84 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.concurrent.Executor;
+
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.node.entry.ControlBridge;
+import dev.nutmegdoor.node.entry.Exchange;
+import dev.nutmegdoor.node.entry.RoutedRequest;
+
+/**
+ * Takes the outcome of a relayed call from the scheduler. Called on the control thread.
+ */
+final class RelayOutcomes implements CallListener {
+
+	/**
+	 * Time in milliseconds after which a client may come back with a request that was not
+	 * run. Another instance, or another replica, usually serves it at once.
+	 */
+	private static final long RETRY_MS = 100;
+
+	private final Exchange exchange;
+
+	private final RelayAnswer answer;
+
+	private final Executor eventLoop;
+
+	private final ControlBridge control;
+
+	private final EventLog events;
+
+	RelayOutcomes(Exchange exchange, RelayAnswer answer, Executor eventLoop, ControlBridge control, EventLog events) {
+		this.exchange = exchange;
+		this.answer = answer;
+		this.eventLoop = eventLoop;
+		this.control = control;
+		this.events = events;
+	}
+
+	@Override
+	public void generated(int offset, String text) {
+		throw new IllegalStateException("a relayed answer does not pass through the scheduler");
+	}
+
+	@Override
+	public void completed(CallResult result) {
+		RoutedRequest routed = this.exchange.routed();
+		this.exchange.reservation().settle();
+		this.events.record("request.answered", "attempt", routed.attemptId(), "decision", this.exchange.decision(),
+				"workspace", String.valueOf(this.exchange.workspaceOrNull()), "route", routed.route().name(), "version",
+				routed.table().version(), "replica", result.upstream(), "status", result.status(), "elapsedMs",
+				this.exchange.elapsedMs());
+	}
+
+	@Override
+	public void refused(Refusal refusal) {
+		Refusal truthful = truthful(refusal);
+		// A cancelled send is ended on the event loop before this task runs there, so
+		// that the reservation is settled with everything that was handed out.
+		this.eventLoop.execute(() -> {
+			this.answer.refuse(truthful);
+			this.control.execute(this.exchange.reservation()::settle);
+		});
+	}
+
+	// To a client, 503 promises that the request did not run, and 502 and 504 promise
+	// nothing.
+	private static Refusal truthful(Refusal refusal) {
+		boolean isPromise = refusal.reason().isPromiseNotRun();
+		if (refusal.run() == RunState.NOT_RUN && !isPromise) {
+			return Refusal.notRun(RefusalReason.NOT_STARTED, refusal.reason().typeName() + ": " + refusal.detail(),
+					RETRY_MS);
+		}
+		if (refusal.run() != RunState.NOT_RUN && isPromise) {
+			return new Refusal(RefusalReason.UPSTREAM_FAILED, refusal.run(), refusal.detail(), 0);
+		}
+		return refusal;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
@@ -0,0 +1,60 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.List;
+
+import reactor.core.publisher.Mono;
+
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.route.Deployment;
+import dev.nutmegdoor.core.route.RouteTable;
+import dev.nutmegdoor.core.route.ServiceRoute;
+import dev.nutmegdoor.node.entry.Exchange;
+import dev.nutmegdoor.node.entry.RefusalException;
+import dev.nutmegdoor.node.entry.RequestFilter;
+import dev.nutmegdoor.node.entry.RoutedRequest;
+import dev.nutmegdoor.platform.RequestTranslator;
+
+/**
+ * Finds the route of a request in the newest configuration.
+ */
+final class RouteFilter implements RequestFilter {
+
+	/** Time in which a starting instance usually learns the configuration. */
+	private static final long STARTING_RETRY_MS = 300;
+
+	private final Deployment deployment;
+
+	private final RequestTranslator translator;
+
+	RouteFilter(Deployment deployment, RequestTranslator translator) {
+		this.deployment = deployment;
+		this.translator = translator;
+	}
+
+	@Override
+	public Mono<Void> filter(Exchange exchange) {
+		RouteTable table = this.deployment.routes();
+		if (table == null || !this.deployment.isKnown()) {
+			return refuse(RefusalReason.NOT_STARTED, "the instance does not know the configuration yet",
+					STARTING_RETRY_MS);
+		}
+		List<String> hosts = exchange.request().requestHeaders().getAll("Host");
+		if (hosts.size() != 1) {
+			return refuse(RefusalReason.MALFORMED_REQUEST, "a request must have one Host field", 0);
+		}
+		ServiceRoute route = table.routeOf(hosts.get(0), exchange.path());
+		if (route == null) {
+			return refuse(RefusalReason.NOT_FOUND,
+					"version " + table.version() + " of the configuration has no route for this host and path", 0);
+		}
+		exchange.routed(
+				new RoutedRequest(table, route, this.translator.decodeRequest(exchange.request().requestHeaders())));
+		return Mono.empty();
+	}
+
+	private static Mono<Void> refuse(RefusalReason reason, String detail, long retryAfterMs) {
+		return Mono.error(new RefusalException(Refusal.notRun(reason, detail, retryAfterMs)));
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -0,0 +1,229 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.route.AnswerFacts;
+import dev.nutmegdoor.platform.RequestTranslator;
+
+/**
+ * A connection to a replica, which serves one request at a time. Bytes that belong to no
+ * request, and an answer to another request, never reach a client. Confined to the event
+ * loop of the connection.
+ */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+
+	/** Used when the replica doesn't state how long it keeps an idle connection. */
+	private static final long DEFAULT_IDLE_MS = 4_000;
+
+	/** Safety margin in milliseconds before a replica closes an idle connection. */
+	private static final long IDLE_MARGIN_MS = 700;
+
+	private static final long MS_PER_SECOND = 1_000;
+
+	private final Channel channel;
+
+	private final RequestTranslator translator;
+
+	private final UpstreamPool pool;
+
+	private final String key;
+
+	private @Nullable UpstreamExchange exchange;
+
+	private @Nullable ForeignAnswer foreign;
+
+	private boolean isKept = true;
+
+	private boolean isHeadSeen;
+
+	private long idleLimitMs = DEFAULT_IDLE_MS;
+
+	private long idleSinceNs;
+
+	UpstreamConnection(Channel channel, RequestTranslator translator, UpstreamPool pool, String key) {
+		this.channel = channel;
+		this.translator = translator;
+		this.pool = pool;
+		this.key = key;
+	}
+
+	String key() {
+		return this.key;
+	}
+
+	/**
+	 * Returns whether the replica can be expected to keep the idle connection open.
+	 * @return {@code true} if a request may be sent on it
+	 */
+	boolean isUsable() {
+		long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.idleSinceNs);
+		return this.channel.isActive() && idleMs < this.idleLimitMs;
+	}
+
+	void send(UpstreamExchange next) {
+		this.exchange = next;
+		this.isHeadSeen = false;
+		this.channel.write(next.head());
+		this.channel.writeAndFlush(new DefaultLastHttpContent(next.body())).addListener((written) -> {
+			if (!written.isSuccess()) {
+				fail("the request could not be written: " + written.cause());
+			}
+		});
+	}
+
+	/**
+	 * Ends the request in progress by closing the connection, so that the replica stops.
+	 */
+	void abort() {
+		this.exchange = null;
+		this.channel.close();
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+			ReferenceCountUtil.release(message);
+			fail("bytes that are no answer: " + object.decoderResult().cause());
+			return;
+		}
+		if (message instanceof HttpResponse response) {
+			begin(response);
+		}
+		if (message instanceof HttpContent content) {
+			content(content);
+		}
+	}
+
+	private void begin(HttpResponse response) {
+		UpstreamExchange current = this.exchange;
+		if (current == null) {
+			// An answer without a request: nothing on this connection can be trusted.
+			this.channel.close();
+			return;
+		}
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			this.foreign = ForeignAnswer.INFORMATIONAL;
+			return;
+		}
+		AnswerFacts facts = this.translator.decodeAnswer(response.status().code(), response.headers());
+		String expected = current.attemptId();
+		if (facts.attemptId() != null && expected != null && !facts.attemptId().equals(expected)) {
+			this.foreign = ForeignAnswer.OTHER_REQUEST;
+			return;
+		}
+		boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
+		if (isSuccess && expected != null && facts.attemptId() == null) {
+			fail("an answer without the identifier of its request");
+			return;
+		}
+		this.isKept = HttpUtil.isKeepAlive(response);
+		this.idleLimitMs = idleLimitMs(response);
+		this.isHeadSeen = true;
+		current.head(response.status(), response.headers(), facts);
+	}
+
+	private void content(HttpContent content) {
+		UpstreamExchange current = this.exchange;
+		if (this.foreign != null) {
+			content.release();
+			if (content instanceof LastHttpContent) {
+				this.foreign = null;
+			}
+			return;
+		}
+		if (current == null || !this.isHeadSeen) {
+			content.release();
+			return;
+		}
+		ByteBuf piece = content.content();
+		if (piece.isReadable()) {
+			current.piece(piece);
+		}
+		else {
+			content.release();
+		}
+		if (content instanceof LastHttpContent) {
+			finish(current);
+		}
+	}
+
+	private void finish(UpstreamExchange current) {
+		this.exchange = null;
+		this.idleSinceNs = System.nanoTime();
+		if (this.isKept && this.channel.isActive()) {
+			this.pool.release(this);
+		}
+		else {
+			this.channel.close();
+		}
+		current.completed();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		fail("the replica closed the connection");
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		fail("the connection failed: " + cause);
+	}
+
+	private void fail(String reason) {
+		UpstreamExchange current = this.exchange;
+		this.exchange = null;
+		this.channel.close();
+		this.pool.closed(this);
+		if (current != null) {
+			current.broken(reason);
+		}
+	}
+
+	private static long idleLimitMs(HttpResponse response) {
+		String field = response.headers().get("Keep-Alive");
+		int at = (field != null) ? field.indexOf("timeout=") : -1;
+		if (field == null || at < 0) {
+			return DEFAULT_IDLE_MS;
+		}
+		int end = at + "timeout=".length();
+		int start = end;
+		while (end < field.length() && Character.isDigit(field.charAt(end))) {
+			end++;
+		}
+		// A time of whole seconds may have been rounded up.
+		return (end > start) ? Long.parseLong(field.substring(start, end)) * MS_PER_SECOND - IDLE_MARGIN_MS
+				: DEFAULT_IDLE_MS;
+	}
+
+	/**
+	 * An answer that is skipped.
+	 */
+	private enum ForeignAnswer {
+
+		/** A late or repeated answer to an earlier request on the connection. */
+		OTHER_REQUEST,
+
+		/** A provisional answer, which the final one follows. */
+		INFORMATIONAL
+
+	}
+
+}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/cluster/DecisionFunctionsTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/cluster/DecisionFunctionsTests.java
@@ -36,6 +36,7 @@
 import dev.nutmegdoor.core.placement.Placement;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.PlacementInput;
+import dev.nutmegdoor.core.placement.PromptPart;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.program.BudgetInputs;
 import dev.nutmegdoor.core.program.BudgetRule;
@@ -133,7 +134,8 @@
 		UpstreamId reported = new UpstreamId("engine-" + this.random.nextInt(20));
 		this.index.reportReceived(reported, new LoadReport(number, this.random.nextLong(500), this.random.nextInt(32),
 				this.random.nextInt(8), this.random.nextLong(50_000), 10_000, 500_000, List.of("m")));
-		PlacementInput inputs = this.index.collect("model:m", "program-" + number, this.random.nextInt(100_000), 400,
+		PlacementInput inputs = this.index.collect("model:m",
+				List.of(new PromptPart("program-" + number, this.random.nextInt(100_000))), 400,
 				this.random.nextLong(1_000), Set.of());
 		return record(DecisionKind.PLACEMENT, inputs, Placement.decide(inputs));
 	}
--- a/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/FrameKind.java
+++ b/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/FrameKind.java
@@ -18,7 +18,10 @@
 	ANSWER(3),
 
 	/** The receiver could not handle a request; the body is a text. */
-	ERROR(4);
+	ERROR(4),
+
+	/** Tells the sender of one-way messages that its connection works. */
+	ACKNOWLEDGEMENT(5);
 
 	private final int code;
 
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/ApiException.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/ApiException.java
@@ -1,5 +1,8 @@
 package dev.nutmegdoor.standin.platform;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+
 /**
  * Refusal of a call with an HTTP status.
  */
@@ -9,9 +12,24 @@
 
 	private final int status;
 
+	private final transient @Nullable ObjectNode body;
+
 	ApiException(int status, String message) {
+		this(status, message, null);
+	}
+
+	ApiException(int status, String message, @Nullable ObjectNode body) {
 		super(message);
 		this.status = status;
+		this.body = body;
+	}
+
+	/**
+	 * Returns the body of the answer.
+	 * @return a body, or {@code null} if the message is the body
+	 */
+	@Nullable ObjectNode body() {
+		return this.body;
 	}
 
 	int status() {
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/CallGate.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/CallGate.java
@@ -67,8 +67,12 @@
 	}
 
 	Mono<Void> reply(HttpServerResponse response, Object value) {
+		return reply(response, 200, value);
+	}
+
+	private Mono<Void> reply(HttpServerResponse response, int status, Object value) {
 		try {
-			return response.status(200)
+			return response.status(status)
 				.header(HttpHeaderNames.CONTENT_TYPE, "application/json")
 				.sendString(Mono.just(this.mapper.writeValueAsString(value)))
 				.then();
@@ -100,8 +104,11 @@
 			return refuse(response, 503, "the platform is out");
 		}
 		WatchPage page = changes.get();
+		if (page.isGone()) {
+			return refuse(response, 410, "the changes are no longer kept");
+		}
 		if (page.isFinal() || nowMs >= deadlineMs) {
-			return reply(response, page);
+			return reply(response, page.toJson());
 		}
 		return Mono.delay(WATCH_POLL).then(Mono.defer(() -> poll(response, deadlineMs, changes)));
 	}
@@ -133,7 +140,8 @@
 			return drop(response);
 		}
 		catch (ApiException ex) {
-			return refuse(response, ex.status(), String.valueOf(ex.getMessage()));
+			return (ex.body() != null) ? reply(response, ex.status(), ex.body())
+					: refuse(response, ex.status(), String.valueOf(ex.getMessage()));
 		}
 	}
 
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/ObjectTable.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/ObjectTable.java
@@ -1,6 +1,5 @@
 package dev.nutmegdoor.standin.platform;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -10,111 +9,115 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
 
-import dev.nutmegdoor.core.store.ObjectStore;
-import dev.nutmegdoor.core.store.StoreEvent;
-import dev.nutmegdoor.core.store.StorePage;
-import dev.nutmegdoor.core.store.StoredObject;
-
 /**
- * Versioned objects with conditional updates and a bounded log of changes. One version
- * counter serves all kinds. May be called from any thread.
+ * Objects with conditional updates and a bounded log of changes. One revision counter
+ * serves all kinds. May be called from any thread.
  */
 final class ObjectTable {
 
-	private final Map<String, SortedMap<String, StoredObject>> kinds = new HashMap<>();
+	private static final int MAX_OBJECT_BYTES = 1_048_576;
+
+	private final Map<String, SortedMap<String, ObjectRecord>> kinds = new HashMap<>();
 
-	private final Deque<StoreEvent> events = new ArrayDeque<>();
+	private final Deque<ObjectChange> changes = new ArrayDeque<>();
 
-	private final int keptEvents;
+	private final int keptChanges;
 
-	private long version;
+	private long revision;
 
-	private long droppedVersion;
+	private long droppedRevision;
 
-	ObjectTable(int keptEvents) {
-		this.keptEvents = keptEvents;
+	ObjectTable(int keptChanges) {
+		this.keptChanges = keptChanges;
 	}
 
-	synchronized StoredObject get(String kind, String name) {
-		StoredObject object = objects(kind).get(name);
+	synchronized long revision() {
+		return this.revision;
+	}
+
+	synchronized ObjectRecord get(String kind, String name) {
+		ObjectRecord object = objects(kind).get(name);
 		if (object == null) {
 			throw new ApiException(404, kind + "/" + name + " does not exist");
 		}
 		return object;
 	}
 
-	synchronized StorePage list(String kind, String prefix) {
-		List<StoredObject> found = new ArrayList<>();
-		for (StoredObject object : objects(kind).tailMap(prefix).values()) {
-			if (!object.name().startsWith(prefix)) {
-				break;
-			}
-			found.add(object);
-		}
-		return new StorePage(found, this.version);
+	synchronized List<ObjectRecord> list(String kind, @Nullable String after, int most) {
+		SortedMap<String, ObjectRecord> objects = objects(kind);
+		SortedMap<String, ObjectRecord> rest = (after != null) ? objects.tailMap(after + "\0") : objects;
+		return rest.values().stream().limit(most).toList();
 	}
 
-	synchronized StoredObject create(String kind, String name, String value) {
-		if (objects(kind).containsKey(name)) {
-			throw new ApiException(412, kind + "/" + name + " exists already");
+	synchronized ObjectRecord create(String kind, String name, JsonNode spec) {
+		ObjectRecord known = objects(kind).get(name);
+		if (known != null) {
+			throw new ApiException(409, kind + "/" + name + " exists already", known.toJson());
 		}
-		return put(kind, name, value);
+		return put(kind, ObjectRecord.create(name, this.revision + 1, spec));
+	}
+
+	synchronized ObjectRecord update(String kind, String name, @Nullable Long expectedRevision, JsonNode spec) {
+		ObjectRecord known = require(kind, name, expectedRevision);
+		return known.spec().equals(spec) ? known : put(kind, known.withSpec(this.revision + 1, spec));
 	}
 
-	synchronized StoredObject update(String kind, String name, long expectedVersion, String value) {
-		requireVersion(kind, name, expectedVersion);
-		return put(kind, name, value);
+	synchronized ObjectRecord updateStatus(String kind, String name, @Nullable Long expectedRevision, JsonNode status) {
+		ObjectRecord known = require(kind, name, expectedRevision);
+		return known.status().equals(status) ? known : put(kind, known.withStatus(this.revision + 1, status));
 	}
 
-	synchronized long delete(String kind, String name, long expectedVersion) {
-		requireVersion(kind, name, expectedVersion);
+	synchronized ObjectRecord delete(String kind, String name, @Nullable Long expectedRevision) {
+		ObjectRecord known = require(kind, name, expectedRevision);
 		objects(kind).remove(name);
-		record(kind, name, null);
-		return this.version;
+		record(kind, known.withSpec(this.revision + 1, known.spec()), true);
+		return known;
 	}
 
-	synchronized WatchPage changes(String kind, long afterVersion) {
-		if (afterVersion < this.droppedVersion || afterVersion > this.version) {
-			return new WatchPage(List.of(), this.version, true);
+	synchronized WatchPage changes(String kind, long afterRevision) {
+		if (afterRevision < this.droppedRevision || afterRevision > this.revision) {
+			return new WatchPage(List.of(), this.revision, true);
 		}
-		List<StoreEvent> found = new ArrayList<>();
-		for (StoreEvent event : this.events) {
-			if (event.version() > afterVersion && event.kind().equals(kind)) {
-				found.add(event);
+		List<ObjectChange> found = new ArrayList<>();
+		for (ObjectChange change : this.changes) {
+			if (change.object().revision() > afterRevision && change.kind().equals(kind)) {
+				found.add(change);
 			}
 		}
-		return new WatchPage(found, this.version, false);
+		return new WatchPage(found, this.revision, false);
 	}
 
-	private void requireVersion(String kind, String name, long expectedVersion) {
-		StoredObject object = get(kind, name);
-		if (object.version() != expectedVersion) {
-			throw new ApiException(412,
-					kind + "/" + name + " has version " + object.version() + ", expected " + expectedVersion);
+	private ObjectRecord require(String kind, String name, @Nullable Long expectedRevision) {
+		ObjectRecord object = get(kind, name);
+		if (expectedRevision != null && object.revision() != expectedRevision) {
+			throw new ApiException(409,
+					kind + "/" + name + " has revision " + object.revision() + ", expected " + expectedRevision,
+					object.toJson());
 		}
+		return object;
 	}
 
-	private StoredObject put(String kind, String name, String value) {
-		if (value.getBytes(StandardCharsets.UTF_8).length > ObjectStore.MAX_VALUE_BYTES) {
-			throw new ApiException(413, "value must have at most " + ObjectStore.MAX_VALUE_BYTES + " bytes");
+	private ObjectRecord put(String kind, ObjectRecord object) {
+		if (object.toJson().toString().length() > MAX_OBJECT_BYTES) {
+			throw new ApiException(413, "an object must have at most " + MAX_OBJECT_BYTES + " bytes");
 		}
-		record(kind, name, value);
-		StoredObject object = new StoredObject(kind, name, this.version, value);
-		objects(kind).put(name, object);
+		record(kind, object, false);
+		objects(kind).put(object.name(), object);
 		return object;
 	}
 
-	private void record(String kind, String name, @Nullable String value) {
-		this.version++;
-		this.events.addLast(new StoreEvent(kind, name, this.version, value));
-		if (this.events.size() > this.keptEvents) {
-			this.droppedVersion = this.events.removeFirst().version();
+	private void record(String kind, ObjectRecord object, boolean isDeleted) {
+		this.revision = object.revision();
+		this.changes.addLast(new ObjectChange(kind, object, isDeleted));
+		if (this.changes.size() > this.keptChanges) {
+			this.droppedRevision = this.changes.removeFirst().object().revision();
 		}
 	}
 
-	private SortedMap<String, StoredObject> objects(String kind) {
+	private SortedMap<String, ObjectRecord> objects(String kind) {
 		return this.kinds.computeIfAbsent(kind, (key) -> new TreeMap<>());
 	}
 
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandin.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandin.java
@@ -1,10 +1,15 @@
 package dev.nutmegdoor.standin.platform;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -12,16 +17,19 @@
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
-import dev.nutmegdoor.core.store.StorePage;
+import dev.nutmegdoor.platform.WireNames;
 
 /**
  * HTTP server that stands in for the platform; see {@code docs/platform-api.md}.
  */
 public final class PlatformStandin implements AutoCloseable {
 
-	private static final String OBJECT = "/v1/objects/{kind}/{name}";
+	private static final String KIND = "/objects/{kind}";
 
-	private static final String INSTANCE = "/v1/instances/{id}";
+	private static final String OBJECT = "/objects/{kind}/{name}";
+
+	/** Objects in one page of a list, as on the platform. */
+	private static final int PAGE_OBJECTS = 500;
 
 	private final long startedNs = System.nanoTime();
 
@@ -33,8 +41,6 @@
 
 	private final ObjectTable objects;
 
-	private final InstanceTable instances;
-
 	private final CallGate gate;
 
 	private final DisposableServer server;
@@ -42,19 +48,16 @@
 	private PlatformStandin(PlatformStandinSettings settings) {
 		this.faults = new FaultSchedule(settings);
 		this.objects = new ObjectTable(settings.keptEvents());
-		this.instances = new InstanceTable(settings.listLagMs());
 		this.gate = new CallGate(settings, this.faults, this.statistics, this::elapsedMs, this.mapper);
 		this.server = HttpServer.create()
 			.host(settings.host())
 			.port(settings.port())
 			.route((routes) -> routes.get(OBJECT, this::get)
 				.put(OBJECT, this::put)
+				.put(OBJECT + "/status", this::putStatus)
 				.delete(OBJECT, this::delete)
-				.get("/v1/objects/{kind}", this::list)
-				.get("/v1/watch/{kind}", this::watch)
-				.get("/v1/instances", this::listInstances)
-				.put(INSTANCE, this::register)
-				.delete(INSTANCE, this::unregister)
+				.get(KIND, this::listOrWatch)
+				.post(KIND, this::create)
 				.get("/control/statistics", (request, response) -> this.gate.reply(response, statistics()))
 				.post("/control/faults", this::addFault))
 			.bindNow();
@@ -108,63 +111,70 @@
 
 	private Publisher<Void> get(HttpServerRequest request, HttpServerResponse response) {
 		return this.gate.read(response,
-				() -> this.objects.get(Requests.path(request, "kind"), Requests.path(request, "name")));
-	}
-
-	private Publisher<Void> list(HttpServerRequest request, HttpServerResponse response) {
-		return this.gate.read(response, () -> {
-			StorePage page = this.objects.list(Requests.path(request, "kind"), Requests.query(request, "prefix", ""));
-			return Map.of("objects", page.objects(), "version", page.version());
-		});
-	}
-
-	private Publisher<Void> put(HttpServerRequest request, HttpServerResponse response) {
-		return this.gate.write(request, response, (body) -> {
-			String kind = Requests.path(request, "kind");
-			String name = Requests.path(request, "name");
-			long version = (Requests.isCreate(request) ? this.objects.create(kind, name, body)
-					: this.objects.update(kind, name, Requests.expectedVersion(request), body))
-				.version();
-			return Map.of("kind", kind, "name", name, "version", version);
-		});
+				() -> this.objects.get(Requests.path(request, "kind"), Requests.path(request, "name")).toJson());
 	}
 
-	private Publisher<Void> delete(HttpServerRequest request, HttpServerResponse response) {
-		return this.gate.write(request, response,
-				(body) -> Map.of("version", this.objects.delete(Requests.path(request, "kind"),
-						Requests.path(request, "name"), Requests.expectedVersion(request))));
+	private Publisher<Void> listOrWatch(HttpServerRequest request, HttpServerResponse response) {
+		String kind = Requests.path(request, "kind");
+		String watched = Requests.query(request, WireNames.WATCH, "");
+		if (watched.isEmpty()) {
+			String after = Requests.query(request, WireNames.AFTER, "");
+			return this.gate.read(response, () -> list(kind, after.isEmpty() ? null : after));
+		}
+		long timeoutMs = Long.parseLong(Requests.query(request, WireNames.WAIT_MS, "30000"));
+		return this.gate.watch(response, timeoutMs, () -> this.objects.changes(kind, Long.parseLong(watched)));
 	}
 
-	private Publisher<Void> watch(HttpServerRequest request, HttpServerResponse response) {
-		String kind = Requests.path(request, "kind");
-		long afterVersion = Long.parseLong(Requests.query(request, "after", "0"));
-		long timeoutMs = Long.parseLong(Requests.query(request, "timeoutMs", "10000"));
-		return this.gate.watch(response, timeoutMs, () -> this.objects.changes(kind, afterVersion));
+	private ObjectNode list(String kind, @Nullable String after) {
+		List<ObjectRecord> page = this.objects.list(kind, after, PAGE_OBJECTS + 1);
+		ObjectNode json = this.mapper.createObjectNode();
+		ArrayNode items = json.putArray(WireNames.ITEMS);
+		page.stream().limit(PAGE_OBJECTS).forEach((object) -> items.add(object.toJson()));
+		return json.put(WireNames.HAS_MORE, page.size() > PAGE_OBJECTS)
+			.put(WireNames.CURRENT_REVISION, this.objects.revision());
 	}
 
-	private Publisher<Void> listInstances(HttpServerRequest request, HttpServerResponse response) {
-		return this.gate.read(response, () -> Map.of("instances", this.instances.list(elapsedMs())));
+	private Publisher<Void> create(HttpServerRequest request, HttpServerResponse response) {
+		return this.gate.write(request, response, (body) -> {
+			JsonNode json = Requests.parse(this.mapper, body, JsonNode.class);
+			String name = json.path(WireNames.META).path(WireNames.NAME).asText();
+			return this.objects.create(Requests.path(request, "kind"), name, json.path(WireNames.SPEC)).toJson();
+		});
 	}
 
-	private Publisher<Void> register(HttpServerRequest request, HttpServerResponse response) {
+	private Publisher<Void> put(HttpServerRequest request, HttpServerResponse response) {
 		return this.gate.write(request, response, (body) -> {
-			InstanceEntry entry = Requests.parse(this.mapper, body, InstanceEntry.class);
-			if (!entry.id().equals(Requests.path(request, "id"))) {
-				throw new ApiException(400, "id in the body differs from the id in the path");
-			}
-			this.instances.put(elapsedMs(), entry);
-			return entry;
+			JsonNode json = Requests.parse(this.mapper, body, JsonNode.class);
+			return this.objects
+				.update(Requests.path(request, "kind"), Requests.path(request, "name"), revisionOf(json),
+						json.path(WireNames.SPEC))
+				.toJson();
 		});
 	}
 
-	private Publisher<Void> unregister(HttpServerRequest request, HttpServerResponse response) {
+	private Publisher<Void> putStatus(HttpServerRequest request, HttpServerResponse response) {
 		return this.gate.write(request, response, (body) -> {
-			String id = Requests.path(request, "id");
-			this.instances.remove(elapsedMs(), id);
-			return Map.of("id", id);
+			JsonNode json = Requests.parse(this.mapper, body, JsonNode.class);
+			return this.objects
+				.updateStatus(Requests.path(request, "kind"), Requests.path(request, "name"), revisionOf(json),
+						json.path(WireNames.STATUS))
+				.toJson();
 		});
 	}
 
+	private Publisher<Void> delete(HttpServerRequest request, HttpServerResponse response) {
+		return this.gate.write(request, response,
+				(body) -> this.objects
+					.delete(Requests.path(request, "kind"), Requests.path(request, "name"),
+							Requests.expectedRevision(request))
+					.toJson());
+	}
+
+	private static @Nullable Long revisionOf(JsonNode body) {
+		JsonNode revision = body.path(WireNames.META).path(WireNames.REVISION);
+		return revision.isIntegralNumber() ? revision.longValue() : null;
+	}
+
 	private Mono<Void> addFault(HttpServerRequest request, HttpServerResponse response) {
 		return request.receive().aggregate().asString().flatMap((body) -> {
 			InjectedFault fault;
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandinSettings.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandinSettings.java
@@ -18,16 +18,15 @@
  * @param writesPerSecond changes accepted in a second
  * @param delayMs delay of each answer in milliseconds
  * @param jitterMs largest additional random delay in milliseconds
- * @param listLagMs age of the instance list in milliseconds
  * @param keptEvents changes that a watch can look back
  * @param faults faults by time
  */
 public record PlatformStandinSettings(String host, int port, long seed, int readsPerSecond, int writesPerSecond,
-		long delayMs, long jitterMs, long listLagMs, int keptEvents, List<PlatformFault> faults) {
+		long delayMs, long jitterMs, int keptEvents, List<PlatformFault> faults) {
 
 	/** Settings of a platform without faults on a free port of the loopback interface. */
 	public static final PlatformStandinSettings DEFAULT = new PlatformStandinSettings("127.0.0.1", 0, 1, 2_000, 400, 2,
-			2, 2_000, 10_000, List.of());
+			2, 10_000, List.of());
 
 	private static final long MAX_RATE = 1_000_000;
 
@@ -41,7 +40,6 @@
 		require(errors, "writesPerSecond", writesPerSecond, "at least 1", writesPerSecond >= 1);
 		require(errors, "delayMs", delayMs, "0 or more", delayMs >= 0);
 		require(errors, "jitterMs", jitterMs, "0 or more", jitterMs >= 0);
-		require(errors, "listLagMs", listLagMs, "0 or more", listLagMs >= 0);
 		require(errors, "keptEvents", keptEvents, "at least 1", keptEvents >= 1);
 		if (!errors.isEmpty()) {
 			throw new IllegalArgumentException(String.join("; ", errors));
@@ -67,7 +65,6 @@
 					(int) root.integer("writesPerSecond", 1, MAX_RATE, (long) DEFAULT.writesPerSecond()),
 					root.integer("delayMs", 0, MAX_DELAY_MS, DEFAULT.delayMs()),
 					root.integer("jitterMs", 0, MAX_DELAY_MS, DEFAULT.jitterMs()),
-					root.integer("listLagMs", 0, MAX_DELAY_MS, DEFAULT.listLagMs()),
 					(int) root.integer("keptEvents", 1, MAX_RATE, (long) DEFAULT.keptEvents()), faults);
 		});
 	}
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/Requests.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/Requests.java
@@ -6,10 +6,12 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import org.jspecify.annotations.Nullable;
 import reactor.netty.http.server.HttpServerRequest;
 
+import dev.nutmegdoor.platform.WireNames;
+
 /**
  * Reads parameters of requests.
  */
@@ -31,20 +33,13 @@
 		return (values != null) ? values.get(0) : defaultValue;
 	}
 
-	static boolean isCreate(HttpServerRequest request) {
-		return "*".equals(request.requestHeaders().get(HttpHeaderNames.IF_NONE_MATCH));
-	}
-
-	static long expectedVersion(HttpServerRequest request) {
-		String value = request.requestHeaders().get(HttpHeaderNames.IF_MATCH);
-		if (value == null) {
-			throw new ApiException(428, "a change needs If-Match or If-None-Match");
-		}
+	static @Nullable Long expectedRevision(HttpServerRequest request) {
+		String value = query(request, WireNames.REVISION, "");
 		try {
-			return Long.parseLong(value.replace("\"", ""));
+			return value.isEmpty() ? null : Long.valueOf(value);
 		}
 		catch (NumberFormatException ex) {
-			throw new ApiException(400, "If-Match must be a version but is " + value);
+			throw new ApiException(400, WireNames.REVISION + " must be a revision but is " + value);
 		}
 	}
 
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/WatchPage.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/WatchPage.java
@@ -2,19 +2,34 @@
 
 import java.util.List;
 
-import dev.nutmegdoor.core.store.StoreEvent;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import dev.nutmegdoor.platform.WireNames;
 
 /**
- * Answer to a watch.
+ * State of a watch.
  *
- * @param events changes, oldest first
- * @param version version from which the next watch continues
- * @param reset whether the requested version is no longer known
+ * @param changes changes since the watched revision
+ * @param revision present revision of the store
+ * @param isGone whether changes after the watched revision are no longer kept
  */
-record WatchPage(List<StoreEvent> events, long version, boolean reset) {
+record WatchPage(List<ObjectChange> changes, long revision, boolean isGone) {
 
 	boolean isFinal() {
-		return this.reset || !this.events.isEmpty();
+		return this.isGone || !this.changes.isEmpty();
+	}
+
+	ObjectNode toJson() {
+		ObjectNode json = JsonNodeFactory.instance.objectNode();
+		ArrayNode events = json.putArray(WireNames.EVENTS);
+		for (ObjectChange change : this.changes) {
+			events.addObject()
+				.put(WireNames.DELETED, change.isDeleted())
+				.set(WireNames.OBJECT, change.object().toJson());
+		}
+		return json.put(WireNames.CURRENT_REVISION, this.revision);
 	}
 
 }
