Survive SIGHUP, reach the ledger through peers, leave more to replicas

Three of nine gateways cut off from the ledger for 12 s refused all turns after 250 ms each. A restarted ledger replica that did not know the others yet made gateways drop them.

Change: SIGHUP reads the settings again. A gateway passes reservations for unreachable replicas through another gateway and does not wait for replicas that did not answer before. Requests to a starting gateway wait up to 600 ms for the configuration.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformSettings.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformSettings.java
@@ -5,6 +5,7 @@
 import java.util.function.Predicate;
 
 import org.apache.commons.cli.CommandLine;
+import org.jboss.logging.Logger;
 
 import dev.nutmegdoor.platform.ProcessSettings;
 import dev.nutmegdoor.platform.ProcessSettingsException;
@@ -14,6 +15,8 @@
  */
 final class PlatformSettings {
 
+	private static final Logger logger = Logger.getLogger(PlatformSettings.class);
+
 	private PlatformSettings() {
 	}
 
@@ -45,9 +48,22 @@
 			console.out().println(path + ": valid");
 			return ExitCode.OK;
 		}
+		HangupSignal.handle(() -> reload(path, settings));
 		return action.apply(settings);
 	}
 
+	// Addresses and folders can't change while a process runs; what the file says of
+	// other processes is only needed at the start.
+	private static void reload(Path path, ProcessSettings inForce) {
+		try {
+			boolean isChanged = !ProcessSettings.read(path).equals(inForce);
+			logger.infof("event=settings.reloaded path=%s changed=%s", path, isChanged);
+		}
+		catch (ProcessSettingsException ex) {
+			logger.warnf("event=settings.unreadable path=%s error=\"%s\"", path, ex.getMessage());
+		}
+	}
+
 	private static Path path() {
 		String path = System.getenv(ProcessSettings.PATH_VARIABLE);
 		return Path.of((path != null && !path.isBlank()) ? path : ProcessSettings.DEFAULT_PATH);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMessages.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMessages.java
@@ -14,7 +14,7 @@
 
 	public static List<Class<? extends PeerMessage>> types() {
 		return List.of(LedgerReserve.class, LedgerAnswer.class, LedgerUpdate.class, LedgerSync.class,
-				LedgerSyncAnswer.class);
+				LedgerSyncAnswer.class, LedgerProxyReserve.class, LedgerProxyUpdate.class);
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.invariant.Invariant;
@@ -28,6 +30,8 @@
 
 	private final LedgerMembers members;
 
+	private final LedgerProxies proxies;
+
 	private final TimerService timer;
 
 	private final InvariantRegistry invariants;
@@ -48,21 +52,29 @@
 	 * Creates the budgets and subscribes to time.
 	 * @param transport messages to the replicas
 	 * @param members replicas of the ledger
+	 * @param proxies instances that may reach replicas that this one doesn't
 	 * @param timer source of time
 	 * @param invariants checks that a granted turn fits into its budget
 	 * @param events receives replicas that are lost or regained
 	 * @param settings figures of the ledger
 	 * @param holder identifies this run of the instance
 	 */
-	public TokenBudgets(PeerTransport transport, LedgerMembers members, TimerService timer,
+	public TokenBudgets(PeerTransport transport, LedgerMembers members, LedgerProxies proxies, TimerService timer,
 			InvariantRegistry invariants, EventLog events, LedgerSettings settings, String holder) {
 		this.transport = transport;
 		this.members = members;
+		this.proxies = proxies;
 		this.timer = timer;
 		this.invariants = invariants;
 		this.events = events;
 		this.settings = settings;
 		this.holder = holder;
+		transport.subscribe(LedgerProxyReserve.class, (from, message) -> transport.request(message.replica(),
+				message.reserve(), LedgerAnswer.class, settings.answerTimeoutMs()));
+		transport.subscribe(LedgerProxyUpdate.class, (from, message) -> {
+			members.all().forEach((member) -> transport.send(member.id(), message.update()));
+			return null;
+		});
 		timer.subscribe(settings.updatePeriodMs(), this::sendUpdates);
 		timer.subscribe(EXPIRY_PERIOD_MS, this::expire);
 	}
@@ -126,7 +138,15 @@
 		}
 		this.changed.clear();
 		LedgerUpdate update = new LedgerUpdate(entries);
-		this.members.all().forEach((member) -> this.transport.send(member.id(), update));
+		boolean isAnyUnreachable = false;
+		for (LedgerMember member : this.members.all()) {
+			this.transport.send(member.id(), update);
+			isAnyUnreachable |= !this.members.isReachable(member.id());
+		}
+		List<InstanceId> peers = isAnyUnreachable ? this.proxies.reachable() : List.of();
+		if (!peers.isEmpty()) {
+			this.transport.send(peers.get(0), new LedgerProxyUpdate(update));
+		}
 	}
 
 	private void expire() {
@@ -134,15 +154,16 @@
 		this.own.keySet().removeIf((program) -> this.table.entries(program).isEmpty());
 	}
 
-	// Replicas may differ in what they know for a while. A replica counts as gone if
-	// another one no longer lists it and this instance does not reach it either.
+	// Replicas may differ in what they know, above all after a restart. A replica counts
+	// as
+	// gone if another one does not list it and this instance has not reached it for long.
 	private void learn(List<LedgerMember> known) {
 		boolean isChanged = false;
 		for (LedgerMember member : known) {
 			isChanged |= this.members.add(member);
 		}
 		for (LedgerMember member : List.copyOf(this.members.all())) {
-			if (!this.members.isReachable(member.id())
+			if (this.members.unreachableMs(member.id(), this.timer.nowMs()) > this.settings.forgetMs()
 					&& known.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
 				this.members.remove(member.id());
 				isChanged = true;
@@ -186,31 +207,33 @@
 			List<LedgerMember> receivers = List.copyOf(TokenBudgets.this.members.all());
 			this.asked = receivers.size();
 			LedgerReserve message = new LedgerReserve(entry);
+			List<InstanceId> peers = receivers.stream()
+				.allMatch((member) -> TokenBudgets.this.members.isReachable(member.id())) ? List.of()
+						: TokenBudgets.this.proxies.reachable();
+			int nextPeer = 0;
 			for (LedgerMember member : receivers) {
-				// An unreachable replica is asked, but not waited for.
-				boolean isWaitedFor = TokenBudgets.this.members.isReachable(member.id());
-				this.waitedFor += isWaitedFor ? 1 : 0;
-				TokenBudgets.this.transport
-					.request(member.id(), message, LedgerAnswer.class, TokenBudgets.this.settings.answerTimeoutMs())
-					.whenComplete((answer, error) -> {
-						if (error != null) {
-							failed(member.id(), isWaitedFor, error);
-						}
-						else {
-							answered(member.id(), isWaitedFor, answer);
-						}
-					});
+				// An unreachable replica is asked, but not waited for; others may reach
+				// it.
+				boolean isReachable = TokenBudgets.this.members.isReachable(member.id());
+				this.waitedFor += isReachable ? 1 : 0;
+				Question question = new Question(member.id(), isReachable);
+				question.ask(TokenBudgets.this.transport.request(member.id(), message, LedgerAnswer.class,
+						TokenBudgets.this.settings.answerTimeoutMs()), false);
+				if (!isReachable && !peers.isEmpty()) {
+					InstanceId peer = peers.get(nextPeer++ % peers.size());
+					question.ask(TokenBudgets.this.transport.request(peer, new LedgerProxyReserve(member.id(), message),
+							LedgerAnswer.class, TokenBudgets.this.settings.answerTimeoutMs()), true);
+				}
 			}
 			if (receivers.isEmpty()) {
 				finish(LedgerRule.UNDECIDED);
 			}
+			else {
+				decide();
+			}
 		}
 
-		private void answered(InstanceId from, boolean isWaitedFor, LedgerAnswer answer) {
-			if (!TokenBudgets.this.members.isReachable(from)) {
-				TokenBudgets.this.events.record("ledger.regained", "replica", from);
-			}
-			TokenBudgets.this.members.answered(from);
+		private void answered(boolean isWaitedFor, LedgerAnswer answer) {
 			long nowMs = TokenBudgets.this.timer.nowMs();
 			answer.entries().forEach((entry) -> TokenBudgets.this.table.merge(entry, nowMs));
 			learn(answer.members());
@@ -219,12 +242,7 @@
 			decide();
 		}
 
-		private void failed(InstanceId from, boolean isWaitedFor, Throwable error) {
-			if (TokenBudgets.this.members.isReachable(from)) {
-				TokenBudgets.this.events.record("ledger.lost", "replica", from, "error",
-						String.valueOf(error.getMessage()));
-			}
-			TokenBudgets.this.members.failed(from, TokenBudgets.this.timer.nowMs());
+		private void failed(boolean isWaitedFor) {
 			this.failures++;
 			this.waitedFor -= isWaitedFor ? 1 : 0;
 			decide();
@@ -239,8 +257,8 @@
 			if (rule == LedgerRule.GRANTED || rule == LedgerRule.SPENT || areAllHeard) {
 				finish(rule);
 			}
-			else if (this.waitedFor <= 0 && this.answers > 0 && !this.isGraceStarted) {
-				// A replica that was out of reach may answer again.
+			else if (this.waitedFor <= 0 && !this.isGraceStarted) {
+				// A replica that was out of reach may answer again, or through a peer.
 				this.isGraceStarted = true;
 				TokenBudgets.this.timer.schedule(TokenBudgets.this.settings.unreachableGraceMs(), () -> {
 					if (!this.result.isDone()) {
@@ -269,6 +287,60 @@
 					TokenBudgets.this.members.size(), this.answers);
 		}
 
+		/**
+		 * The question to one replica, directly and perhaps through a peer.
+		 */
+		private final class Question {
+
+			private final InstanceId replica;
+
+			private final boolean isWaitedFor;
+
+			private int open;
+
+			private boolean isAnswered;
+
+			private Question(InstanceId replica, boolean isWaitedFor) {
+				this.replica = replica;
+				this.isWaitedFor = isWaitedFor;
+			}
+
+			private void ask(CompletableFuture<LedgerAnswer> future, boolean isThroughPeer) {
+				this.open++;
+				future.whenComplete((answer, error) -> {
+					this.open--;
+					if (!isThroughPeer) {
+						noteReachability(error);
+					}
+					if (error == null && !this.isAnswered) {
+						this.isAnswered = true;
+						answered(this.isWaitedFor, answer);
+					}
+					else if (error != null && !this.isAnswered && this.open == 0) {
+						failed(this.isWaitedFor);
+					}
+				});
+			}
+
+			private void noteReachability(@Nullable Throwable error) {
+				LedgerMembers known = TokenBudgets.this.members;
+				if (error == null && !known.isReachable(this.replica)) {
+					TokenBudgets.this.events.record("ledger.regained", "replica", this.replica);
+				}
+				if (error != null && known.isReachable(this.replica)) {
+					TokenBudgets.this.events.record("ledger.lost", "replica", this.replica, "error",
+							String.valueOf(error.getMessage()));
+				}
+				if (error == null) {
+					known.answered(this.replica);
+				}
+				else {
+					known.failed(this.replica, TokenBudgets.this.timer.nowMs());
+				}
+			}
+
+		}
+
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/FairQueue.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/FairQueue.java
@@ -24,10 +24,16 @@
 
 	private final TreeSet<WorkspaceQueue> active = new TreeSet<>();
 
+	private final double firstDispatchGapMs;
+
 	private double virtualTime;
 
 	private int size;
 
+	FairQueue(double firstDispatchGapMs) {
+		this.firstDispatchGapMs = firstDispatchGapMs;
+	}
+
 	void add(QueuedCall call) {
 		WorkspaceQueue queue = queueOf(call);
 		if (queue.calls.isEmpty()) {
@@ -160,7 +166,8 @@
 	}
 
 	private WorkspaceQueue queueOf(QueuedCall call) {
-		return this.workspaces.computeIfAbsent(call.request.workspace(), WorkspaceQueue::new);
+		return this.workspaces.computeIfAbsent(call.request.workspace(),
+				(workspace) -> new WorkspaceQueue(workspace, this.firstDispatchGapMs));
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduleSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduleSettings.java
@@ -16,16 +16,18 @@
  * @param maxAttempts times a repeatable call is sent at most
  * @param retryShare retries allowed for each successful call
  * @param hedgeAfterMs time after which a repeatable service call is sent a second time
+ * @param firstDispatchGapMs time between two calls of a backlogged workspace that is
+ * assumed until it has been measured
  */
 public record ScheduleSettings(int maxQueuedPerWorkspace, int lookahead, long priorityStepMs, double receivedWeight,
 		double elapsedWeight, double serviceCallCostMs, long firstOutputTimeoutMs, int maxAttempts, double retryShare,
-		long hedgeAfterMs) {
+		long hedgeAfterMs, double firstDispatchGapMs) {
 
 	/**
 	 * Settings that the experiment {@code scheduling} measures. The oldest programs go
 	 * first: fewer are then under way, and their prefixes fit into cache memory.
 	 */
 	public static final ScheduleSettings DEFAULT = new ScheduleSettings(400, 8, 5_000, 0.1, 1, 20, 10_000, 3, 0.1,
-			1_000);
+			1_000, 100);
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -114,7 +114,8 @@
 	public CallHandle run(CallRequest request, CallListener listener) {
 		long nowMs = this.timer.nowMs();
 		String pool = CallCosts.poolOf(request);
-		FairQueue queue = this.queues.computeIfAbsent(pool, (name) -> new FairQueue());
+		FairQueue queue = this.queues.computeIfAbsent(pool,
+				(name) -> new FairQueue(this.settings.firstDispatchGapMs()));
 		QueueInput input = new QueueInput(this.index.hasPool(pool), queue.queued(request.workspace()),
 				this.settings.maxQueuedPerWorkspace(), queue.expectedWaitMs(request.workspace()),
 				this.callCosts.minServiceMs(request), request.timeoutMs());
@@ -314,7 +315,7 @@
 	}
 
 	private FairQueue queueOf(QueuedCall call) {
-		return this.queues.computeIfAbsent(call.pool, (name) -> new FairQueue());
+		return this.queues.computeIfAbsent(call.pool, (name) -> new FairQueue(this.settings.firstDispatchGapMs()));
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/WorkspaceQueue.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/WorkspaceQueue.java
@@ -18,12 +18,13 @@
 	double startTag;
 
 	/** Average time between two dispatches while calls wait, in milliseconds. */
-	double dispatchGapMs = 100;
+	double dispatchGapMs;
 
 	long lastDispatchMs;
 
-	WorkspaceQueue(WorkspaceId workspace) {
+	WorkspaceQueue(WorkspaceId workspace, double firstDispatchGapMs) {
 		this.workspace = workspace;
+		this.dispatchGapMs = firstDispatchGapMs;
 	}
 
 	@Override
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -7,6 +7,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
 
@@ -49,6 +50,25 @@
 		return this.entries.get(id);
 	}
 
+	/**
+	 * Returns the instances that sent a report lately, those of a zone first.
+	 * @param zone the zone
+	 * @param nowMs present time in milliseconds
+	 * @param settings figures of the exchange
+	 * @return instances
+	 */
+	public List<InstanceId> reachable(AvailabilityZone zone, long nowMs, UsageSettings settings) {
+		List<InstanceId> ids = new ArrayList<>();
+		this.peers.forEach((id, peer) -> {
+			if (nowMs - peer.heardMs() <= settings.freshMs()) {
+				DirectoryEntry entry = this.entries.get(id);
+				boolean isNear = entry != null && entry.availabilityZone().equals(zone);
+				ids.add(isNear ? 0 : ids.size(), id);
+			}
+		});
+		return ids;
+	}
+
 	List<InstanceId> ids() {
 		return new ArrayList<>(this.entries.keySet());
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
@@ -3,6 +3,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import dev.nutmegdoor.core.id.InstanceId;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
@@ -93,6 +95,23 @@
 
 	}
 
+	@Nested
+	class Proxies {
+
+		// Guards against an instance that serves nothing because it is cut off from the
+		// replicas, although other instances reach them.
+		@Test
+		void passReservationsOnForAnInstanceThatIsCutOff() {
+			for (String zone : LedgerFleet.ZONES) {
+				LedgerTests.this.fleet.network.setCut(new InstanceId("g-a"), new InstanceId("r-" + zone), true);
+			}
+			LedgerTests.this.fleet.reserve("g-a", "first", TURN, BUDGET);
+			assertThat(LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET), is(BUDGET));
+			assertThat(LedgerTests.this.fleet.reserve("g-b", "p", TURN, BUDGET).rule(), is(LedgerRule.SPENT));
+		}
+
+	}
+
 	@Nested
 	class Failures {
 
@@ -144,6 +163,8 @@
 			LedgerTests.this.fleet.startReplica("r-d", "b", false);
 			LedgerTests.this.fleet.timer.advance(30_000);
 			LedgerTests.this.fleet.reserve("g-a", "first", TURN, BUDGET);
+			LedgerTests.this.fleet.timer.advance(LedgerSettings.DEFAULT.forgetMs());
+			LedgerTests.this.fleet.reserve("g-a", "second", TURN, BUDGET);
 			assertThat(LedgerTests.this.fleet.spendAll("g-a", "p", TURN, BUDGET), is(BUDGET));
 			assertThat(LedgerTests.this.fleet.replicas.get("r-d").programs(), greaterThan(0));
 		}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -0,0 +1,234 @@
+package dev.nutmegdoor.core.schedule;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayListener;
+import dev.nutmegdoor.core.call.RelayOutcome;
+import dev.nutmegdoor.core.call.RelayedCall;
+import dev.nutmegdoor.core.call.Repeatability;
+import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.explain.DecisionRecorder;
+import dev.nutmegdoor.core.fake.FakeConfigurationView;
+import dev.nutmegdoor.core.fault.StepListener;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.DecisionId;
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.placement.PlacementCosts;
+import dev.nutmegdoor.core.placement.PromptPart;
+import dev.nutmegdoor.core.placement.ReplicaIndex;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+class RelayedCallTests {
+
+	private final VirtualTimerService timer = new VirtualTimerService(0);
+
+	private final FakeConfigurationView configuration = new FakeConfigurationView(replicas("r-1", "r-2", "r-3"));
+
+	private final List<Send> sends = new ArrayList<>();
+
+	private final List<Refusal> refusals = new ArrayList<>();
+
+	private final List<CallResult> results = new ArrayList<>();
+
+	private final ScheduledCallRunner runner = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT,
+			new ReplicaIndex(new AvailabilityZone("a"), 4, PlacementCosts.DEFAULT, this.timer,
+					RandomSource.XO_SHI_RO_256_PP.create(1)),
+			this.timer, this.configuration, UpstreamPorts.RELAY_ONLY, ProgramFactsSource.NONE,
+			new Observers(DecisionRecorder.NONE, new InvariantRegistry(), StepListener.NONE));
+
+	private int calls;
+
+	private static Configuration replicas(String... ids) {
+		Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
+		for (String id : ids) {
+			UpstreamId upstream = new UpstreamId(id);
+			upstreams.put(upstream, new Upstream(upstream, UpstreamKind.SERVICE, new AvailabilityZone("a"), "127.0.0.1",
+					1, List.of("s"), 4, false, false));
+		}
+		return new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), upstreams);
+	}
+
+	private CallHandle run(Repeatability repeatability, boolean isInterruptible, int maxReplicas,
+			List<PromptPart> prompt) {
+		RelayedCall call = new RelayedCall("s", repeatability, isInterruptible, maxReplicas, prompt,
+				prompt.isEmpty() ? 0 : 10, null, null, 0, 1, this::send);
+		return this.runner.run(new CallRequest(new DecisionId("d:" + this.calls++), new WorkspaceId("w"),
+				new KeyId("k"), null, 0, "", call, 3_000), new Recorder());
+	}
+
+	private CallHandle send(Upstream upstream, long timeLeftMs, RelayListener listener) {
+		Send send = new Send(upstream.id(), timeLeftMs, listener);
+		this.sends.add(send);
+		return () -> send.isCancelled = true;
+	}
+
+	private void end(int index, RelayOutcome outcome) {
+		this.sends.get(index).listener.ended(new RelayEnd(outcome, 200, 0, null, outcome.name()));
+		this.timer.advance(1);
+	}
+
+	@Nested
+	class ThatMayNotBeRepeated {
+
+		// Guards against a booking that is made twice because its answer was lost.
+		@Test
+		void areNotSentAgainAfterALostAnswer() {
+			run(Repeatability.AT_MOST_ONCE, false, 3, List.of());
+			end(0, RelayOutcome.BROKEN);
+			assertThat(RelayedCallTests.this.sends, hasSize(1));
+			assertThat(RelayedCallTests.this.refusals.get(0).run(), is(RunState.UNKNOWN));
+		}
+
+		// Guards against a refusal although no replica has seen the request.
+		@Test
+		void areSentElsewhereIfNoConnectionWasMade() {
+			run(Repeatability.AT_MOST_ONCE, false, 1, List.of());
+			end(0, RelayOutcome.NOT_CONNECTED);
+			assertThat(RelayedCallTests.this.sends, hasSize(2));
+			assertThat(RelayedCallTests.this.sends.get(1).replica, is(not(RelayedCallTests.this.sends.get(0).replica)));
+		}
+
+		// Guards against a request that is dropped on the way because its caller left.
+		@Test
+		void areNotInterruptedOnceTheyAreSent() {
+			run(Repeatability.AT_MOST_ONCE, false, 1, List.of()).cancel();
+			assertThat(RelayedCallTests.this.sends.get(0).isCancelled, is(false));
+		}
+
+	}
+
+	@Nested
+	class ThatMayBeRepeated {
+
+		// Guards against a request that fails with a replica although others are fine.
+		@Test
+		void areSentToAnotherReplica() {
+			run(Repeatability.REPEATABLE, true, 2, List.of());
+			end(0, RelayOutcome.BROKEN);
+			end(1, RelayOutcome.ANSWERED);
+			assertThat(RelayedCallTests.this.results, hasSize(1));
+		}
+
+		// Guards against more replicas than the operator allows for one request.
+		@Test
+		void keepToTheNumberOfReplicasOfTheirRoute() {
+			run(Repeatability.REPEATABLE, true, 1, List.of());
+			end(0, RelayOutcome.BROKEN);
+			assertThat(RelayedCallTests.this.sends, hasSize(1));
+			run(Repeatability.REPEATABLE, true, 1, List.of());
+			end(1, RelayOutcome.DECLINED);
+			assertThat(RelayedCallTests.this.sends, hasSize(2));
+			assertThat(RelayedCallTests.this.refusals.get(1).run(), is(RunState.NOT_RUN));
+		}
+
+		// Guards against a second answer after a part of the first one.
+		@Test
+		void areNotRepeatedAfterAPartOfTheAnswer() {
+			run(Repeatability.REPEATABLE, true, 3, List.of());
+			RelayedCallTests.this.sends.get(0).listener.answerStarted();
+			end(0, RelayOutcome.TRUNCATED);
+			assertThat(RelayedCallTests.this.sends, hasSize(1));
+			assertThat(RelayedCallTests.this.refusals.get(0).run(), is(RunState.RAN));
+		}
+
+		// Guards against replicas that work on for callers that have gone.
+		@Test
+		void areStoppedWhenTheirCallerLeaves() {
+			run(Repeatability.REPEATABLE, true, 1, List.of()).cancel();
+			assertThat(RelayedCallTests.this.sends.get(0).isCancelled, is(true));
+		}
+
+		// Guards against a request that is held past its deadline.
+		@Test
+		void endAtTheirDeadline() {
+			run(Repeatability.REPEATABLE, true, 1, List.of());
+			RelayedCallTests.this.timer.advance(3_000);
+			assertThat(RelayedCallTests.this.sends.get(0).isCancelled, is(true));
+			assertThat(RelayedCallTests.this.refusals, hasSize(1));
+		}
+
+	}
+
+	@Nested
+	class WithPrompts {
+
+		// Guards against a prefix that each replica reads anew although one holds it.
+		@Test
+		void goWhereTheirPrefixIsCached() {
+			List<PromptPart> first = List.of(new PromptPart("shared", 20_000), new PromptPart("one", 100));
+			run(Repeatability.REPEATABLE, true, 1, first);
+			end(0, RelayOutcome.ANSWERED);
+			for (int i = 0; i < 4; i++) {
+				run(Repeatability.REPEATABLE, true, 1,
+						List.of(new PromptPart("shared", 20_000), new PromptPart("other" + i, 100)));
+			}
+			UpstreamId holder = RelayedCallTests.this.sends.get(0).replica;
+			assertThat(RelayedCallTests.this.sends.stream().map((send) -> send.replica).distinct().toList(),
+					contains(holder));
+			assertThat(RelayedCallTests.this.refusals, is(empty()));
+		}
+
+	}
+
+	private static final class Send {
+
+		private final UpstreamId replica;
+
+		private final RelayListener listener;
+
+		private boolean isCancelled;
+
+		private Send(UpstreamId replica, long timeLeftMs, RelayListener listener) {
+			assertThat(timeLeftMs > 0, is(true));
+			this.replica = replica;
+			this.listener = listener;
+		}
+
+	}
+
+	private final class Recorder implements CallListener {
+
+		@Override
+		public void generated(int offset, String text) {
+			throw new AssertionError("a relayed answer does not pass through the scheduler");
+		}
+
+		@Override
+		public void completed(CallResult result) {
+			RelayedCallTests.this.results.add(result);
+		}
+
+		@Override
+		public void refused(Refusal refusal) {
+			RelayedCallTests.this.refusals.add(refusal);
+		}
+
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -163,8 +163,9 @@
 				UsageSettings.DEFAULT,
 				new UsageSelf(incarnation, settings.zone(), control.getHostString(), control.getPort()),
 				settings.isFirstStart());
-		TokenBudgets budgets = new TokenBudgets(this.transport, this.ledgerMembers, this.control, this.invariants,
-				events, LedgerSettings.DEFAULT, incarnation);
+		TokenBudgets budgets = new TokenBudgets(this.transport, this.ledgerMembers,
+				() -> this.peers.reachable(settings.zone(), this.control.nowMs(), UsageSettings.DEFAULT), this.control,
+				this.invariants, events, LedgerSettings.DEFAULT, incarnation);
 		EventLoop eventLoop = this.loops.onServer(false).next();
 		RequestTranslator translator = new RequestTranslator();
 		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.node.relay;
 
+import java.time.Duration;
 import java.util.List;
 
 import reactor.core.publisher.Mono;
@@ -23,6 +24,11 @@
 	/** Time in which a starting instance usually learns the configuration. */
 	private static final long STARTING_RETRY_MS = 300;
 
+	/** Longest time for which a request waits for the configuration. */
+	private static final long STARTING_WAIT_MS = 600;
+
+	private static final Duration STARTING_POLL = Duration.ofMillis(20);
+
 	private final Deployment deployment;
 
 	private final RequestTranslator translator;
@@ -36,8 +42,7 @@
 	public Mono<Void> filter(Exchange exchange) {
 		RouteTable table = this.deployment.routes();
 		if (table == null || !this.deployment.isKnown()) {
-			return refuse(RefusalReason.NOT_STARTED, "the instance does not know the configuration yet",
-					STARTING_RETRY_MS);
+			return awaitConfiguration(exchange);
 		}
 		List<String> hosts = exchange.request().requestHeaders().getAll("Host");
 		if (hosts.size() != 1) {
@@ -53,6 +58,17 @@
 		return Mono.empty();
 	}
 
+	// The platform sends requests to a starting instance while too few others are ready.
+	// It learns the configuration within a fraction of a second, less than a client needs
+	// to come back.
+	private Mono<Void> awaitConfiguration(Exchange exchange) {
+		if (exchange.elapsedMs() >= STARTING_WAIT_MS) {
+			return refuse(RefusalReason.NOT_STARTED, "the instance does not know the configuration yet",
+					STARTING_RETRY_MS);
+		}
+		return Mono.delay(STARTING_POLL).then(Mono.defer(() -> filter(exchange)));
+	}
+
 	private static Mono<Void> refuse(RefusalReason reason, String detail, long retryAfterMs) {
 		return Mono.error(new RefusalException(Refusal.notRun(reason, detail, retryAfterMs)));
 	}
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
@@ -0,0 +1,113 @@
+package dev.nutmegdoor.node.ledger;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import dev.nutmegdoor.core.ledger.LedgerEntry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+class FileLedgerLogTests {
+
+	private static final LedgerEntry ONE = new LedgerEntry("w/p1", "g~1", 132, 0, 60_000);
+
+	private static final LedgerEntry TWO = new LedgerEntry("w/p2", "g~1", 264, 100, 60_000);
+
+	@TempDir
+	private Path folder;
+
+	private FileLedgerLog open() throws IOException {
+		return new FileLedgerLog(this.folder, Runnable::run);
+	}
+
+	private Path file() {
+		return this.folder.resolve("ledger.log");
+	}
+
+	private void write(LedgerEntry... entries) throws IOException {
+		try (FileLedgerLog log = open()) {
+			for (LedgerEntry entry : entries) {
+				log.append(List.of(entry)).join();
+			}
+		}
+	}
+
+	@Nested
+	class AfterARestart {
+
+		// Guards against acknowledged entries that are gone, and against an empty disk
+		// that passes for one with a log.
+		@Test
+		void holdsWhatWasAcknowledged() throws IOException {
+			try (FileLedgerLog log = open()) {
+				assertThat(log.isNew(), is(true));
+			}
+			write(ONE, TWO);
+			try (FileLedgerLog log = open()) {
+				assertThat(log.isNew(), is(false));
+				assertThat(log.recovered(), contains(ONE, TWO));
+			}
+		}
+
+		// Guards against a log that can't be read, or grows from the middle of a record,
+		// after the loss of power tore its last write.
+		@Test
+		void cutsOffATornTail() throws IOException {
+			write(ONE, TWO);
+			byte[] bytes = Files.readAllBytes(file());
+			for (int length = bytes.length / 2 + 1; length < bytes.length; length++) {
+				Files.write(file(), Arrays.copyOf(bytes, length));
+				try (FileLedgerLog log = open()) {
+					assertThat(log.recovered(), contains(ONE));
+					log.append(List.of(TWO)).join();
+				}
+				try (FileLedgerLog log = open()) {
+					assertThat(log.recovered(), contains(ONE, TWO));
+				}
+			}
+		}
+
+		// Guards against a hole of zeros, which a file system can leave for a write that
+		// never reached the disk.
+		@Test
+		void stopsAtAHole() throws IOException {
+			write(ONE);
+			Files.write(file(), new byte[4_096], StandardOpenOption.APPEND);
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE));
+			}
+		}
+
+	}
+
+	@Nested
+	class Compaction {
+
+		// Guards against entries that a compaction loses, and against writes after it
+		// that
+		// go to the old file.
+		@Test
+		void keepsTheGivenEntriesAndLaterOnes() throws IOException {
+			try (FileLedgerLog log = open()) {
+				log.append(List.of(ONE)).join();
+				log.compact(List.of(ONE)).join();
+				log.append(List.of(TWO)).join();
+			}
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE, TWO));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -0,0 +1,176 @@
+package dev.nutmegdoor.node.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import reactor.netty.resources.LoopResources;
+
+import dev.nutmegdoor.core.route.AnswerFacts;
+import dev.nutmegdoor.platform.RequestTranslator;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+class UpstreamConnectionTests {
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final UpstreamPool pool = new UpstreamPool(LoopResources.create("test", 1, true), this.channel.eventLoop(),
+			new RequestTranslator(), new MetricRegistry());
+
+	private final UpstreamConnection connection = new UpstreamConnection(this.channel, new RequestTranslator(),
+			this.pool, "replica");
+
+	private final Recorder exchange = new Recorder();
+
+	@BeforeEach
+	void connect() {
+		this.channel.pipeline().addLast(new HttpClientCodec(), this.connection);
+		this.connection.send(this.exchange);
+		this.channel.releaseOutbound();
+	}
+
+	private void receive(String text) {
+		this.channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+	}
+
+	private static String answer(String attemptId, String body) {
+		return "HTTP/1.1 200 OK\r\nAttempt-Id: " + attemptId + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
+				+ body;
+	}
+
+	@Nested
+	class Answers {
+
+		// Guards against a connection that is not used again, and an answer cut short.
+		@Test
+		void arePassedOnWhole() {
+			receive(answer("a-1", "hello"));
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("200", "hello", "completed"));
+			assertThat(UpstreamConnectionTests.this.pool.idleConnections(), is(1));
+		}
+
+		// Guards against the late answer to an earlier request that reaches the client of
+		// the present one.
+		@Test
+		void toOtherRequestsAreSkipped() {
+			receive(answer("a-0", "late"));
+			receive(answer("a-1", "hello"));
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("200", "hello", "completed"));
+		}
+
+		// Guards against a success that nothing ties to the request.
+		@Test
+		void withoutIdentifierAreNotPassedOn() {
+			receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("broken"));
+		}
+
+		// Guards against a part of an answer that looks whole because the connection
+		// ended.
+		@Test
+		void thatEndEarlyAreBroken() {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: 9\r\n\r\nhel");
+			UpstreamConnectionTests.this.channel.close();
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("200", "hel", "broken"));
+		}
+
+		// Guards against a reset that passes for the end of an answer without a length.
+		@Test
+		void thatAreResetAreBroken() {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhel");
+			UpstreamConnectionTests.this.channel.pipeline().fireExceptionCaught(new java.io.IOException("reset"));
+			UpstreamConnectionTests.this.channel.close();
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("200", "hel", "broken"));
+		}
+
+		// Guards against answers without a length that are never complete.
+		@Test
+		void withoutLengthEndWithTheConnection() {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhello");
+			UpstreamConnectionTests.this.channel.close();
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("200", "hello", "completed"));
+		}
+
+	}
+
+	@Nested
+	class StrayBytes {
+
+		// Guards against bytes after an answer that the next request would receive.
+		@Test
+		void closeAnIdleConnection() {
+			receive(answer("a-1", "hello"));
+			receive(answer("a-1", "again"));
+			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
+			assertThat(UpstreamConnectionTests.this.pool.idleConnections(), is(0));
+		}
+
+		// Guards against bytes that are no answer and reach a client.
+		@Test
+		void thatAreNoAnswerBreakTheRequest() {
+			receive("garbage garbage\r\n\r\n");
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("broken"));
+		}
+
+	}
+
+	private static final class Recorder implements UpstreamExchange {
+
+		private final List<String> seen = new ArrayList<>();
+
+		@Override
+		public HttpRequest head() {
+			return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		}
+
+		@Override
+		public ByteBuf body() {
+			return Unpooled.EMPTY_BUFFER;
+		}
+
+		@Override
+		public String attemptId() {
+			return "a-1";
+		}
+
+		@Override
+		public void head(HttpResponseStatus status, HttpHeaders headers, AnswerFacts facts) {
+			this.seen.add(Integer.toString(status.code()));
+		}
+
+		@Override
+		public void piece(ByteBuf piece) {
+			this.seen.add(piece.toString(StandardCharsets.US_ASCII));
+			piece.release();
+		}
+
+		@Override
+		public void completed() {
+			this.seen.add("completed");
+		}
+
+		@Override
+		public void broken(String reason) {
+			this.seen.add("broken");
+		}
+
+	}
+
+}
