--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/GatewayCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/GatewayCommand.java
@@ -23,7 +23,7 @@
 
 	@Override
 	public Options options() {
-		return new Options().addOption(SettingsOptions.check());
+		return new Options().addOption(SettingsOptions.check()).addOption(PlatformSettings.metricsPort());
 	}
 
 	@Override
@@ -31,7 +31,8 @@
 		return PlatformSettings.run(line, console,
 				(settings) -> settings.front() != null && settings.readiness() != null && settings.control() != null,
 				"the addresses for clients, readiness checks and other processes", (settings) -> {
-					GatewayNode node = new GatewayNode(settings, new LoggingEventLog());
+					GatewayNode node = new GatewayNode(settings, PlatformSettings.metricsPort(line),
+							new LoggingEventLog());
 					node.start();
 					return Daemon.await(node::drain);
 				});
--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/LedgerCommand.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/LedgerCommand.java
@@ -23,14 +23,15 @@
 
 	@Override
 	public Options options() {
-		return new Options().addOption(SettingsOptions.check());
+		return new Options().addOption(SettingsOptions.check()).addOption(PlatformSettings.metricsPort());
 	}
 
 	@Override
 	public ExitCode run(CommandLine line, Console console) {
 		return PlatformSettings.run(line, console, (settings) -> settings.dataFolder() != null, "a folder for data",
 				(settings) -> {
-					LedgerNode node = new LedgerNode(settings, new LoggingEventLog());
+					LedgerNode node = new LedgerNode(settings, PlatformSettings.metricsPort(line),
+							new LoggingEventLog());
 					node.start();
 					return Daemon.await(node::stop);
 				});
--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformSettings.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/PlatformSettings.java
@@ -5,6 +5,7 @@
 import java.util.function.Predicate;
 
 import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
 import org.jboss.logging.Logger;
 
 import dev.nutmegdoor.platform.ProcessSettings;
@@ -17,9 +18,39 @@
 
 	private static final Logger logger = Logger.getLogger(PlatformSettings.class);
 
+	private static final int MAX_PORT = 65_535;
+
 	private PlatformSettings() {
 	}
 
+	static Option metricsPort() {
+		return Option.builder()
+			.longOpt("metrics-port")
+			.hasArg()
+			.argName("PORT")
+			.desc("port on which GET /metrics and GET /dump are answered")
+			.build();
+	}
+
+	/**
+	 * Reads the port of {@code --metrics-port}.
+	 * @param line parsed options
+	 * @return the port, 0 if none is given
+	 */
+	static int metricsPort(CommandLine line) {
+		String text = line.getOptionValue("metrics-port", "0");
+		try {
+			int port = Integer.parseInt(text);
+			if (port >= 0 && port <= MAX_PORT) {
+				return port;
+			}
+		}
+		catch (NumberFormatException ex) {
+			logger.debugf("event=settings.port_unreadable value=%s", text);
+		}
+		throw new UsageException("--metrics-port: value " + text + ", expected a port");
+	}
+
 	/**
 	 * Reads and checks the settings; with {@code --check} that is all.
 	 * @param line parsed options
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -1,6 +1,7 @@
 package dev.nutmegdoor.core.ledger;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
@@ -36,6 +37,12 @@
 	/** Longest wait in milliseconds if others answer but are not complete either. */
 	private static final long SYNC_LIMIT_MS = 6_000;
 
+	/** Time after the start at which a new replica looks for one that it replaces. */
+	private static final long REPLACEMENT_CHECK_MS = 2_000;
+
+	/** Time for which a replica must be out of reach to be replaced by a new one. */
+	private static final long LOST_MS = 1_000;
+
 	private final LedgerMember self;
 
 	private final PeerTransport transport;
@@ -105,12 +112,35 @@
 		join();
 		this.timer.subscribe(this.settings.probePeriodMs(), this::probe);
 		this.timer.subscribe(EXPIRY_PERIOD_MS, this::expire);
+		if (!isComplete) {
+			this.timer.schedule(REPLACEMENT_CHECK_MS, this::replaceLostReplica);
+		}
+	}
+
+	// A replica with an empty disk mostly comes in place of one that is gone for good.
+	// Kept
+	// in the list, that one would hold back its share of all budgets.
+	private void replaceLostReplica() {
+		long nowMs = this.timer.nowMs();
+		this.members.all()
+			.stream()
+			.filter((member) -> this.members.unreachableMs(member.id(), nowMs) >= LOST_MS)
+			.max(Comparator.comparingLong((member) -> this.members.unreachableMs(member.id(), nowMs)))
+			.ifPresent(this::evict);
 	}
 
 	public boolean isServing() {
 		return this.isServing;
 	}
 
+	/**
+	 * Returns the number of replicas that this one knows, itself included.
+	 * @return number of replicas
+	 */
+	public int members() {
+		return 1 + this.members.size();
+	}
+
 	public int programs() {
 		return this.table.programs();
 	}
@@ -301,6 +331,8 @@
 	private void evict(LedgerMember member) {
 		this.members.remove(member.id());
 		this.events.record("ledger.evicted", "replica", member.id());
+		LedgerSync notice = new LedgerSync(member, true, false, List.of());
+		this.members.all().forEach((other) -> this.transport.send(other.id(), notice));
 		this.registry.unregister(member.toEntry()).whenComplete((done, error) -> {
 			if (error != null) {
 				this.events.record("ledger.evict-failed", "replica", member.id(), "error",
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerRule.java
@@ -29,8 +29,19 @@
 		if (inputs.chargedTokens() > inputs.budgetTokens()) {
 			return SPENT;
 		}
-		long reached = inputs.budgetTokens() * Math.min(inputs.answers(), inputs.members());
-		return (inputs.chargedTokens() * inputs.members() <= reached) ? GRANTED : UNDECIDED;
+		long shares = Math.min(inputs.answers() + inputs.downReplicas(), inputs.members());
+		long reached = inputs.budgetTokens() * shares;
+		if (inputs.chargedTokens() * inputs.members() <= reached) {
+			return GRANTED;
+		}
+		// A budget may be exceeded by the rest of the turn that used it up. The smaller
+		// part
+		// of a divided deployment takes this allowance, the larger one keeps to its
+		// shares,
+		// so that both together exceed the budget by one turn at most.
+		boolean isSmallerPart = inputs.isFinal() && shares * 2 < inputs.members();
+		long chargedBefore = inputs.chargedTokens() - inputs.turnTokens();
+		return (isSmallerPart && chargedBefore * inputs.members() < reached) ? GRANTED : UNDECIDED;
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerSettings.java
@@ -19,9 +19,10 @@
 
 	/**
 	 * Round trips between zones take 8 to 11 ms and a sync of the disk 0.5 ms; a cut of
-	 * the network or the restart of a machine lasts up to 10 s.
+	 * the network or the restart of a machine lasts up to 10 s. Released tokens must
+	 * count within 1 s of the end of a turn.
 	 */
-	public static final LedgerSettings DEFAULT = new LedgerSettings(250, 40, 50, 500, 20_000, 5_000, 16_000_000,
+	public static final LedgerSettings DEFAULT = new LedgerSettings(250, 40, 200, 500, 20_000, 1_000, 16_000_000,
 			20_000);
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -14,6 +14,8 @@
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.invariant.Invariant;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.peer.PeerException;
+import dev.nutmegdoor.core.peer.PeerFailure;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.time.TimerService;
 
@@ -193,6 +195,8 @@
 
 		private int failures;
 
+		private int downReplicas;
+
 		private int waitedFor;
 
 		private boolean isGraceStarted;
@@ -242,8 +246,9 @@
 			decide();
 		}
 
-		private void failed(boolean isWaitedFor) {
+		private void failed(boolean isWaitedFor, boolean isDown) {
 			this.failures++;
+			this.downReplicas += isDown ? 1 : 0;
 			this.waitedFor -= isWaitedFor ? 1 : 0;
 			decide();
 		}
@@ -252,8 +257,8 @@
 			if (this.result.isDone()) {
 				return;
 			}
-			LedgerRule rule = LedgerRule.decide(inputs());
 			boolean areAllHeard = this.answers + this.failures >= this.asked;
+			LedgerRule rule = LedgerRule.decide(inputs(areAllHeard));
 			if (rule == LedgerRule.GRANTED || rule == LedgerRule.SPENT || areAllHeard) {
 				finish(rule);
 			}
@@ -262,18 +267,18 @@
 				this.isGraceStarted = true;
 				TokenBudgets.this.timer.schedule(TokenBudgets.this.settings.unreachableGraceMs(), () -> {
 					if (!this.result.isDone()) {
-						finish(LedgerRule.decide(inputs()));
+						finish(LedgerRule.decide(inputs(true)));
 					}
 				});
 			}
 		}
 
 		private void finish(LedgerRule rule) {
-			LedgerInputs inputs = inputs();
+			LedgerInputs inputs = inputs(true);
 			if (rule == LedgerRule.GRANTED) {
-				TokenBudgets.this.invariants.check(Invariant.BUDGET, inputs.chargedTokens() <= this.budgetTokens,
-						() -> "program " + this.program + " is charged " + inputs.chargedTokens() + " of "
-								+ this.budgetTokens);
+				TokenBudgets.this.invariants.check(Invariant.BUDGET,
+						inputs.chargedTokens() <= this.budgetTokens + this.tokens, () -> "program " + this.program
+								+ " is charged " + inputs.chargedTokens() + " of " + this.budgetTokens);
 			}
 			else {
 				release(this.program, this.tokens);
@@ -282,9 +287,9 @@
 					isFirstReservation(this.program, this.tokens)));
 		}
 
-		private LedgerInputs inputs() {
-			return new LedgerInputs(this.budgetTokens, TokenBudgets.this.table.charged(this.program),
-					TokenBudgets.this.members.size(), this.answers);
+		private LedgerInputs inputs(boolean isFinal) {
+			return new LedgerInputs(this.budgetTokens, TokenBudgets.this.table.charged(this.program), this.tokens,
+					TokenBudgets.this.members.size(), this.answers, this.downReplicas, isFinal);
 		}
 
 		/**
@@ -300,6 +305,8 @@
 
 			private boolean isAnswered;
 
+			private boolean isDown;
+
 			private Question(InstanceId replica, boolean isWaitedFor) {
 				this.replica = replica;
 				this.isWaitedFor = isWaitedFor;
@@ -317,7 +324,7 @@
 						answered(this.isWaitedFor, answer);
 					}
 					else if (error != null && !this.isAnswered && this.open == 0) {
-						failed(this.isWaitedFor);
+						failed(this.isWaitedFor, this.isDown);
 					}
 				});
 			}
@@ -331,6 +338,7 @@
 					TokenBudgets.this.events.record("ledger.lost", "replica", this.replica, "error",
 							String.valueOf(error.getMessage()));
 				}
+				this.isDown = error instanceof PeerException failure && failure.failure() == PeerFailure.REFUSED;
 				if (error == null) {
 					known.answered(this.replica);
 				}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/RequestStage.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/limit/RequestStage.java
@@ -8,15 +8,27 @@
 public enum RequestStage {
 
 	/** Begins a program. */
-	OPENING(0.4),
+	OPENING(0.4, 400),
 
 	/** Belongs to a program under way, or to none. */
-	CONTINUING(0);
+	CONTINUING(0, 800);
 
 	private final double reservedShare;
 
-	RequestStage(double reservedShare) {
+	private final long maxWaitMs;
+
+	RequestStage(double reservedShare, long maxWaitMs) {
 		this.reservedShare = reservedShare;
+		this.maxWaitMs = maxWaitMs;
+	}
+
+	/**
+	 * Returns how long a request may wait for a token. A client gives a stream up after 2
+	 * s without an event, and a program has about as much time to spare as it takes.
+	 * @return milliseconds
+	 */
+	public long maxWaitMs() {
+		return this.maxWaitMs;
 	}
 
 	/**
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.configuration.ConfigurationView;
@@ -30,6 +31,9 @@
 
 	private static final long MS_PER_SECOND = 1_000;
 
+	/** Part of the burst below which reports are sent more often. */
+	private static final double LOW_LEVEL = 0.6;
+
 	private final PeerTransport transport;
 
 	private final UsagePeers peers;
@@ -38,6 +42,8 @@
 
 	private final TimerService timer;
 
+	private final UniformRandomProvider random;
+
 	private final EventLog events;
 
 	private final UsageSettings settings;
@@ -56,6 +62,8 @@
 
 	private final Map<WorkspaceId, UsageBucket> buckets = new HashMap<>();
 
+	private final Map<WorkspaceId, WaitingLine> waiting = new HashMap<>();
+
 	private final Map<String, Long> admitted = new HashMap<>();
 
 	private boolean isChanged = true;
@@ -70,6 +78,7 @@
 	 * @param peers the other instances
 	 * @param configuration workspaces with their rates
 	 * @param timer source of time
+	 * @param random spreads returning clients and the tokens of a moment
 	 * @param events receives changes of the reachable part
 	 * @param settings figures of the exchange
 	 * @param self this instance as others reach it
@@ -77,11 +86,13 @@
 	 * instance can have admitted anything
 	 */
 	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
-			EventLog events, UsageSettings settings, UsageSelf self, boolean isFirstStart) {
+			UniformRandomProvider random, EventLog events, UsageSettings settings, UsageSelf self,
+			boolean isFirstStart) {
 		this.transport = transport;
 		this.peers = peers;
 		this.configuration = configuration;
 		this.timer = timer;
+		this.random = random;
 		this.events = events;
 		this.settings = settings;
 		this.incarnation = self.incarnation();
@@ -94,7 +105,10 @@
 			receive(from, report);
 			return null;
 		});
-		timer.subscribe(settings.reportPeriodMs(), this::report);
+		timer.subscribe(settings.reportPeriodMs(), () -> {
+			report();
+			releaseWaiting();
+		});
 	}
 
 	@Override
@@ -104,26 +118,72 @@
 
 	@Override
 	public CompletableFuture<Admission> admit(WorkspaceId workspace, RequestStage stage) {
-		return CompletableFuture.completedFuture(decide(workspace, stage));
-	}
-
-	private Admission decide(WorkspaceId id, RequestStage stage) {
-		Workspace workspace = this.configuration.current().workspaces().get(id);
-		if (workspace == null || workspace.ratePerSecond() <= 0) {
-			return new Admission(true, 0, Integer.MAX_VALUE, "unlimited");
+		Workspace limited = this.configuration.current().workspaces().get(workspace);
+		if (limited == null || limited.ratePerSecond() <= 0) {
+			return CompletableFuture.completedFuture(new Admission(true, 0, Integer.MAX_VALUE, "unlimited"));
 		}
-		UsageBucket bucket = refilled(workspace);
-		double needed = 1 + stage.reservedShare() * workspace.burst() * share();
-		if (bucket.tokens < needed) {
-			double rate = workspace.ratePerSecond() * share();
-			long waitMs = (long) Math.ceil((needed - bucket.tokens) * MS_PER_SECOND / Math.max(rate, 0.001));
-			return new Admission(false, waitMs, (long) Math.max(0, bucket.tokens),
-					(bucket.tokens < 1) ? "exhausted" : "kept for programs under way");
+		UsageBucket bucket = refilled(limited);
+		WaitingLine line = this.waiting.computeIfAbsent(workspace, (id) -> new WaitingLine());
+		if (line.ahead(stage) == 0 && bucket.tokens >= 1 + reserve(limited, stage)) {
+			return CompletableFuture.completedFuture(take(limited, bucket));
 		}
+		long waitMs = expectedWaitMs(limited, bucket, line.ahead(stage), stage);
+		if (waitMs <= stage.maxWaitMs()) {
+			return line.add(stage, this.timer.nowMs() + stage.maxWaitMs());
+		}
+		return CompletableFuture.completedFuture(refuse(bucket, waitMs));
+	}
+
+	private Admission take(Workspace workspace, UsageBucket bucket) {
 		bucket.tokens--;
-		this.admitted.merge(id.value(), 1L, Long::sum);
+		this.admitted.merge(workspace.id().value(), 1L, Long::sum);
 		this.isChanged = true;
-		return new Admission(true, 0, (long) bucket.tokens, "within the rate");
+		return new Admission(true, 0, (long) Math.max(0, bucket.tokens), "within the rate");
+	}
+
+	// Clients that are refused together are told different times, so that they don't come
+	// back together.
+	private Admission refuse(UsageBucket bucket, long waitMs) {
+		long spreadMs = this.random.nextLong(Math.max(1, waitMs / 2));
+		return new Admission(false, waitMs + spreadMs, (long) Math.max(0, bucket.tokens),
+				(bucket.tokens < 1) ? "exhausted" : "kept for programs under way");
+	}
+
+	private double reserve(Workspace workspace, RequestStage stage) {
+		return stage.reservedShare() * workspace.burst() * share();
+	}
+
+	private long expectedWaitMs(Workspace workspace, UsageBucket bucket, int ahead, RequestStage stage) {
+		double missing = Math.max(0, 1 + reserve(workspace, stage) - bucket.tokens);
+		// The other instances' waiting requests take the same tokens.
+		double needed = missing + (double) ahead * this.peers.known(this.timer.nowMs(), this.settings);
+		return (long) Math.ceil(needed * MS_PER_SECOND / (workspace.ratePerSecond() * share()));
+	}
+
+	// Each instance lets go its part of the tokens that all of them see.
+	private void releaseWaiting() {
+		long nowMs = this.timer.nowMs();
+		int instances = this.peers.known(nowMs, this.settings);
+		this.waiting.forEach((id, line) -> {
+			Workspace workspace = this.configuration.current().workspaces().get(id);
+			if (line.isEmpty() || workspace == null) {
+				return;
+			}
+			UsageBucket bucket = refilled(workspace);
+			int places = (int) Math.floor(Math.max(0, bucket.tokens) / instances + this.random.nextDouble());
+			double reserve = reserve(workspace, RequestStage.OPENING);
+			for (int i = 0; i < places; i++) {
+				WaitingLine.Waiting next = line.next(bucket.tokens, reserve);
+				if (next != null) {
+					next.result().complete(take(workspace, bucket));
+				}
+			}
+			for (WaitingLine.Waiting late = line.expired(nowMs); late != null; late = line.expired(nowMs)) {
+				late.result()
+					.complete(
+							refuse(bucket, expectedWaitMs(workspace, bucket, line.ahead(late.stage()), late.stage())));
+			}
+		});
 	}
 
 	private UsageBucket refilled(Workspace workspace) {
@@ -191,7 +251,8 @@
 			this.shownShare = share;
 		}
 		long sinceMs = nowMs - this.reportedMs;
-		if (!this.isChanged && sinceMs < this.settings.quietPeriodMs()) {
+		long periodMs = this.isChanged ? this.settings.calmPeriodMs() : this.settings.quietPeriodMs();
+		if (sinceMs < periodMs && !(this.isChanged && isAnyBucketLow())) {
 			return;
 		}
 		this.isChanged = false;
@@ -200,6 +261,16 @@
 		this.peers.ids().forEach((id) -> this.transport.send(id, report));
 	}
 
+	private boolean isAnyBucketLow() {
+		for (Map.Entry<WorkspaceId, Workspace> workspace : this.configuration.current().workspaces().entrySet()) {
+			UsageBucket bucket = this.buckets.get(workspace.getKey());
+			if (bucket != null && bucket.tokens < workspace.getValue().burst() * LOW_LEVEL) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private UsageReport build(boolean isAnswer) {
 		Map<String, Long> levels = new HashMap<>();
 		this.configuration.current().workspaces().forEach((id, workspace) -> {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageSettings.java
@@ -5,6 +5,8 @@
  *
  * @param reportPeriodMs time between reports in milliseconds; what all instances admit
  * above a limit is bounded by the demand in this time
+ * @param calmPeriodMs time between reports while all buckets are well filled in
+ * milliseconds
  * @param quietPeriodMs time between reports of an instance that admits nothing in
  * milliseconds
  * @param freshMs age up to which an instance counts as reachable in milliseconds
@@ -12,12 +14,13 @@
  * @param startMs time after the start in which levels of others are adopted in
  * milliseconds
  */
-public record UsageSettings(long reportPeriodMs, long quietPeriodMs, long freshMs, long forgetMs, long startMs) {
+public record UsageSettings(long reportPeriodMs, long calmPeriodMs, long quietPeriodMs, long freshMs, long forgetMs,
+		long startMs) {
 
 	/**
 	 * A report period of 100 ms keeps the excess of a tenant that sends seven times its
 	 * rate below the tenth of a 5 s window that the deployments tolerate.
 	 */
-	public static final UsageSettings DEFAULT = new UsageSettings(100, 500, 1_500, 60_000, 1_500);
+	public static final UsageSettings DEFAULT = new UsageSettings(100, 300, 500, 1_500, 60_000, 1_500);
 
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -7,13 +7,16 @@
 import java.util.Objects;
 import java.util.Set;
 
+import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.ledger.LedgerMember;
 import dev.nutmegdoor.core.ledger.LedgerMembers;
 import dev.nutmegdoor.core.ledger.LedgerMessages;
@@ -25,6 +28,8 @@
 import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.node.peer.PeerTransportSettings;
 import dev.nutmegdoor.node.peer.TcpPeerTransport;
+import dev.nutmegdoor.node.relay.MetricsText;
+import dev.nutmegdoor.node.relay.ObservationServer;
 import dev.nutmegdoor.node.relay.PlatformConnection;
 import dev.nutmegdoor.platform.ProcessSettings;
 import dev.nutmegdoor.platform.RetirementTranslator;
@@ -59,12 +64,19 @@
 
 	private final KindFollower retirements;
 
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final InvariantRegistry invariants = new InvariantRegistry();
+
+	private final @Nullable ObservationServer observation;
+
 	/**
 	 * Creates a replica; {@link #start} starts it.
 	 * @param settings settings of the process; its machine must have a disk
+	 * @param metricsPort port on which metrics and state are shown, or 0
 	 * @param events log of events
 	 */
-	public LedgerNode(ProcessSettings settings, EventLog events) {
+	public LedgerNode(ProcessSettings settings, int metricsPort, EventLog events) {
 		this.settings = settings;
 		this.events = events;
 		Path folder = Objects.requireNonNull(settings.dataFolder(), "the settings have no folder for data");
@@ -85,6 +97,19 @@
 		this.retirements = new KindFollower(platform.store(), this.control, random, new StoreHealth(this.control),
 				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(),
 				new RetirementListener(settings.instance(), this.replica, platform.store(), this.control, events));
+		this.metrics.gauge("ledger.programs", () -> this.replica::programs);
+		this.metrics.gauge("ledger.members", () -> this.replica::members);
+		this.metrics.gauge("ledger.log.bytes", () -> this.log::sizeBytes);
+		this.observation = (metricsPort > 0)
+				? new ObservationServer(new InetSocketAddress(settings.host(), metricsPort), this.loops,
+						this.replica::isServing, () -> MetricsText.of(this.metrics, this.invariants),
+						() -> Mono.fromFuture(this.control.call(this::dump)))
+				: null;
+	}
+
+	private String dump() {
+		return "replica=" + this.settings.instance() + " serving=" + this.replica.isServing() + " members="
+				+ this.members.all() + " programs=" + this.replica.programs() + " logBytes=" + this.log.sizeBytes();
 	}
 
 	private FileLedgerLog open(Path folder) {
@@ -101,6 +126,9 @@
 	 */
 	public void start() {
 		this.transport.start();
+		if (this.observation != null) {
+			this.observation.start();
+		}
 		boolean isComplete = !this.log.isNew() || this.settings.isFirstStart();
 		this.control.execute(() -> {
 			this.replica.start(this.log.recovered(), isComplete);
@@ -114,7 +142,12 @@
 	 */
 	public boolean stop() {
 		this.events.record("ledger.stopped", "replica", this.settings.instance());
+		if (this.observation != null) {
+			this.observation.stop();
+		}
 		this.transport.close();
+		this.control.close();
+		this.loops.dispose();
 		return true;
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -116,16 +116,18 @@
 
 	private final GatewayServer server;
 
-	private final ObservationServer readiness;
+	private final List<ObservationServer> observation;
 
 	private volatile boolean isLeaving;
 
 	/**
 	 * Creates an instance; {@link #start} binds its servers.
 	 * @param settings settings of the process; clients must reach it
+	 * @param metricsPort port on which metrics and state are shown besides the readiness
+	 * address, or 0
 	 * @param events log of events
 	 */
-	public GatewayNode(ProcessSettings settings, EventLog events) {
+	public GatewayNode(ProcessSettings settings, int metricsPort, EventLog events) {
 		this.settings = settings;
 		this.events = events;
 		InetSocketAddress front = Objects.requireNonNull(settings.front(), "the settings have no address for clients");
@@ -159,8 +161,8 @@
 						PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
 				new FrameCodec(new MessageTypes(messageTypes())), this.control, this::addressOf, this.loops);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
-		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, events,
-				UsageSettings.DEFAULT,
+		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
+				events, UsageSettings.DEFAULT,
 				new UsageSelf(incarnation, settings.zone(), control.getHostString(), control.getPort()),
 				settings.isFirstStart());
 		TokenBudgets budgets = new TokenBudgets(this.transport, this.ledgerMembers,
@@ -180,15 +182,19 @@
 		RefusalAnswers refusals = new RefusalAnswers(new Answers(this.deployment, RetryAfterStyle.FRACTIONS),
 				entryDecisions, this.metrics, events);
 		this.server = new GatewayServer(front, this.loops, chain, refusals, decisionIds, bridge, this.metrics);
-		this.readiness = new ObservationServer(ready, this.loops, this::isReady,
-				() -> MetricsText.of(this.metrics, this.invariants), this::dump);
+		List<InetSocketAddress> addresses = (metricsPort > 0)
+				? List.of(ready, new InetSocketAddress(settings.host(), metricsPort)) : List.of(ready);
+		this.observation = addresses.stream()
+			.map((address) -> new ObservationServer(address, this.loops, this::isReady,
+					() -> MetricsText.of(this.metrics, this.invariants), this::dump))
+			.toList();
 	}
 
 	/**
 	 * Binds the servers and begins to follow the platform's store.
 	 */
 	public void start() {
-		this.readiness.start();
+		this.observation.forEach(ObservationServer::start);
 		InetSocketAddress address = this.server.start();
 		this.transport.start();
 		this.control.execute(() -> {
@@ -223,11 +229,21 @@
 		}
 		int interrupted = this.server.runningRequests();
 		this.events.record("gateway.stopped", "instance", this.settings.instance(), "interrupted", interrupted);
-		this.server.stop();
-		this.readiness.stop();
+		stop();
 		return interrupted == 0;
 	}
 
+	/**
+	 * Stops at once and closes all connections.
+	 */
+	public void stop() {
+		this.server.stop();
+		this.observation.forEach(ObservationServer::stop);
+		this.transport.close();
+		this.control.close();
+		this.loops.dispose();
+	}
+
 	private void register(InstanceRegistry registry) {
 		InetSocketAddress control = Objects.requireNonNull(this.settings.control());
 		registry
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
@@ -108,7 +108,7 @@
 	 */
 	void stopAccepting() {
 		if (this.server != null) {
-			this.server.channel().close();
+			this.server.channel().close().syncUninterruptibly();
 		}
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/MetricsText.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/MetricsText.java
@@ -12,7 +12,7 @@
 /**
  * Writes metrics as lines of a name and a number, the text form that Prometheus reads.
  */
-final class MetricsText {
+public final class MetricsText {
 
 	private static final double MEDIAN = 0.5;
 
@@ -23,7 +23,13 @@
 	private MetricsText() {
 	}
 
-	static String of(MetricRegistry metrics, InvariantRegistry invariants) {
+	/**
+	 * Writes all metrics.
+	 * @param metrics counters, gauges and timers
+	 * @param invariants checks made and violated
+	 * @return lines of text
+	 */
+	public static String of(MetricRegistry metrics, InvariantRegistry invariants) {
 		StringBuilder text = new StringBuilder();
 		metrics.getCounters().forEach((name, counter) -> line(text, name + "_total", (double) counter.getCount()));
 		metrics.getGauges().forEach((name, gauge) -> {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayOutcomes.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayOutcomes.java
@@ -7,10 +7,8 @@
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.RunState;
-import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
-import dev.nutmegdoor.node.entry.RoutedRequest;
 
 /**
  * Takes the outcome of a relayed call from the scheduler. Called on the control thread.
@@ -31,14 +29,11 @@
 
 	private final ControlBridge control;
 
-	private final EventLog events;
-
-	RelayOutcomes(Exchange exchange, RelayAnswer answer, Executor eventLoop, ControlBridge control, EventLog events) {
+	RelayOutcomes(Exchange exchange, RelayAnswer answer, Executor eventLoop, ControlBridge control) {
 		this.exchange = exchange;
 		this.answer = answer;
 		this.eventLoop = eventLoop;
 		this.control = control;
-		this.events = events;
 	}
 
 	@Override
@@ -48,12 +43,7 @@
 
 	@Override
 	public void completed(CallResult result) {
-		RoutedRequest routed = this.exchange.routed();
 		this.exchange.reservation().settle();
-		this.events.record("request.answered", "attempt", routed.attemptId(), "decision", this.exchange.decision(),
-				"workspace", String.valueOf(this.exchange.workspaceOrNull()), "route", routed.route().name(), "version",
-				routed.table().version(), "replica", result.upstream(), "status", result.status(), "elapsedMs",
-				this.exchange.elapsedMs());
 	}
 
 	@Override
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -88,7 +88,7 @@
 		RelayTransfer transfer = new RelayTransfer(exchange, body, answer, this.pool, this.control, this.events,
 				tokensPerEvent, exchange.reservation());
 		CallRequest request = request(exchange, routed, serviceName, transfer);
-		RelayOutcomes outcomes = new RelayOutcomes(exchange, answer, this.pool.eventLoop(), this.control, this.events);
+		RelayOutcomes outcomes = new RelayOutcomes(exchange, answer, this.pool.eventLoop(), this.control);
 		CallHandle[] handle = new CallHandle[1];
 		exchange.relayed();
 		this.control.execute(() -> handle[0] = this.runner.run(request, outcomes));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -46,6 +46,8 @@
 
 	private final TurnReservation reservation;
 
+	private volatile long sentMs;
+
 	/**
 	 * Creates a transfer.
 	 * @param exchange the client's request
@@ -72,8 +74,7 @@
 
 	@Override
 	public CallHandle send(Upstream upstream, long timeLeftMs, RelayListener listener) {
-		this.events.record("request.sent", "attempt", routed().attemptId(), "decision", this.exchange.decision(),
-				"replica", upstream.id(), "timeLeftMs", timeLeftMs, "elapsedMs", this.exchange.elapsedMs());
+		this.sentMs = this.exchange.elapsedMs();
 		Send send = new Send(upstream, timeLeftMs, listener);
 		this.pool.eventLoop().execute(send::start);
 		return () -> this.pool.eventLoop().execute(send::cancel);
@@ -147,6 +148,10 @@
 			}
 			this.isOver = true;
 			RelayTransfer.this.reservation.handedOut(tokens());
+			RelayTransfer.this.events.record("request.send-cancelled", "attempt", routed().attemptId(), "decision",
+					RelayTransfer.this.exchange.decision(), "replica", this.upstream.id(), "sentMs",
+					RelayTransfer.this.sentMs, "tokens", tokens(), "elapsedMs",
+					RelayTransfer.this.exchange.elapsedMs());
 			if (this.connection != null) {
 				this.connection.abort();
 			}
@@ -265,10 +270,13 @@
 			RelayTransfer.this.reservation.handedOut(tokens());
 			int statusCode = (this.status != null) ? this.status.code() : 0;
 			RelayEnd end = new RelayEnd(how, statusCode, tokens(), this.load, detail);
-			RelayTransfer.this.events.record("request.send-ended", "attempt", routed().attemptId(), "decision",
-					RelayTransfer.this.exchange.decision(), "replica", this.upstream.id(), "outcome", how, "status",
-					statusCode, "tokens", end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(),
-					"detail", detail);
+			RelayTransfer.this.events.record("request.sent", "attempt", routed().attemptId(), "decision",
+					RelayTransfer.this.exchange.decision(), "workspace",
+					String.valueOf(RelayTransfer.this.exchange.workspaceOrNull()), "route", routed().route().name(),
+					"version", routed().table().version(), "replica", this.upstream.id(), "sentMs",
+					RelayTransfer.this.sentMs, "timeLeftMs", this.timeLeftMs, "outcome", how, "status", statusCode,
+					"tokens", end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(), "detail",
+					detail);
 			RelayTransfer.this.control.execute(() -> this.listener.ended(end));
 		}
 
--- /dev/null
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -0,0 +1,347 @@
+package dev.nutmegdoor.standin.relay;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.node.ledger.LedgerNode;
+import dev.nutmegdoor.node.relay.GatewayNode;
+import dev.nutmegdoor.platform.ProcessSettings;
+import dev.nutmegdoor.standin.platform.PlatformStandin;
+import dev.nutmegdoor.standin.platform.PlatformStandinSettings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+/**
+ * A gateway and a ledger replica as they run on the platform, before a replica under
+ * control of the test.
+ */
+class GatewayTests {
+
+	private static final String HOST = InetAddress.getLoopbackAddress().getHostAddress();
+
+	private static final long LIMIT_MS = 20_000;
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	@TempDir
+	private Path folder;
+
+	private PlatformStandin platform;
+
+	private ReplicaServer replica;
+
+	private GatewayNode gateway;
+
+	private LedgerNode ledger;
+
+	private int frontPort;
+
+	private int readyPort;
+
+	private int attempts;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
+		this.replica = new ReplicaServer();
+		put("servers", "r-1", """
+				{"Service":"s","Addr":"%s:%d","Zone":"a","Slots":4,"State":"ready","Seq":1}""".formatted(HOST,
+				this.replica.port()));
+		put("config", "main",
+				"""
+						{"Version":1,"Routes":[
+						{"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"s"},
+						{"Name":"open","Host":"h.example","Prefix":"/open/","Kind":"safe","TimeoutMs":2000,"Service":"s","Public":true},
+						{"Name":"once","Host":"h.example","Prefix":"/once/","Kind":"unsafe","TimeoutMs":2000,"Service":"s"},
+						{"Name":"turn","Host":"h.example","Prefix":"/turn/","Kind":"stream","Resumable":true,"TimeoutMs":3000,
+						"RetainS":60,"Service":"s"}],
+						"Services":[{"Name":"s","Engine":{"Stride":6}}],
+						"Tenants":[{"Name":"w","ApiKeys":["key-1"],"RatePerS":1000,"Burst":1000}]}""");
+		this.frontPort = freePort();
+		this.readyPort = freePort();
+		ProcessSettings settings = settings(freePort(), freePort());
+		this.ledger = new LedgerNode(settings, 0, EventLog.NONE);
+		this.ledger.start();
+		this.gateway = new GatewayNode(settings, 0, EventLog.NONE);
+		this.gateway.start();
+		await(() -> readiness() == 200);
+	}
+
+	private ProcessSettings settings(int controlPort, int ledgerPort) {
+		return new ProcessSettings(new InstanceId("i-1"), new AvailabilityZone("a"), HOST,
+				new InetSocketAddress(HOST, this.frontPort), new InetSocketAddress(HOST, this.readyPort),
+				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, List.of(), true,
+				this.platform.address(), 5_000, this.folder, 256, 8_000, 2_000);
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.gateway.stop();
+		this.ledger.stop();
+		this.platform.close();
+		this.replica.close();
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private void put(String kind, String name, String spec) throws Exception {
+		ObjectNode body = JsonNodeFactory.instance.objectNode();
+		body.putObject("Meta").put("Name", name);
+		body.set("Spec", new com.fasterxml.jackson.databind.ObjectMapper().readTree(spec));
+		HttpRequest request = HttpRequest
+			.newBuilder(URI.create("http://" + HOST + ":" + this.platform.address().getPort() + "/objects/" + kind))
+			.POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+			.build();
+		assertThat(this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(), is(200));
+	}
+
+	private int readiness() throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + this.readyPort + "/readyz"))
+			.build();
+		return this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+	}
+
+	private static void await(Condition condition) throws Exception {
+		long limitNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MS);
+		while (!condition.isMet()) {
+			assertThat("condition is met in time", System.nanoTime() < limitNs);
+			Thread.onSpinWait();
+		}
+	}
+
+	/**
+	 * Sends a request with raw header fields, which java.net.http would refuse to set.
+	 */
+	private Socket send(String path, String fields, String body) throws IOException {
+		Socket socket = new Socket(HOST, this.frontPort);
+		socket.setSoTimeout((int) LIMIT_MS);
+		String text = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a-" + this.attempts++
+				+ "\r\nContent-Length: " + body.length() + "\r\n" + fields + "\r\n" + body;
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+		socket.getOutputStream().flush();
+		return socket;
+	}
+
+	private String exchange(String path, String fields, String body) throws IOException {
+		try (Socket socket = send(path, "Connection: close\r\n" + fields, body)) {
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+		}
+	}
+
+	@FunctionalInterface
+	private interface Condition {
+
+		boolean isMet() throws Exception;
+
+	}
+
+	@Nested
+	class Requests {
+
+		// Guards against a request or an answer that is changed on the way, and against a
+		// key that reaches a replica.
+		@Test
+		void reachTheReplicaUnchangedButForTheKey() throws Exception {
+			GatewayTests.this.replica.answer(ReplicaServer.whole(200, "Server-Seal: x.1\r\n", "answer"));
+			String answer = exchange("/safe/a?b=c", "Authorization: Bearer key-1\r\nX-Own: 1\r\nTenant: other\r\n",
+					"body");
+			assertThat(answer, containsString("HTTP/1.1 200"));
+			assertThat(answer, containsString("Server-Seal: x.1"));
+			assertThat(answer.endsWith("answer"), is(true));
+			ReplicaServer.Request seen = GatewayTests.this.replica.requests.get(0);
+			assertThat(seen.line, is("POST /safe/a?b=c HTTP/1.1"));
+			assertThat(seen.body, is("body"));
+			assertThat(seen.fields.get("x-own"), is("1"));
+			assertThat(seen.fields.get("authorization"), is(nullValue()));
+			assertThat(seen.fields.get("tenant"), is("w"));
+			assertThat(seen.fields.get("target-instance"), is("r-1"));
+			assertThat(seen.fields.get("deadline-ms"), is(notNullValue()));
+		}
+
+		// Guards against requests that run without a key, with a wrong key or without a
+		// route.
+		@Test
+		void areRefusedWithoutKeyOrRoute() throws Exception {
+			assertThat(exchange("/safe/a", "", ""), containsString("HTTP/1.1 401"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-2\r\n", ""), containsString("HTTP/1.1 401"));
+			assertThat(exchange("/none/", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 404"));
+			assertThat(GatewayTests.this.replica.requests, hasSize(0));
+			GatewayTests.this.replica.answer(ReplicaServer.whole(200, "", "open"));
+			assertThat(exchange("/open/a", "", ""), containsString("HTTP/1.1 200"));
+		}
+
+		// Guards against a promise that a booking did not run which only the status made.
+		@Test
+		void areCalledNotRunOnlyIfTheReplicaSaysSo() throws Exception {
+			GatewayTests.this.replica.answer(ReplicaServer.whole(503, "", "busy"));
+			assertThat(exchange("/once/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 502"));
+			GatewayTests.this.replica.answer(ReplicaServer.whole(503, "Not-Executed: 1\r\n", "busy"));
+			String answer = exchange("/once/a", "Authorization: Bearer key-1\r\n", "");
+			assertThat(answer, containsString("HTTP/1.1 503"));
+			assertThat(answer, containsString("Retry-After: 0."));
+		}
+
+		// Guards against a part of an answer that looks whole.
+		@Test
+		void endWithoutACompleteAnswerIfTheReplicaBreaksOff() throws Exception {
+			GatewayTests.this.replica.answer((request, output) -> {
+				ReplicaServer.write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+						+ "\r\nContent-Length: 100\r\n\r\npart");
+				request.isConnectionClosed = true;
+			});
+			String answer = exchange("/safe/a", "Authorization: Bearer key-1\r\n", "");
+			assertThat(answer, containsString("Content-Length: 100"));
+			assertThat(answer.endsWith("part"), is(true));
+		}
+
+	}
+
+	@Nested
+	class Streams {
+
+		private static final String TURN = "Authorization: Bearer key-1\r\nProgram-Id: p\r\nToken-Budget: 12\r\n"
+				+ "Token-Usage: 100,12\r\n";
+
+		// Guards against events that are held back until the stream ends.
+		@Test
+		void arePassedOnEventByEvent() throws Exception {
+			CompletableFuture<Void> firstSeen = new CompletableFuture<>();
+			GatewayTests.this.replica.answer((request, output) -> {
+				ReplicaServer.write(output,
+						"HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+								+ "\r\nTransfer-Encoding: chunked\r\n\r\n"
+								+ "f\r\nid: 1\ndata: a\n\n\r\n".replace("f\r\n", "f\r\n"));
+				firstSeen.join();
+				ReplicaServer.write(output, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+			});
+			try (Socket socket = send("/turn/a", TURN, "")) {
+				StringBuilder seen = new StringBuilder();
+				while (!seen.toString().contains("data: a")) {
+					seen.append((char) socket.getInputStream().read());
+				}
+				firstSeen.complete(null);
+				while (!seen.toString().contains("data: b")) {
+					seen.append((char) socket.getInputStream().read());
+				}
+			}
+			// Both events were counted: the budget holds no further turn.
+			assertThat(exchange("/turn/a", TURN, ""), containsString("HTTP/1.1 402"));
+		}
+
+		// Guards against replicas that work on for clients that have gone.
+		@Test
+		void areStoppedAtTheReplicaWhenTheClientLeaves() throws Exception {
+			GatewayTests.this.replica.answer((request, output) -> request.isLastAwaited = true);
+			Socket socket = send("/turn/a", TURN, "");
+			await(() -> !GatewayTests.this.replica.requests.isEmpty());
+			socket.close();
+			assertThat(GatewayTests.this.replica.closedAttempts.poll(LIMIT_MS, TimeUnit.MILLISECONDS),
+					is(notNullValue()));
+		}
+
+	}
+
+	@Nested
+	class Shutdown {
+
+		// Guards against requests that a planned stop cuts off, and against an instance
+		// that is still called ready.
+		@Test
+		void finishesWhatItHasRead() throws Exception {
+			CompletableFuture<Void> released = new CompletableFuture<>();
+			GatewayTests.this.replica.answer((request, output) -> {
+				released.join();
+				ReplicaServer.whole(200, "", "late").answer(request, output);
+			});
+			Socket socket = send("/safe/a", "Authorization: Bearer key-1\r\n", "");
+			await(() -> !GatewayTests.this.replica.requests.isEmpty());
+			CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+			await(() -> readiness() == 503);
+			released.complete(null);
+			String answer = new String(socket.getInputStream().readNBytes(20), StandardCharsets.US_ASCII);
+			assertThat(answer, containsString("200"));
+			socket.close();
+			assertThat(drained.get(LIMIT_MS, TimeUnit.MILLISECONDS), is(true));
+			// The selector closes the socket with its next round.
+			await(() -> !isAccepting());
+		}
+
+		private boolean isAccepting() {
+			try (Socket socket = new Socket(HOST, GatewayTests.this.frontPort)) {
+				return socket.isConnected();
+			}
+			catch (IOException ex) {
+				return false;
+			}
+		}
+
+		private boolean drain() {
+			try {
+				return GatewayTests.this.gateway.drain();
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+
+	}
+
+	@Nested
+	class Configurations {
+
+		// Guards against a key that works on after the version that withdrew it.
+		@Test
+		void thatWithdrawAKeyAreInForceSoon() throws Exception {
+			GatewayTests.this.replica.answer(ReplicaServer.whole(200, "", "ok"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 200"));
+			String url = "http://" + HOST + ":" + GatewayTests.this.platform.address().getPort()
+					+ "/objects/config/main";
+			String body = """
+					{"Meta":{"Name":"main"},"Spec":{"Version":2,"Routes":[
+					{"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"s"}],
+					"Services":[{"Name":"s"}],"Tenants":[{"Name":"w","ApiKeys":["key-2"]}]}}""";
+			GatewayTests.this.client.send(HttpRequest.newBuilder(URI.create(url))
+				.timeout(Duration.ofMillis(LIMIT_MS))
+				.PUT(HttpRequest.BodyPublishers.ofString(body))
+				.build(), HttpResponse.BodyHandlers.discarding());
+			await(() -> exchange("/safe/a", "Authorization: Bearer key-1\r\n", "").contains("HTTP/1.1 401"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-2\r\n", ""), not(containsString("401")));
+		}
+
+	}
+
+}
