Refuse new programs while replicas are busy, keep histories at one replica

Turns of one program reached replicas that did not hold its history, and each prefill stops the tokens of all other requests there.

Change: a program is not begun while the least loaded replica has as many requests as it runs at once; turns under way are more urgent than first ones. All instances of a zone assume the same replica for a history that they don't know. Counts of other instances' requests fade. A refused connection is no longer taken for a replica that is down.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayedCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayedCall.java
@@ -17,6 +17,8 @@
  * @param maxReplicas replicas to which the request may be sent
  * @param prompt parts of the prompt in their order; none for a plain request
  * @param maxAnswerTokens most tokens that the answer has; 0 for a plain request
+ * @param expectedAnswerTokens tokens that the answer probably has
+ * @param isOpening whether the request begins a program
  * @param account name under which the work of a whole program is counted, or {@code null}
  * @param finishMs time left until the whole program should be finished in milliseconds,
  * or {@code null} if the request belongs to no program
@@ -25,8 +27,9 @@
  * @param relay sends the request
  */
 public record RelayedCall(String service, Repeatability repeatability, boolean isInterruptible, int maxReplicas,
-		List<PromptPart> prompt, int maxAnswerTokens, @Nullable String account, @Nullable Long finishMs, int priority,
-		double minServiceMs, @JsonIgnore Relay relay) implements CallPayload {
+		List<PromptPart> prompt, int maxAnswerTokens, int expectedAnswerTokens, boolean isOpening,
+		@Nullable String account, @Nullable Long finishMs, int priority, double minServiceMs,
+		@JsonIgnore Relay relay) implements CallPayload {
 
 	public RelayedCall {
 		prompt = List.copyOf(prompt);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerInputs.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerInputs.java
@@ -9,11 +9,9 @@
  * @param turnTokens tokens reserved for this turn
  * @param members replicas of the ledger
  * @param answers replicas that have stored the reservation of this turn
- * @param downReplicas replicas whose process is known to be down, so that nobody can be
- * granted their share
  * @param isFinal whether no further answer is expected
  */
 public record LedgerInputs(long budgetTokens, long chargedTokens, long turnTokens, int members, int answers,
-		int downReplicas, boolean isFinal) {
+		boolean isFinal) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerRule.java
@@ -29,7 +29,7 @@
 		if (inputs.chargedTokens() > inputs.budgetTokens()) {
 			return SPENT;
 		}
-		long shares = Math.min(inputs.answers() + inputs.downReplicas(), inputs.members());
+		long shares = Math.min(inputs.answers(), inputs.members());
 		long reached = inputs.budgetTokens() * shares;
 		if (inputs.chargedTokens() * inputs.members() <= reached) {
 			return GRANTED;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -14,8 +14,6 @@
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.invariant.Invariant;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
-import dev.nutmegdoor.core.peer.PeerException;
-import dev.nutmegdoor.core.peer.PeerFailure;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.time.TimerService;
 
@@ -195,8 +193,6 @@
 
 		private int failures;
 
-		private int downReplicas;
-
 		private int waitedFor;
 
 		private boolean isGraceStarted;
@@ -246,9 +242,8 @@
 			decide();
 		}
 
-		private void failed(boolean isWaitedFor, boolean isDown) {
+		private void failed(boolean isWaitedFor) {
 			this.failures++;
-			this.downReplicas += isDown ? 1 : 0;
 			this.waitedFor -= isWaitedFor ? 1 : 0;
 			decide();
 		}
@@ -289,7 +284,7 @@
 
 		private LedgerInputs inputs(boolean isFinal) {
 			return new LedgerInputs(this.budgetTokens, TokenBudgets.this.table.charged(this.program), this.tokens,
-					TokenBudgets.this.members.size(), this.answers, this.downReplicas, isFinal);
+					TokenBudgets.this.members.size(), this.answers, isFinal);
 		}
 
 		/**
@@ -305,8 +300,6 @@
 
 			private boolean isAnswered;
 
-			private boolean isDown;
-
 			private Question(InstanceId replica, boolean isWaitedFor) {
 				this.replica = replica;
 				this.isWaitedFor = isWaitedFor;
@@ -324,7 +317,7 @@
 						answered(this.isWaitedFor, answer);
 					}
 					else if (error != null && !this.isAnswered && this.open == 0) {
-						failed(this.isWaitedFor, this.isDown);
+						failed(this.isWaitedFor);
 					}
 				});
 			}
@@ -338,7 +331,6 @@
 					TokenBudgets.this.events.record("ledger.lost", "replica", this.replica, "error",
 							String.valueOf(error.getMessage()));
 				}
-				this.isDown = error instanceof PeerException failure && failure.failure() == PeerFailure.REFUSED;
 				if (error == null) {
 					known.answered(this.replica);
 				}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/peer/PeerFailure.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/peer/PeerFailure.java
@@ -8,9 +8,6 @@
 	/** The message was not sent, so the receiver did nothing. */
 	NOT_SENT,
 
-	/** The receiver's machine answers, but no process listens: the process is down. */
-	REFUSED,
-
 	/** No answer arrived in time; the receiver may have acted. */
 	TIMEOUT,
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import net.openhft.hashing.LongHashFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
 
@@ -104,6 +105,20 @@
 		this.instances = Math.max(1, instances);
 	}
 
+	/**
+	 * Returns how much of its places the least loaded replica of a pool uses.
+	 * @param pool the pool
+	 * @return calls in flight divided by places; above 1 all replicas have calls waiting
+	 */
+	public double leastLoad(String pool) {
+		double least = Double.MAX_VALUE;
+		for (ReplicaState state : this.byPool.getOrDefault(pool, List.of())) {
+			double inFlight = state.ownInFlight() + state.others(this.timer.nowMs());
+			least = Math.min(least, inFlight / Math.max(1, state.upstream().maxConcurrentCalls()));
+		}
+		return (least == Double.MAX_VALUE) ? 0 : least;
+	}
+
 	public boolean hasPool(String pool) {
 		return this.byPool.containsKey(pool);
 	}
@@ -122,10 +137,11 @@
 		List<ReplicaState> members = this.byPool.getOrDefault(pool, List.of());
 		List<ReplicaState> candidates = sample(members, prompt);
 		int promptTokens = PromptPart.tokensOf(prompt);
+		ReplicaState assumedHolder = assumedHolder(members, prompt);
 		List<ReplicaView> views = new ArrayList<>(candidates.size());
 		for (ReplicaState state : candidates) {
 			if (!excluded.contains(state.upstream().id())) {
-				views.add(view(state, prompt));
+				views.add(view(state, prompt, state == assumedHolder));
 			}
 		}
 		return new PlacementInput(pool, promptTokens, answerTokens, waitedMs, this.instances, this.random.nextLong(),
@@ -300,14 +316,44 @@
 		return sampled;
 	}
 
-	private ReplicaView view(ReplicaState state, List<PromptPart> prompt) {
+	// Another instance may have sent earlier turns of the same history. All instances of
+	// a
+	// zone therefore assume the same holder of a history that they have not sent
+	// themselves,
+	// and begin it there.
+	private @Nullable ReplicaState assumedHolder(List<ReplicaState> members, List<PromptPart> prompt) {
+		if (prompt.size() < 2) {
+			return null;
+		}
+		String history = prompt.get(1).id();
+		if (history.isEmpty() || !this.cache.holders(history).isEmpty()) {
+			return null;
+		}
+		ReplicaState best = null;
+		long bestWeight = Long.MIN_VALUE;
+		for (ReplicaState state : members) {
+			long weight = LongHashFunction.xx().hashChars(history + state.upstream().id());
+			if (state.upstream().availabilityZone().equals(this.ownZone) && weight >= bestWeight) {
+				best = state;
+				bestWeight = weight;
+			}
+		}
+		return best;
+	}
+
+	private ReplicaView view(ReplicaState state, List<PromptPart> prompt, boolean isAssumedHolder) {
 		Upstream upstream = state.upstream();
 		long nowMs = this.timer.nowMs();
 		int cached = cachedTokens(prompt, upstream.id());
+		// A replica can only hold a history if it holds the shared part before it.
+		if (isAssumedHolder && cached >= prompt.get(0).tokens()) {
+			cached = PromptPart.tokensOf(prompt);
+		}
 		double crossingMs = upstream.availabilityZone().equals(this.ownZone) ? 0 : this.zoneCrossingMs;
-		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.others(), state.othersAgeMs(nowMs),
-				state.ownAtReport(), state.freeAtReport(), state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()),
-				cached, state.freeCacheTokens(), upstream.maxConcurrentCalls(), this.outliers.slowFactor(upstream.id()),
+		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.others(nowMs),
+				state.othersAgeMs(nowMs), state.ownAtReport(), state.freeAtReport(),
+				state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()), cached, state.freeCacheTokens(),
+				upstream.maxConcurrentCalls(), this.outliers.slowFactor(upstream.id()),
 				this.outliers.isEjected(upstream.id(), nowMs));
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -16,6 +16,10 @@
 	/** Ended calls older than any report in use are dropped. */
 	private static final long KEEP_ENDED_MS = 5_000;
 
+	private static final long HALF_LIFE_MS = 1_000;
+
+	private static final int MAX_HALVINGS = 31;
+
 	private final List<InFlightCall> own = new ArrayList<>();
 
 	private final Deque<InFlightCall> ended = new ArrayDeque<>();
@@ -103,8 +107,11 @@
 		}
 	}
 
-	int others() {
-		return this.others;
+	// A count that no report has confirmed for long says little: half of it is forgotten
+	// in
+	// each second.
+	int others(long nowMs) {
+		return this.others >> Math.min(MAX_HALVINGS, othersAgeMs(nowMs) / HALF_LIFE_MS);
 	}
 
 	long othersAgeMs(long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestFacts.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestFacts.java
@@ -17,13 +17,15 @@
  * @param tokenBudget tokens that all turns of the program together may generate, or
  * {@code null} if the request is no turn
  * @param maxAnswerTokens most tokens that this turn generates, 0 for a plain request
+ * @param expectedAnswerTokens the client's estimate of these tokens, 0 if it has none;
+ * right at the median and often far off
  * @param resumeAfterEvent number of the last event that the client has, 0 for a new
  * stream
  * @param prompt parts of the prompt in their order
  */
 public record RequestFacts(@Nullable String attemptId, @Nullable Long deadlineMs, @Nullable String programId,
-		@Nullable Long finishMs, @Nullable Long tokenBudget, int maxAnswerTokens, long resumeAfterEvent,
-		List<PromptPart> prompt) {
+		@Nullable Long finishMs, @Nullable Long tokenBudget, int maxAnswerTokens, int expectedAnswerTokens,
+		long resumeAfterEvent, List<PromptPart> prompt) {
 
 	public RequestFacts {
 		prompt = List.copyOf(prompt);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RouteTable.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RouteTable.java
@@ -18,6 +18,9 @@
  */
 public final class RouteTable {
 
+	/** Key of a workspace's own priority, which precedes those of the routes. */
+	public static final String ANY_ROUTE = "*";
+
 	private final long version;
 
 	private final Map<String, List<ServiceRoute>> routesByHost;
@@ -95,6 +98,18 @@
 		return !this.workspaces.isEmpty();
 	}
 
+	/**
+	 * Returns the rank of a request.
+	 * @param route route of the request
+	 * @param id workspace of the request, or {@code null}
+	 * @return rank, 0 is the most urgent
+	 */
+	public int priorityOf(ServiceRoute route, @Nullable WorkspaceId id) {
+		Workspace workspace = (id != null) ? this.workspaces.get(id) : null;
+		return (workspace != null) ? workspace.workPriorities().getOrDefault(ANY_ROUTE, route.priority())
+				: route.priority();
+	}
+
 	public @Nullable RoutedService service(String name) {
 		return this.services.get(name);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
@@ -45,7 +45,7 @@
 
 	static int answerTokensOf(CallRequest request) {
 		if (request.payload() instanceof RelayedCall relayed) {
-			return relayed.maxAnswerTokens();
+			return relayed.expectedAnswerTokens();
 		}
 		return (request.payload() instanceof ModelCall model) ? model.maxTokens() : 0;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
@@ -94,7 +94,7 @@
 	private void send(QueuedCall call, Reservation reservation, ScoredReplica chosen, int uncached) {
 		if (call.request.payload() instanceof RelayedCall relayed) {
 			call.chargedMs = CallCosts.isWithPrompt(relayed)
-					? this.runner.serviceMs(uncached, relayed.maxAnswerTokens())
+					? this.runner.serviceMs(uncached, relayed.expectedAnswerTokens())
 					: this.runner.settings().serviceCallCostMs();
 			call.isInterruptible = relayed.isInterruptible();
 			new RelayAttempt(this.runner, this.timer, call, relayed, reservation).start();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueueInput.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueueInput.java
@@ -14,13 +14,18 @@
  * @param expectedWaitMs expected time until the call is dispatched in milliseconds
  * @param expectedServiceMs time that the call needs at least once it is dispatched
  * @param timeLeftMs time until the deadline of the call in milliseconds
+ * @param leastLoad calls in flight at the least loaded replica, divided by its places
+ * @param maxLoad load above which the call is refused
  */
 public record QueueInput(boolean hasPool, int queuedCalls, int maxQueuedCalls, double expectedWaitMs,
-		double expectedServiceMs, long timeLeftMs) {
+		double expectedServiceMs, long timeLeftMs, double leastLoad, double maxLoad) {
 
 	/** A pool without replicas seldom recovers sooner. */
 	private static final long NO_POOL_RETRY_MS = 5_000;
 
+	/** About the time in which a busy engine finishes the calls that it runs. */
+	private static final long OVERLOAD_RETRY_MS = 400;
+
 	/**
 	 * Decides whether the call is refused at once. Pure, so that a recorded refusal can
 	 * be verified.
@@ -31,6 +36,10 @@
 			return Refusal.notRun(RefusalReason.NO_UPSTREAM, "no replica serves this model or service",
 					NO_POOL_RETRY_MS);
 		}
+		if (this.leastLoad > this.maxLoad) {
+			return Refusal.notRun(RefusalReason.OVERLOADED, "all replicas are busy, and programs under way come first",
+					OVERLOAD_RETRY_MS);
+		}
 		if (this.queuedCalls >= this.maxQueuedCalls) {
 			return Refusal.notRun(RefusalReason.QUEUE_FULL, this.queuedCalls + " calls of the workspace wait already",
 					retryAfterMs());
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -103,7 +103,8 @@
 			PlacementCosts costs = this.runner.costs();
 			double stepMs = costs.stepBaseMs()
 					+ costs.stepPerCallMs() * this.reservation.upstream().maxConcurrentCalls();
-			double decodeMs = Math.max(0, this.timer.nowMs() - this.answerStartedMs);
+			long decodeFromMs = (this.answerStartedMs > 0) ? this.answerStartedMs : this.timer.nowMs();
+			double decodeMs = (double) this.timer.nowMs() - decodeFromMs;
 			this.runner.index()
 				.answered(this.reservation, this.payload.prompt(), decodeMs,
 						stepMs * Math.max(1, end.generatedTokens() - 1));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduleSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduleSettings.java
@@ -18,16 +18,18 @@
  * @param hedgeAfterMs time after which a repeatable service call is sent a second time
  * @param firstDispatchGapMs time between two calls of a backlogged workspace that is
  * assumed until it has been measured
+ * @param maxOpeningLoad load of the least loaded replica, in calls for each place, above
+ * which programs are not begun
  */
 public record ScheduleSettings(int maxQueuedPerWorkspace, int lookahead, long priorityStepMs, double receivedWeight,
 		double elapsedWeight, double serviceCallCostMs, long firstOutputTimeoutMs, int maxAttempts, double retryShare,
-		long hedgeAfterMs, double firstDispatchGapMs) {
+		long hedgeAfterMs, double firstDispatchGapMs, double maxOpeningLoad) {
 
 	/**
 	 * Settings that the experiment {@code scheduling} measures. The oldest programs go
 	 * first: fewer are then under way, and their prefixes fit into cache memory.
 	 */
 	public static final ScheduleSettings DEFAULT = new ScheduleSettings(400, 8, 5_000, 0.1, 1, 20, 10_000, 3, 0.1,
-			1_000, 100);
+			1_000, 100, Double.MAX_VALUE);
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -15,6 +15,7 @@
 import dev.nutmegdoor.core.call.ModelCall;
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.call.RunState;
 import dev.nutmegdoor.core.call.ServiceCall;
 import dev.nutmegdoor.core.configuration.Configuration;
@@ -118,7 +119,8 @@
 				(name) -> new FairQueue(this.settings.firstDispatchGapMs()));
 		QueueInput input = new QueueInput(this.index.hasPool(pool), queue.queued(request.workspace()),
 				this.settings.maxQueuedPerWorkspace(), queue.expectedWaitMs(request.workspace()),
-				this.callCosts.minServiceMs(request), request.timeoutMs());
+				this.callCosts.minServiceMs(request), request.timeoutMs(), this.index.leastLoad(pool),
+				maxLoad(request));
 		Refusal refusal = input.decide();
 		if (refusal != null) {
 			this.refusals.merge(refusal.reason(), 1, Integer::sum);
@@ -247,6 +249,11 @@
 		return this.retries.take() ? this.dispatcher.reserveForHedge(call) : null;
 	}
 
+	private double maxLoad(CallRequest request) {
+		boolean isOpening = request.payload() instanceof RelayedCall relayed && relayed.isOpening();
+		return isOpening ? this.settings.maxOpeningLoad() : Double.MAX_VALUE;
+	}
+
 	private void apply(Configuration current) {
 		this.index.setUpstreams(current.upstreams());
 		this.drains.apply(current.upstreams(), this.timer.nowMs());
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -1,9 +1,11 @@
 package dev.nutmegdoor.core.schedule;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Nested;
@@ -46,6 +48,15 @@
 
 class RelayedCallTests {
 
+	private static final ScheduleSettings SETTINGS = new ScheduleSettings(400, 8, 5_000, 0, 0, 20, 10_000, 3, 1,
+			1_000_000, 5, 1);
+
+	/** Calls at the same time after which each replica has read the shared part. */
+	private static final int WARMING_CALLS = 12;
+
+	/** Engines that don't copy prefixes from one another. */
+	private static final PlacementCosts COSTS = new PlacementCosts(3.41, 0.097, 1 / 112.0, 1e6, 1, 0.6, 12, 1, 2);
+
 	private final VirtualTimerService timer = new VirtualTimerService(0);
 
 	private final FakeConfigurationView configuration = new FakeConfigurationView(replicas("r-1", "r-2", "r-3"));
@@ -56,14 +67,18 @@
 
 	private final List<CallResult> results = new ArrayList<>();
 
-	private final ScheduledCallRunner runner = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT,
-			new ReplicaIndex(new AvailabilityZone("a"), 4, PlacementCosts.DEFAULT, this.timer,
-					RandomSource.XO_SHI_RO_256_PP.create(1)),
-			this.timer, this.configuration, UpstreamPorts.RELAY_ONLY, ProgramFactsSource.NONE,
-			new Observers(DecisionRecorder.NONE, new InvariantRegistry(), StepListener.NONE));
+	private ScheduledCallRunner runner = createRunner(1);
 
 	private int calls;
 
+	private ScheduledCallRunner createRunner(long seed) {
+		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer,
+				RandomSource.XO_SHI_RO_256_PP.create(seed));
+		return new ScheduledCallRunner(SETTINGS, COSTS, index, this.timer, this.configuration, UpstreamPorts.RELAY_ONLY,
+				ProgramFactsSource.NONE,
+				new Observers(DecisionRecorder.NONE, new InvariantRegistry(), StepListener.NONE));
+	}
+
 	private static Configuration replicas(String... ids) {
 		Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
 		for (String id : ids) {
@@ -76,8 +91,13 @@
 
 	private CallHandle run(Repeatability repeatability, boolean isInterruptible, int maxReplicas,
 			List<PromptPart> prompt) {
+		return run(repeatability, isInterruptible, maxReplicas, prompt, false);
+	}
+
+	private CallHandle run(Repeatability repeatability, boolean isInterruptible, int maxReplicas,
+			List<PromptPart> prompt, boolean isOpening) {
 		RelayedCall call = new RelayedCall("s", repeatability, isInterruptible, maxReplicas, prompt,
-				prompt.isEmpty() ? 0 : 10, null, null, 0, 1, this::send);
+				prompt.isEmpty() ? 0 : 10, 10, isOpening, null, null, 0, 1, this::send);
 		return this.runner.run(new CallRequest(new DecisionId("d:" + this.calls++), new WorkspaceId("w"),
 				new KeyId("k"), null, 0, "", call, 3_000), new Recorder());
 	}
@@ -175,9 +195,50 @@
 
 	}
 
+	@Nested
+	class UnderOverload {
+
+		// Guards against programs that are all late because new ones are begun while
+		// every
+		// replica is busy.
+		@Test
+		void beginNoProgramWhileAllReplicasAreBusy() {
+			for (int i = 0; i < 15; i++) {
+				run(Repeatability.REPEATABLE, true, 1, List.of());
+			}
+			run(Repeatability.REPEATABLE, true, 1, List.of(), true);
+			assertThat(RelayedCallTests.this.refusals, hasSize(1));
+			assertThat(RelayedCallTests.this.refusals.get(0).run(), is(RunState.NOT_RUN));
+			run(Repeatability.REPEATABLE, true, 1, List.of());
+			assertThat(RelayedCallTests.this.refusals, hasSize(1));
+		}
+
+	}
+
 	@Nested
 	class WithPrompts {
 
+		// Guards against a history that is read anew because its turns reach different
+		// instances.
+		@Test
+		void areBegunWhereOtherInstancesExpectTheirHistory() {
+			Set<UpstreamId> chosen = new HashSet<>();
+			for (int instance = 0; instance < 3; instance++) {
+				RelayedCallTests.this.runner = createRunner(instance);
+				RelayedCallTests.this.sends.clear();
+				for (int i = 0; i < WARMING_CALLS; i++) {
+					run(Repeatability.REPEATABLE, true, 1, List.of(new PromptPart("shared", 2_000)));
+				}
+				for (int i = 0; i < WARMING_CALLS; i++) {
+					end(i, RelayOutcome.ANSWERED);
+				}
+				run(Repeatability.REPEATABLE, true, 1,
+						List.of(new PromptPart("shared", 2_000), new PromptPart("history", 10_000)));
+				chosen.add(RelayedCallTests.this.sends.get(WARMING_CALLS).replica);
+			}
+			assertThat(chosen, hasSize(1));
+		}
+
 		// Guards against a prefix that each replica reads anew although one holds it.
 		@Test
 		void goWhereTheirPrefixIsCached() {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -1,6 +1,5 @@
 package dev.nutmegdoor.node.peer;
 
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -214,27 +213,22 @@
 			.connect()
 			.subscribe((established) -> {
 				install(established.channel(), new Inbound(to, connection));
-				established.onDispose(() -> disconnected(to, connection, PeerFailure.TIMEOUT));
+				established.onDispose(() -> disconnected(to, connection));
 				connection.open(established.channel(), hello);
 			}, (error) -> {
 				logger.debugf("event=peer.connect_failed peer=%s address=%s error=\"%s\"", to, address,
 						error.getMessage());
-				disconnected(to, connection, isRefused(error) ? PeerFailure.REFUSED : PeerFailure.TIMEOUT);
+				disconnected(to, connection);
 			});
 	}
 
-	private static boolean isRefused(Throwable error) {
-		Throwable cause = (error.getCause() != null) ? error.getCause() : error;
-		return cause instanceof ConnectException && String.valueOf(cause.getMessage()).contains("refused");
-	}
-
-	private void disconnected(InstanceId to, PeerConnection connection, PeerFailure failure) {
+	private void disconnected(InstanceId to, PeerConnection connection) {
 		connection.close();
 		this.connections.remove(to, connection);
-		this.control.execute(() -> failAll(to, failure));
+		this.control.execute(() -> failAll(to));
 	}
 
-	private void failAll(InstanceId to, PeerFailure failure) {
+	private void failAll(InstanceId to) {
 		Iterator<Map.Entry<Long, PendingRequest<?>>> iterator = this.pending.entrySet().iterator();
 		while (iterator.hasNext()) {
 			Map.Entry<Long, PendingRequest<?>> entry = iterator.next();
@@ -242,7 +236,7 @@
 				iterator.remove();
 				// The request may have been written before the connection broke.
 				entry.getValue().result.completeExceptionally(
-						new PeerException(failure, "connection to " + to + " was closed or not made"));
+						new PeerException(PeerFailure.TIMEOUT, "connection to " + to + " was closed or not made"));
 			}
 		}
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -13,6 +13,7 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.route.RequestFacts;
 import dev.nutmegdoor.core.route.RoutedService;
 import dev.nutmegdoor.core.route.ServiceRoute;
@@ -39,6 +40,9 @@
 
 	private static final double MIN_SERVICE_MS = 1;
 
+	/** Part of the most tokens of an answer that answers have on average. */
+	private static final int USUAL_PART = 4;
+
 	private final CallRunner runner;
 
 	private final UpstreamPool pool;
@@ -99,6 +103,12 @@
 		}));
 	}
 
+	private static int expectedTokens(RequestFacts facts) {
+		int expected = (facts.expectedAnswerTokens() > 0) ? facts.expectedAnswerTokens()
+				: facts.maxAnswerTokens() / USUAL_PART;
+		return Math.max(1, Math.min(expected, facts.maxAnswerTokens()));
+	}
+
 	private static CallRequest request(Exchange exchange, RoutedRequest routed, String service,
 			RelayTransfer transfer) {
 		ServiceRoute route = routed.route();
@@ -107,8 +117,9 @@
 		boolean isEngine = route.kind().isStream();
 		RelayedCall call = new RelayedCall(service, route.kind().repeatability(), route.kind().isInterruptible(),
 				route.maxReplicas(), isEngine ? facts.prompt() : List.of(), isEngine ? facts.maxAnswerTokens() : 0,
+				isEngine ? expectedTokens(facts) : 0, exchange.reservation().stage() == RequestStage.OPENING,
 				(facts.programId() != null) ? workspace + "/" + facts.programId() : null, facts.finishMs(),
-				route.priority(), isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, transfer);
+				routed.table().priorityOf(route, workspace), isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, transfer);
 		long timeLeftMs = Math.max(1, routed.timeoutMs() - exchange.elapsedMs());
 		return new CallRequest(exchange.decision(), (workspace != null) ? workspace : PUBLIC,
 				(workspace != null) ? exchange.key() : NO_KEY, null, 0, route.name(), call, timeLeftMs);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.call.RelayOutcome;
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.route.AnswerFacts;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
@@ -30,6 +31,11 @@
  */
 final class RelayTransfer implements Relay {
 
+	/** Urgency of the most urgent route; engines take 5 where nothing is said. */
+	private static final int FIRST_URGENCY = 3;
+
+	private static final int LAST_URGENCY = 9;
+
 	private final Exchange exchange;
 
 	private final byte[] body;
@@ -172,7 +178,7 @@
 					|| RelayTransfer.this.body.length > 0;
 			RelayTransfer.this.pool.translator()
 				.encodeRequest(this.headers, this.upstream.id(), RelayTransfer.this.exchange.workspaceOrNull(),
-						this.timeLeftMs);
+						this.timeLeftMs, urgency());
 			this.headers.remove(HttpHeaderNames.AUTHORIZATION);
 			if (hasBody) {
 				this.headers.set(HttpHeaderNames.CONTENT_LENGTH, RelayTransfer.this.body.length);
@@ -180,6 +186,18 @@
 			return request;
 		}
 
+		// Requests of programs under way precede those that begin one: what was done for
+		// the
+		// program would be lost.
+		private @Nullable Integer urgency() {
+			if (RelayTransfer.this.tokensPerEvent == 0) {
+				return null;
+			}
+			int priority = routed().table().priorityOf(routed().route(), RelayTransfer.this.exchange.workspaceOrNull());
+			int opening = (RelayTransfer.this.exchange.reservation().stage() == RequestStage.OPENING) ? 1 : 0;
+			return Math.min(LAST_URGENCY, FIRST_URGENCY + 2 * Math.max(0, priority) + opening);
+		}
+
 		@Override
 		public ByteBuf body() {
 			return Unpooled.wrappedBuffer(RelayTransfer.this.body);
