Learn the deployment from other gateways while the store is out

The unwrapping of store failures stands in one place.

Test: GatewayTests.ofTheStoreLeaveARestartedInstanceToLearnFromAnother.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/StoredInstanceRegistry.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/StoredInstanceRegistry.java
@@ -106,7 +106,7 @@
 	}
 
 	private static StoreFailure failureOf(Throwable error) {
-		Throwable cause = (error instanceof CompletionException && error.getCause() != null) ? error.getCause() : error;
+		Throwable cause = StoreException.causeOf(error);
 		return (cause instanceof StoreException failure) ? failure.failure() : StoreFailure.OUTCOME_UNKNOWN;
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/BudgetedObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/BudgetedObjectStore.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -202,7 +201,7 @@
 	}
 
 	private void failed(PendingCall<?> call, Throwable error) {
-		Throwable cause = (error instanceof CompletionException && error.getCause() != null) ? error.getCause() : error;
+		Throwable cause = StoreException.causeOf(error);
 		StoreFailure failure = (cause instanceof StoreException ex) ? ex.failure() : StoreFailure.OUTCOME_UNKNOWN;
 		if (failure == StoreFailure.UNAVAILABLE || failure == StoreFailure.OUTCOME_UNKNOWN) {
 			if (this.breaker.failed()) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/KindFollower.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/KindFollower.java
@@ -1,7 +1,6 @@
 package dev.nutmegdoor.core.store;
 
 import java.util.List;
-import java.util.concurrent.CompletionException;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -129,7 +128,7 @@
 	}
 
 	private void failed(Throwable error) {
-		Throwable cause = (error instanceof CompletionException && error.getCause() != null) ? error.getCause() : error;
+		Throwable cause = StoreException.causeOf(error);
 		if (this.isConnected || this.failures == 0) {
 			this.events.record("store.lost", "kind", this.kind, "error", String.valueOf(cause.getMessage()));
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreException.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreException.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.core.store;
 
+import java.util.concurrent.CompletionException;
+
 /**
  * Failure of a call to the platform's object API.
  */
@@ -23,4 +25,13 @@
 		return this.failure;
 	}
 
+	/**
+	 * Returns the failure of a store call without the wrapper that futures add.
+	 * @param error what a future failed with
+	 * @return the cause
+	 */
+	public static Throwable causeOf(Throwable error) {
+		return (error instanceof CompletionException && error.getCause() != null) ? error.getCause() : error;
+	}
+
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ConfigurationListener.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ConfigurationListener.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.route.Deployment;
+import dev.nutmegdoor.core.route.RouteTable;
 import dev.nutmegdoor.core.store.KindListener;
 import dev.nutmegdoor.core.store.StoreEvent;
 import dev.nutmegdoor.core.store.StoredObject;
@@ -20,12 +23,22 @@
 
 	private final EventLog events;
 
+	private @Nullable String newest;
+
 	ConfigurationListener(Deployment deployment, ConfigurationDecoder decoder, EventLog events) {
 		this.deployment = deployment;
 		this.decoder = decoder;
 		this.events = events;
 	}
 
+	/**
+	 * Returns the configuration in force as its writer wrote it.
+	 * @return the text, or {@code null} if none is known
+	 */
+	@Nullable String newest() {
+		return this.newest;
+	}
+
 	@Override
 	public void listed(List<StoredObject> objects) {
 		for (StoredObject object : objects) {
@@ -44,11 +57,24 @@
 	}
 
 	private void accept(String name, String value, String source) {
-		if (!name.equals(ConfigurationDecoder.NAME)) {
-			return;
+		if (name.equals(ConfigurationDecoder.NAME)) {
+			accept(value, source);
 		}
+	}
+
+	/**
+	 * Takes over a configuration unless a newer one is in force.
+	 * @param value the configuration as its writer wrote it
+	 * @param source where it was learned, for the log
+	 */
+	void accept(String value, String source) {
 		try {
-			this.deployment.accept(this.decoder.decode(value), source);
+			RouteTable table = this.decoder.decode(value);
+			this.deployment.accept(table, source);
+			RouteTable inForce = this.deployment.routes();
+			if (inForce != null && inForce.version() == table.version()) {
+				this.newest = value;
+			}
 		}
 		catch (IllegalArgumentException ex) {
 			this.events.record("configuration.unreadable", "source", source, "error", String.valueOf(ex.getMessage()));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -32,6 +32,8 @@
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.route.Deployment;
+import dev.nutmegdoor.core.route.DeploymentAnswer;
+import dev.nutmegdoor.core.route.DeploymentRequest;
 import dev.nutmegdoor.core.route.ReplicaList;
 import dev.nutmegdoor.core.schedule.Observers;
 import dev.nutmegdoor.core.schedule.ProgramFactsSource;
@@ -108,6 +110,8 @@
 
 	private final TcpPeerTransport transport;
 
+	private final DeploymentExchange exchange;
+
 	private final KindFollower configurationFollower;
 
 	private final KindFollower replicaFollower;
@@ -139,9 +143,10 @@
 			.store();
 		this.deployment = new Deployment(this.invariants, events);
 		StoreHealth health = new StoreHealth(this.control);
+		ConfigurationListener configurations = new ConfigurationListener(this.deployment, new ConfigurationDecoder(),
+				events);
 		this.configurationFollower = new KindFollower(this.store, this.control, random, health, events,
-				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(),
-				new ConfigurationListener(this.deployment, new ConfigurationDecoder(), events));
+				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), configurations);
 		this.replicaFollower = new KindFollower(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
 				settings.storeWaitMaxMs(),
 				new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode, health));
@@ -160,6 +165,8 @@
 						PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
 						PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
 				new FrameCodec(new MessageTypes(messageTypes())), this.control, this::addressOf, this.loops);
+		this.exchange = new DeploymentExchange(this.transport, this.deployment, configurations, this.control, events,
+				settings.seeds(), control);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
 		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
 				events, UsageSettings.DEFAULT,
@@ -200,6 +207,7 @@
 		this.control.execute(() -> {
 			this.configurationFollower.start();
 			this.replicaFollower.start();
+			this.exchange.start();
 			register(new StoredInstanceRegistry(this.store, REGISTRY_KIND, this.events));
 			listLedger(new StoredInstanceRegistry(this.store, LedgerNode.REGISTRY_KIND, this.events));
 		});
@@ -277,12 +285,12 @@
 		if (replica != null) {
 			return new InetSocketAddress(replica.host(), replica.port());
 		}
-		return (peer != null) ? new InetSocketAddress(peer.host(), peer.port()) : null;
+		return (peer != null) ? new InetSocketAddress(peer.host(), peer.port()) : this.exchange.addressOf(id);
 	}
 
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
-		types.add(UsageReport.class);
+		types.addAll(List.of(UsageReport.class, DeploymentRequest.class, DeploymentAnswer.class));
 		return types;
 	}
 
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -30,6 +30,7 @@
 import dev.nutmegdoor.node.ledger.LedgerNode;
 import dev.nutmegdoor.node.relay.GatewayNode;
 import dev.nutmegdoor.platform.ProcessSettings;
+import dev.nutmegdoor.standin.platform.PlatformFaultKind;
 import dev.nutmegdoor.standin.platform.PlatformStandin;
 import dev.nutmegdoor.standin.platform.PlatformStandinSettings;
 
@@ -68,6 +69,8 @@
 
 	private int readyPort;
 
+	private int controlPort;
+
 	private int attempts;
 
 	@BeforeEach
@@ -89,7 +92,8 @@
 						"Tenants":[{"Name":"w","ApiKeys":["key-1"],"RatePerS":1000,"Burst":1000}]}""");
 		this.frontPort = freePort();
 		this.readyPort = freePort();
-		ProcessSettings settings = settings(freePort(), freePort());
+		this.controlPort = freePort();
+		ProcessSettings settings = settings("i-1", this.controlPort, freePort(), List.of());
 		this.ledger = new LedgerNode(settings, 0, EventLog.NONE);
 		this.ledger.start();
 		this.gateway = new GatewayNode(settings, 0, EventLog.NONE);
@@ -97,11 +101,11 @@
 		await(() -> readiness() == 200);
 	}
 
-	private ProcessSettings settings(int controlPort, int ledgerPort) {
-		return new ProcessSettings(new InstanceId("i-1"), new AvailabilityZone("a"), HOST,
+	private ProcessSettings settings(String name, int controlPort, int ledgerPort, List<InetSocketAddress> seeds) {
+		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.frontPort), new InetSocketAddress(HOST, this.readyPort),
-				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, List.of(), true,
-				this.platform.address(), 5_000, this.folder, 256, 8_000, 2_000);
+				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
+				5_000, this.folder, 256, 8_000, 2_000);
 	}
 
 	@AfterEach
@@ -320,6 +324,31 @@
 
 	}
 
+	@Nested
+	class Outages {
+
+		// Guards against a restarted instance that serves nothing until the platform's
+		// store is back.
+		@Test
+		void ofTheStoreLeaveARestartedInstanceToLearnFromAnother() throws Exception {
+			GatewayTests.this.platform.inject(PlatformFaultKind.OUTAGE, LIMIT_MS, 1, 0);
+			int firstReady = GatewayTests.this.readyPort;
+			GatewayTests.this.frontPort = freePort();
+			GatewayTests.this.readyPort = freePort();
+			ProcessSettings settings = settings("i-2", freePort(), freePort(),
+					List.of(new InetSocketAddress(HOST, GatewayTests.this.controlPort),
+							new InetSocketAddress(HOST, freePort())));
+			GatewayNode second = new GatewayNode(settings, 0, EventLog.NONE);
+			second.start();
+			await(() -> readiness() == 200);
+			GatewayTests.this.replica.answer(ReplicaServer.whole(200, "", "ok"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 200"));
+			second.stop();
+			GatewayTests.this.readyPort = firstReady;
+		}
+
+	}
+
 	@Nested
 	class Configurations {
 
