--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -220,12 +220,14 @@
 
 	private CompletableFuture<? extends PeerMessage> sync(LedgerSync message) {
 		if (message.isLeaving()) {
-			this.members.remove(message.sender().id());
+			this.members.remove(message.subject().id());
 		}
-		else if (this.members.add(message.sender())) {
-			this.events.record("ledger.joined", "replica", message.sender().id());
+		else if (this.members.add(message.subject())) {
+			this.events.record("ledger.joined", "replica", message.subject().id());
+		}
+		else {
+			this.members.answered(message.subject().id());
 		}
-		this.members.answered(message.sender().id());
 		return store(message.entries()).thenApply((stored) -> new LedgerSyncAnswer(this.isServing,
 				message.isStateWanted() ? this.table.all() : List.of(), listed()));
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -8,11 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
-import org.jspecify.annotations.Nullable;
-
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
-import dev.nutmegdoor.core.invariant.Invariant;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.time.TimerService;
@@ -90,9 +87,9 @@
 	public CompletableFuture<TokenReservation> reserve(String program, long tokens, long budgetTokens,
 			long retentionMs) {
 		LedgerEntry entry = charge(program, tokens, 0, retentionMs);
-		Attempt attempt = new Attempt(program, tokens, budgetTokens);
+		ReservationAttempt attempt = new ReservationAttempt(this, program, tokens, budgetTokens);
 		attempt.send(entry);
-		return attempt.result;
+		return attempt.result();
 	}
 
 	/**
@@ -112,7 +109,39 @@
 		return this.table.programs();
 	}
 
-	private boolean isFirstReservation(String program, long tokens) {
+	PeerTransport transport() {
+		return this.transport;
+	}
+
+	LedgerMembers members() {
+		return this.members;
+	}
+
+	LedgerProxies proxies() {
+		return this.proxies;
+	}
+
+	LedgerTable table() {
+		return this.table;
+	}
+
+	TimerService timer() {
+		return this.timer;
+	}
+
+	InvariantRegistry invariants() {
+		return this.invariants;
+	}
+
+	EventLog events() {
+		return this.events;
+	}
+
+	LedgerSettings settings() {
+		return this.settings;
+	}
+
+	boolean isFirstReservation(String program, long tokens) {
 		return this.table.entries(program).stream().mapToLong(LedgerEntry::reservedTokens).sum() == tokens;
 	}
 
@@ -157,7 +186,7 @@
 	// Replicas may differ in what they know, above all after a restart. A replica counts
 	// as
 	// gone if another one does not list it and this instance has not reached it for long.
-	private void learn(List<LedgerMember> known) {
+	void learn(List<LedgerMember> known) {
 		boolean isChanged = false;
 		for (LedgerMember member : known) {
 			isChanged |= this.members.add(member);
@@ -174,173 +203,4 @@
 		}
 	}
 
-	/**
-	 * One reservation until it is decided.
-	 */
-	private final class Attempt {
-
-		private final CompletableFuture<TokenReservation> result = new CompletableFuture<>();
-
-		private final String program;
-
-		private final long tokens;
-
-		private final long budgetTokens;
-
-		private int asked;
-
-		private int answers;
-
-		private int failures;
-
-		private int waitedFor;
-
-		private boolean isGraceStarted;
-
-		private Attempt(String program, long tokens, long budgetTokens) {
-			this.program = program;
-			this.tokens = tokens;
-			this.budgetTokens = budgetTokens;
-		}
-
-		private void send(LedgerEntry entry) {
-			List<LedgerMember> receivers = List.copyOf(TokenBudgets.this.members.all());
-			this.asked = receivers.size();
-			LedgerReserve message = new LedgerReserve(entry);
-			List<InstanceId> peers = receivers.stream()
-				.allMatch((member) -> TokenBudgets.this.members.isReachable(member.id())) ? List.of()
-						: TokenBudgets.this.proxies.reachable();
-			int nextPeer = 0;
-			for (LedgerMember member : receivers) {
-				// An unreachable replica is asked, but not waited for; others may reach
-				// it.
-				boolean isReachable = TokenBudgets.this.members.isReachable(member.id());
-				this.waitedFor += isReachable ? 1 : 0;
-				Question question = new Question(member.id(), isReachable);
-				question.ask(TokenBudgets.this.transport.request(member.id(), message, LedgerAnswer.class,
-						TokenBudgets.this.settings.answerTimeoutMs()), false);
-				if (!isReachable && !peers.isEmpty()) {
-					InstanceId peer = peers.get(nextPeer++ % peers.size());
-					question.ask(TokenBudgets.this.transport.request(peer, new LedgerProxyReserve(member.id(), message),
-							LedgerAnswer.class, TokenBudgets.this.settings.answerTimeoutMs()), true);
-				}
-			}
-			if (receivers.isEmpty()) {
-				finish(LedgerRule.UNDECIDED);
-			}
-			else {
-				decide();
-			}
-		}
-
-		private void answered(boolean isWaitedFor, LedgerAnswer answer) {
-			long nowMs = TokenBudgets.this.timer.nowMs();
-			answer.entries().forEach((entry) -> TokenBudgets.this.table.merge(entry, nowMs));
-			learn(answer.members());
-			this.answers++;
-			this.waitedFor -= isWaitedFor ? 1 : 0;
-			decide();
-		}
-
-		private void failed(boolean isWaitedFor) {
-			this.failures++;
-			this.waitedFor -= isWaitedFor ? 1 : 0;
-			decide();
-		}
-
-		private void decide() {
-			if (this.result.isDone()) {
-				return;
-			}
-			boolean areAllHeard = this.answers + this.failures >= this.asked;
-			LedgerRule rule = LedgerRule.decide(inputs(areAllHeard));
-			if (rule == LedgerRule.GRANTED || rule == LedgerRule.SPENT || areAllHeard) {
-				finish(rule);
-			}
-			else if (this.waitedFor <= 0 && !this.isGraceStarted) {
-				// A replica that was out of reach may answer again, or through a peer.
-				this.isGraceStarted = true;
-				TokenBudgets.this.timer.schedule(TokenBudgets.this.settings.unreachableGraceMs(), () -> {
-					if (!this.result.isDone()) {
-						finish(LedgerRule.decide(inputs(true)));
-					}
-				});
-			}
-		}
-
-		private void finish(LedgerRule rule) {
-			LedgerInputs inputs = inputs(true);
-			if (rule == LedgerRule.GRANTED) {
-				TokenBudgets.this.invariants.check(Invariant.BUDGET,
-						inputs.chargedTokens() <= this.budgetTokens + this.tokens, () -> "program " + this.program
-								+ " is charged " + inputs.chargedTokens() + " of " + this.budgetTokens);
-			}
-			else {
-				release(this.program, this.tokens);
-			}
-			this.result.complete(new TokenReservation(rule, inputs, (rule == LedgerRule.GRANTED) ? this.tokens : 0,
-					isFirstReservation(this.program, this.tokens)));
-		}
-
-		private LedgerInputs inputs(boolean isFinal) {
-			return new LedgerInputs(this.budgetTokens, TokenBudgets.this.table.charged(this.program), this.tokens,
-					TokenBudgets.this.members.size(), this.answers, isFinal);
-		}
-
-		/**
-		 * The question to one replica, directly and perhaps through a peer.
-		 */
-		private final class Question {
-
-			private final InstanceId replica;
-
-			private final boolean isWaitedFor;
-
-			private int open;
-
-			private boolean isAnswered;
-
-			private Question(InstanceId replica, boolean isWaitedFor) {
-				this.replica = replica;
-				this.isWaitedFor = isWaitedFor;
-			}
-
-			private void ask(CompletableFuture<LedgerAnswer> future, boolean isThroughPeer) {
-				this.open++;
-				future.whenComplete((answer, error) -> {
-					this.open--;
-					if (!isThroughPeer) {
-						noteReachability(error);
-					}
-					if (error == null && !this.isAnswered) {
-						this.isAnswered = true;
-						answered(this.isWaitedFor, answer);
-					}
-					else if (error != null && !this.isAnswered && this.open == 0) {
-						failed(this.isWaitedFor);
-					}
-				});
-			}
-
-			private void noteReachability(@Nullable Throwable error) {
-				LedgerMembers known = TokenBudgets.this.members;
-				if (error == null && !known.isReachable(this.replica)) {
-					TokenBudgets.this.events.record("ledger.regained", "replica", this.replica);
-				}
-				if (error != null && known.isReachable(this.replica)) {
-					TokenBudgets.this.events.record("ledger.lost", "replica", this.replica, "error",
-							String.valueOf(error.getMessage()));
-				}
-				if (error == null) {
-					known.answered(this.replica);
-				}
-				else {
-					known.failed(this.replica, TokenBudgets.this.timer.nowMs());
-				}
-			}
-
-		}
-
-	}
-
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ObservationServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/process/ObservationServer.java
@@ -1,4 +1,4 @@
-package dev.nutmegdoor.node.relay;
+package dev.nutmegdoor.node.process;
 
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
