--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -118,8 +118,7 @@
 	}
 
 	// A replica with an empty disk mostly comes in place of one that is gone for good.
-	// Kept
-	// in the list, that one would hold back its share of all budgets.
+	// Kept in the list, that one would hold back its share of all budgets.
 	private void replaceLostReplica() {
 		long nowMs = this.timer.nowMs();
 		this.members.all()
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerRule.java
@@ -35,10 +35,8 @@
 			return GRANTED;
 		}
 		// A budget may be exceeded by the rest of the turn that used it up. The smaller
-		// part
-		// of a divided deployment takes this allowance, the larger one keeps to its
-		// shares,
-		// so that both together exceed the budget by one turn at most.
+		// part of a divided deployment takes this allowance, the larger one keeps to its
+		// shares, so that both together exceed the budget by one turn at most.
 		boolean isSmallerPart = inputs.isFinal() && shares * 2 < inputs.members();
 		long chargedBefore = inputs.chargedTokens() - inputs.turnTokens();
 		return (isSmallerPart && chargedBefore * inputs.members() < reached) ? GRANTED : UNDECIDED;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -184,8 +184,8 @@
 	}
 
 	// Replicas may differ in what they know, above all after a restart. A replica counts
-	// as
-	// gone if another one does not list it and this instance has not reached it for long.
+	// as gone if another one does not list it and this instance has not reached it for
+	// long.
 	void learn(List<LedgerMember> known) {
 		boolean isChanged = false;
 		for (LedgerMember member : known) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
@@ -111,8 +111,7 @@
 
 	// An instance may use again the places that its own calls have left, and divides the
 	// places that a report shows free with the other instances: otherwise all of them
-	// fill
-	// the same few places before the next report.
+	// fill the same few places before the next report.
 	private static boolean hasPlace(PlacementInput input, ReplicaView replica) {
 		PlacementCosts costs = input.costs();
 		if (input.instances() <= 1) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -317,10 +317,8 @@
 	}
 
 	// Another instance may have sent earlier turns of the same history. All instances of
-	// a
-	// zone therefore assume the same holder of a history that they have not sent
-	// themselves,
-	// and begin it there.
+	// a zone therefore assume the same holder of a history that they have not sent
+	// themselves, and begin it there.
 	private @Nullable ReplicaState assumedHolder(List<ReplicaState> members, List<PromptPart> prompt) {
 		if (prompt.size() < 2) {
 			return null;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -108,8 +108,7 @@
 	}
 
 	// A count that no report has confirmed for long says little: half of it is forgotten
-	// in
-	// each second.
+	// in each second.
 	int others(long nowMs) {
 		return this.others >> Math.min(MAX_HALVINGS, othersAgeMs(nowMs) / HALF_LIFE_MS);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
@@ -27,8 +27,6 @@
 
 	private final List<Consumer<Configuration>> listeners = new ArrayList<>();
 
-	private final List<Consumer<RouteTable>> routeListeners = new ArrayList<>();
-
 	private volatile Configuration configuration = Configuration.EMPTY;
 
 	private volatile @Nullable RouteTable routes;
@@ -59,7 +57,6 @@
 		this.events.record("configuration.applied", "version", table.version(), "before", before, "routes",
 				table.routes(), "source", source);
 		publish();
-		this.routeListeners.forEach((listener) -> listener.accept(table));
 	}
 
 	/**
@@ -88,14 +85,6 @@
 		return this.routes != null && this.areReplicasKnown;
 	}
 
-	/**
-	 * Registers a listener for new versions, called on the control thread.
-	 * @param listener receives each version that is taken over
-	 */
-	public void subscribeRoutes(Consumer<RouteTable> listener) {
-		this.routeListeners.add(listener);
-	}
-
 	@Override
 	public Configuration current() {
 		return this.configuration;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/KindFollower.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/KindFollower.java
@@ -78,10 +78,6 @@
 		list();
 	}
 
-	public boolean isConnected() {
-		return this.isConnected;
-	}
-
 	private void list() {
 		this.store.list(this.kind, "").whenComplete((page, error) -> {
 			if (error != null) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.apache.commons.rng.UniformRandomProvider;
-import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.configuration.ConfigurationView;
 import dev.nutmegdoor.core.configuration.Workspace;
@@ -283,16 +282,6 @@
 		return new UsageReport(this.incarnation, this.zone, this.host, this.port, isStarting, this.admitted, levels);
 	}
 
-	/**
-	 * Returns the tokens of a workspace for the state dump.
-	 * @param id the workspace
-	 * @return tokens, or {@code null} if it has made no request here
-	 */
-	public @Nullable Double tokens(WorkspaceId id) {
-		UsageBucket bucket = this.buckets.get(id);
-		return (bucket != null) ? bucket.tokens : null;
-	}
-
 	private static final class UsageBucket {
 
 		private double tokens;
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -86,8 +86,7 @@
 		}
 
 		// Guards against a service without replicas because their entries lapsed while
-		// the
-		// store was out.
+		// the store was out.
 		@Test
 		void keepsAReplicaWhoseEntryComesBack() {
 			ReplicaListTests.this.list.listed(List.of(object("r-1", "ready")));
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -199,8 +199,7 @@
 	class UnderOverload {
 
 		// Guards against programs that are all late because new ones are begun while
-		// every
-		// replica is busy.
+		// every replica is busy.
 		@Test
 		void beginNoProgramWhileAllReplicasAreBusy() {
 			for (int i = 0; i < 15; i++) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -150,8 +150,7 @@
 		}
 
 		// Guards against requests that are held although they can't be served in time,
-		// and
-		// against clients that all come back at the same moment.
+		// and against clients that all come back at the same moment.
 		@Test
 		void refusesAtOnceWhatCannotBeServedInTime() {
 			start(1, true);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -187,8 +187,7 @@
 		}
 
 		// Requests of programs under way precede those that begin one: what was done for
-		// the
-		// program would be lost.
+		// the program would be lost.
 		private @Nullable Integer urgency() {
 			if (RelayTransfer.this.tokensPerEvent == 0) {
 				return null;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
@@ -94,8 +94,7 @@
 	class Compaction {
 
 		// Guards against entries that a compaction loses, and against writes after it
-		// that
-		// go to the old file.
+		// that go to the old file.
 		@Test
 		void keepsTheGivenEntriesAndLaterOnes() throws IOException {
 			try (FileLedgerLog log = open()) {
