Note the outcome of messages to ledger replicas in one place

Cause: a replica of the ledger and a reservation each recorded lost and regained replicas by themselves, the key of a program was put together in two places, and TokenBudgets had eight accessors for one caller. Change: LedgerMembers.noteOutcome, Exchange.programOrNull and LedgerDependencies; RelayTransfer takes the reservation from the exchange. A replica that is heard again through its own probe is logged as well.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -6,6 +6,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
 
 /**
@@ -44,12 +45,20 @@
 		return (sinceMs != null) ? nowMs - sinceMs : 0;
 	}
 
-	void answered(InstanceId id) {
-		this.unreachableSinceMs.remove(id);
-	}
-
-	void failed(InstanceId id, long nowMs) {
-		this.unreachableSinceMs.putIfAbsent(id, nowMs);
+	/**
+	 * Notes the outcome of a message to a replica, and logs when it is lost or regained.
+	 * @param id the replica
+	 * @param error why it did not answer, or {@code null} if it did
+	 * @param nowMs time in milliseconds
+	 * @param events receives the change
+	 */
+	void noteOutcome(InstanceId id, @Nullable Throwable error, long nowMs, EventLog events) {
+		if (error == null && this.unreachableSinceMs.remove(id) != null) {
+			events.record("ledger.regained", "replica", id);
+		}
+		else if (error != null && this.unreachableSinceMs.putIfAbsent(id, nowMs) == null) {
+			events.record("ledger.lost", "replica", id, "error", String.valueOf(error.getMessage()));
+		}
 	}
 
 	/**
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -225,7 +225,7 @@
 			this.events.record("ledger.joined", "replica", message.subject().id());
 		}
 		else {
-			this.members.answered(message.subject().id());
+			noteOutcome(message.subject(), null);
 		}
 		return store(message.entries()).thenApply((stored) -> new LedgerSyncAnswer(this.isServing,
 				message.isStateWanted() ? this.table.all() : List.of(), listed()));
@@ -286,24 +286,18 @@
 			.request(member.id(), new LedgerSync(this.self, false, isStateWanted, List.of()), LedgerSyncAnswer.class,
 					this.settings.answerTimeoutMs())
 			.whenComplete((answer, error) -> {
-				if (error != null) {
-					if (this.members.isReachable(member.id())) {
-						this.events.record("ledger.lost", "replica", member.id(), "error",
-								String.valueOf(error.getMessage()));
-					}
-					this.members.failed(member.id(), this.timer.nowMs());
-				}
-				else {
+				noteOutcome(member, error);
+				if (error == null) {
 					answered(member, isStateWanted, answer);
 				}
 			});
 	}
 
+	private void noteOutcome(LedgerMember member, @Nullable Throwable error) {
+		this.members.noteOutcome(member.id(), error, this.timer.nowMs(), this.events);
+	}
+
 	private void answered(LedgerMember member, boolean isStateWanted, LedgerSyncAnswer answer) {
-		if (!this.members.isReachable(member.id())) {
-			this.events.record("ledger.regained", "replica", member.id());
-		}
-		this.members.answered(member.id());
 		answer.members().stream().filter((listed) -> !listed.id().equals(this.self.id())).forEach(this.members::add);
 		if (!isStateWanted) {
 			return;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/ReservationAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/ReservationAttempt.java
@@ -16,6 +16,8 @@
 
 	private final CompletableFuture<TokenReservation> result = new CompletableFuture<>();
 
+	private final LedgerDependencies dependencies;
+
 	private final TokenBudgets budgets;
 
 	private final String program;
@@ -34,7 +36,9 @@
 
 	private boolean isGraceStarted;
 
-	ReservationAttempt(TokenBudgets budgets, String program, long tokens, long budgetTokens) {
+	ReservationAttempt(LedgerDependencies dependencies, TokenBudgets budgets, String program, long tokens,
+			long budgetTokens) {
+		this.dependencies = dependencies;
 		this.budgets = budgets;
 		this.program = program;
 		this.tokens = tokens;
@@ -46,28 +50,27 @@
 	}
 
 	void send(LedgerEntry entry) {
-		List<LedgerMember> receivers = List.copyOf(this.budgets.members().all());
+		List<LedgerMember> receivers = List.copyOf(this.dependencies.members().all());
 		this.asked = receivers.size();
 		LedgerReserve message = new LedgerReserve(entry);
 		List<InstanceId> peers = receivers.stream()
-			.allMatch((member) -> this.budgets.members().isReachable(member.id())) ? List.of()
-					: this.budgets.proxies().reachable();
+			.allMatch((member) -> this.dependencies.members().isReachable(member.id())) ? List.of()
+					: this.dependencies.proxies().reachable();
 		int nextPeer = 0;
 		for (LedgerMember member : receivers) {
 			// An unreachable replica is asked, but not waited for; others may reach
 			// it.
-			boolean isReachable = this.budgets.members().isReachable(member.id());
+			boolean isReachable = this.dependencies.members().isReachable(member.id());
 			this.waitedFor += isReachable ? 1 : 0;
 			Question question = new Question(member.id(), isReachable);
-			question.ask(
-					this.budgets.transport()
-						.request(member.id(), message, LedgerAnswer.class, this.budgets.settings().answerTimeoutMs()),
+			question.ask(this.dependencies.transport()
+				.request(member.id(), message, LedgerAnswer.class, this.dependencies.settings().answerTimeoutMs()),
 					false);
 			if (!isReachable && !peers.isEmpty()) {
 				InstanceId peer = peers.get(nextPeer++ % peers.size());
-				question.ask(this.budgets.transport()
+				question.ask(this.dependencies.transport()
 					.request(peer, new LedgerProxyReserve(member.id(), message), LedgerAnswer.class,
-							this.budgets.settings().answerTimeoutMs()),
+							this.dependencies.settings().answerTimeoutMs()),
 						true);
 			}
 		}
@@ -80,7 +83,7 @@
 	}
 
 	private void answered(boolean isWaitedFor, LedgerAnswer answer) {
-		long nowMs = this.budgets.timer().nowMs();
+		long nowMs = this.dependencies.timer().nowMs();
 		answer.entries().forEach((entry) -> this.budgets.table().merge(entry, nowMs));
 		this.budgets.learn(answer.members());
 		this.answers++;
@@ -106,7 +109,7 @@
 		else if (this.waitedFor <= 0 && !this.isGraceStarted) {
 			// A replica that was out of reach may answer again, or through a peer.
 			this.isGraceStarted = true;
-			this.budgets.timer().schedule(this.budgets.settings().unreachableGraceMs(), () -> {
+			this.dependencies.timer().schedule(this.dependencies.settings().unreachableGraceMs(), () -> {
 				if (!this.result.isDone()) {
 					finish(LedgerRule.decide(inputs(true)));
 				}
@@ -117,7 +120,7 @@
 	private void finish(LedgerRule rule) {
 		LedgerInputs inputs = inputs(true);
 		if (rule == LedgerRule.GRANTED) {
-			this.budgets.invariants()
+			this.dependencies.invariants()
 				.check(Invariant.BUDGET, inputs.chargedTokens() <= this.budgetTokens + this.tokens, () -> "program "
 						+ this.program + " is charged " + inputs.chargedTokens() + " of " + this.budgetTokens);
 		}
@@ -130,7 +133,7 @@
 
 	private LedgerInputs inputs(boolean isFinal) {
 		return new LedgerInputs(this.budgetTokens, this.budgets.table().charged(this.program), this.tokens,
-				this.budgets.members().size(), this.answers, isFinal);
+				this.dependencies.members().size(), this.answers, isFinal);
 	}
 
 	/**
@@ -169,20 +172,8 @@
 		}
 
 		private void noteReachability(@Nullable Throwable error) {
-			LedgerMembers known = ReservationAttempt.this.budgets.members();
-			if (error == null && !known.isReachable(this.replica)) {
-				ReservationAttempt.this.budgets.events().record("ledger.regained", "replica", this.replica);
-			}
-			if (error != null && known.isReachable(this.replica)) {
-				ReservationAttempt.this.budgets.events()
-					.record("ledger.lost", "replica", this.replica, "error", String.valueOf(error.getMessage()));
-			}
-			if (error == null) {
-				known.answered(this.replica);
-			}
-			else {
-				known.failed(this.replica, ReservationAttempt.this.budgets.timer().nowMs());
-			}
+			LedgerDependencies known = ReservationAttempt.this.dependencies;
+			known.members().noteOutcome(this.replica, error, known.timer().nowMs(), known.events());
 		}
 
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -8,9 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
-import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
-import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.time.TimerService;
 
@@ -23,19 +21,7 @@
 
 	private static final long EXPIRY_PERIOD_MS = 5_000;
 
-	private final PeerTransport transport;
-
-	private final LedgerMembers members;
-
-	private final LedgerProxies proxies;
-
-	private final TimerService timer;
-
-	private final InvariantRegistry invariants;
-
-	private final EventLog events;
-
-	private final LedgerSettings settings;
+	private final LedgerDependencies dependencies;
 
 	private final String holder;
 
@@ -47,32 +33,21 @@
 
 	/**
 	 * Creates the budgets and subscribes to time.
-	 * @param transport messages to the replicas
-	 * @param members replicas of the ledger
-	 * @param proxies instances that may reach replicas that this one doesn't
-	 * @param timer source of time
-	 * @param invariants checks that a granted turn fits into its budget
-	 * @param events receives replicas that are lost or regained
-	 * @param settings figures of the ledger
+	 * @param dependencies messages, replicas, time and figures
 	 * @param holder identifies this run of the instance
 	 */
-	public TokenBudgets(PeerTransport transport, LedgerMembers members, LedgerProxies proxies, TimerService timer,
-			InvariantRegistry invariants, EventLog events, LedgerSettings settings, String holder) {
-		this.transport = transport;
-		this.members = members;
-		this.proxies = proxies;
-		this.timer = timer;
-		this.invariants = invariants;
-		this.events = events;
-		this.settings = settings;
+	public TokenBudgets(LedgerDependencies dependencies, String holder) {
+		this.dependencies = dependencies;
 		this.holder = holder;
+		PeerTransport transport = dependencies.transport();
+		TimerService timer = dependencies.timer();
 		transport.subscribe(LedgerProxyReserve.class, (from, message) -> transport.request(message.replica(),
-				message.reserve(), LedgerAnswer.class, settings.answerTimeoutMs()));
+				message.reserve(), LedgerAnswer.class, dependencies.settings().answerTimeoutMs()));
 		transport.subscribe(LedgerProxyUpdate.class, (from, message) -> {
-			members.all().forEach((member) -> transport.send(member.id(), message.update()));
+			dependencies.members().all().forEach((member) -> transport.send(member.id(), message.update()));
 			return null;
 		});
-		timer.subscribe(settings.updatePeriodMs(), this::sendUpdates);
+		timer.subscribe(dependencies.settings().updatePeriodMs(), this::sendUpdates);
 		timer.subscribe(EXPIRY_PERIOD_MS, this::expire);
 	}
 
@@ -87,7 +62,7 @@
 	public CompletableFuture<TokenReservation> reserve(String program, long tokens, long budgetTokens,
 			long retentionMs) {
 		LedgerEntry entry = charge(program, tokens, 0, retentionMs);
-		ReservationAttempt attempt = new ReservationAttempt(this, program, tokens, budgetTokens);
+		ReservationAttempt attempt = new ReservationAttempt(this.dependencies, this, program, tokens, budgetTokens);
 		attempt.send(entry);
 		return attempt.result();
 	}
@@ -109,38 +84,10 @@
 		return this.table.programs();
 	}
 
-	PeerTransport transport() {
-		return this.transport;
-	}
-
-	LedgerMembers members() {
-		return this.members;
-	}
-
-	LedgerProxies proxies() {
-		return this.proxies;
-	}
-
 	LedgerTable table() {
 		return this.table;
 	}
 
-	TimerService timer() {
-		return this.timer;
-	}
-
-	InvariantRegistry invariants() {
-		return this.invariants;
-	}
-
-	EventLog events() {
-		return this.events;
-	}
-
-	LedgerSettings settings() {
-		return this.settings;
-	}
-
 	boolean isFirstReservation(String program, long tokens) {
 		return this.table.entries(program).stream().mapToLong(LedgerEntry::reservedTokens).sum() == tokens;
 	}
@@ -150,7 +97,7 @@
 		LedgerEntry entry = new LedgerEntry(program, this.holder, known.reservedTokens() + reserved,
 				known.releasedTokens() + released, Math.max(retentionMs, known.retentionMs()));
 		this.own.put(program, entry);
-		this.table.merge(entry, this.timer.nowMs());
+		this.table.merge(entry, this.dependencies.timer().nowMs());
 		return entry;
 	}
 
@@ -168,18 +115,18 @@
 		this.changed.clear();
 		LedgerUpdate update = new LedgerUpdate(entries);
 		boolean isAnyUnreachable = false;
-		for (LedgerMember member : this.members.all()) {
-			this.transport.send(member.id(), update);
-			isAnyUnreachable |= !this.members.isReachable(member.id());
+		for (LedgerMember member : this.dependencies.members().all()) {
+			this.dependencies.transport().send(member.id(), update);
+			isAnyUnreachable |= !this.dependencies.members().isReachable(member.id());
 		}
-		List<InstanceId> peers = isAnyUnreachable ? this.proxies.reachable() : List.of();
+		List<InstanceId> peers = isAnyUnreachable ? this.dependencies.proxies().reachable() : List.of();
 		if (!peers.isEmpty()) {
-			this.transport.send(peers.get(0), new LedgerProxyUpdate(update));
+			this.dependencies.transport().send(peers.get(0), new LedgerProxyUpdate(update));
 		}
 	}
 
 	private void expire() {
-		this.table.expire(this.timer.nowMs());
+		this.table.expire(this.dependencies.timer().nowMs());
 		this.own.keySet().removeIf((program) -> this.table.entries(program).isEmpty());
 	}
 
@@ -189,17 +136,20 @@
 	void learn(List<LedgerMember> known) {
 		boolean isChanged = false;
 		for (LedgerMember member : known) {
-			isChanged |= this.members.add(member);
+			isChanged |= this.dependencies.members().add(member);
 		}
-		for (LedgerMember member : List.copyOf(this.members.all())) {
-			if (this.members.unreachableMs(member.id(), this.timer.nowMs()) > this.settings.forgetMs()
+		for (LedgerMember member : List.copyOf(this.dependencies.members().all())) {
+			if (this.dependencies.members()
+				.unreachableMs(member.id(), this.dependencies.timer().nowMs()) > this.dependencies.settings().forgetMs()
 					&& known.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
-				this.members.remove(member.id());
+				this.dependencies.members().remove(member.id());
 				isChanged = true;
 			}
 		}
 		if (isChanged) {
-			this.events.record("ledger.members", "members", this.members.all().stream().map(LedgerMember::id).toList());
+			this.dependencies.events()
+				.record("ledger.members", "members",
+						this.dependencies.members().all().stream().map(LedgerMember::id).toList());
 		}
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerFleet.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerFleet.java
@@ -76,8 +76,11 @@
 		LedgerMembers members = new LedgerMembers();
 		new StoredInstanceRegistry(this.store.clientOf(host), "ledger-replicas", EventLog.NONE).list()
 			.thenAccept((entries) -> entries.forEach((entry) -> members.add(LedgerMember.of(entry))));
-		this.gateways.put(name, new TokenBudgets(this.network.join(host), members, () -> peersOf(name), host,
-				new InvariantRegistry(), EventLog.NONE, LedgerSettings.DEFAULT, name + "~" + this.runs++));
+		this.gateways.put(name,
+				new TokenBudgets(
+						new LedgerDependencies(this.network.join(host), members, () -> peersOf(name), host,
+								new InvariantRegistry(), EventLog.NONE, LedgerSettings.DEFAULT),
+						name + "~" + this.runs++));
 	}
 
 	private List<InstanceId> peersOf(String name) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Exchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Exchange.java
@@ -107,6 +107,16 @@
 		return this.workspace;
 	}
 
+	/**
+	 * Returns the program of a routed request, unique over all workspaces.
+	 * @return workspace and identifier of the program, or {@code null} if the request
+	 * belongs to none
+	 */
+	public @Nullable String programOrNull() {
+		String program = routed().facts().programId();
+		return (program != null) ? this.workspace + "/" + program : null;
+	}
+
 	@Nullable String presentedKey() {
 		return this.presentedKey;
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/BudgetFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/BudgetFilter.java
@@ -50,11 +50,11 @@
 		RoutedRequest routed = exchange.routed();
 		RequestFacts facts = routed.facts();
 		Long budgetTokens = facts.tokenBudget();
-		if (budgetTokens == null || facts.programId() == null || facts.maxAnswerTokens() == 0
+		String program = exchange.programOrNull();
+		if (budgetTokens == null || program == null || facts.maxAnswerTokens() == 0
 				|| !routed.route().kind().isStream()) {
 			return Mono.empty();
 		}
-		String program = exchange.workspaceOrNull() + "/" + facts.programId();
 		long tokens = tokensOf(routed, facts);
 		return this.control
 			.call(exchange, () -> this.budgets.reserve(program, tokens, budgetTokens, routed.route().retentionMs()))
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -21,6 +21,7 @@
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.ledger.LedgerDependencies;
 import dev.nutmegdoor.core.ledger.LedgerMember;
 import dev.nutmegdoor.core.ledger.LedgerMembers;
 import dev.nutmegdoor.core.ledger.LedgerMessages;
@@ -175,9 +176,9 @@
 				events, UsageSettings.DEFAULT,
 				new UsageSelf(incarnation, settings.zone(), control.getHostString(), control.getPort()),
 				settings.isFirstStart());
-		TokenBudgets budgets = new TokenBudgets(this.transport, this.ledgerMembers,
+		TokenBudgets budgets = new TokenBudgets(new LedgerDependencies(this.transport, this.ledgerMembers,
 				() -> this.peers.reachable(settings.zone(), this.control.nowMs(), UsageSettings.DEFAULT), this.control,
-				this.invariants, events, LedgerSettings.DEFAULT, incarnation);
+				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
 		EventLoop eventLoop = this.loops.onServer(false).next();
 		RequestTranslator translator = new RequestTranslator();
 		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -90,7 +90,7 @@
 		int tokensPerEvent = (service != null && route.kind().isStream()) ? service.tokensPerEvent() : 0;
 		RelayAnswer answer = new RelayAnswer(exchange);
 		RelayTransfer transfer = new RelayTransfer(exchange, body, answer, this.pool, this.control, this.events,
-				tokensPerEvent, exchange.reservation());
+				tokensPerEvent);
 		CallRequest request = request(exchange, routed, serviceName, transfer);
 		RelayOutcomes outcomes = new RelayOutcomes(exchange, answer, this.pool.eventLoop(), this.control);
 		CallHandle[] handle = new CallHandle[1];
@@ -118,8 +118,8 @@
 		RelayedCall call = new RelayedCall(service, route.kind().repeatability(), route.kind().isInterruptible(),
 				route.maxReplicas(), isEngine ? facts.prompt() : List.of(), isEngine ? facts.maxAnswerTokens() : 0,
 				isEngine ? expectedTokens(facts) : 0, exchange.reservation().stage() == RequestStage.OPENING,
-				(facts.programId() != null) ? workspace + "/" + facts.programId() : null, facts.finishMs(),
-				routed.table().priorityOf(route, workspace), isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, transfer);
+				exchange.programOrNull(), facts.finishMs(), routed.table().priorityOf(route, workspace),
+				isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, transfer);
 		long timeLeftMs = Math.max(1, routed.timeoutMs() - exchange.elapsedMs());
 		return new CallRequest(exchange.decision(), (workspace != null) ? workspace : PUBLIC,
 				(workspace != null) ? exchange.key() : NO_KEY, null, 0, route.name(), call, timeLeftMs);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -23,7 +23,6 @@
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
 import dev.nutmegdoor.node.entry.RoutedRequest;
-import dev.nutmegdoor.node.entry.TurnReservation;
 
 /**
  * Moves the bytes of one request and its answer. {@link #send} is called on the control
@@ -50,8 +49,6 @@
 
 	private final int tokensPerEvent;
 
-	private final TurnReservation reservation;
-
 	private volatile long sentMs;
 
 	/**
@@ -64,10 +61,9 @@
 	 * @param events receives each send
 	 * @param tokensPerEvent tokens that one event of the answer stands for; 0 if the
 	 * answer is no stream
-	 * @param reservation learns how many tokens were handed out
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayAnswer answer, UpstreamPool pool, ControlBridge control,
-			EventLog events, int tokensPerEvent, TurnReservation reservation) {
+			EventLog events, int tokensPerEvent) {
 		this.exchange = exchange;
 		this.body = body;
 		this.answer = answer;
@@ -75,7 +71,6 @@
 		this.control = control;
 		this.events = events;
 		this.tokensPerEvent = tokensPerEvent;
-		this.reservation = reservation;
 	}
 
 	@Override
@@ -153,7 +148,7 @@
 				return;
 			}
 			this.isOver = true;
-			RelayTransfer.this.reservation.handedOut(tokens());
+			RelayTransfer.this.exchange.reservation().handedOut(tokens());
 			RelayTransfer.this.events.record("request.send-cancelled", "attempt", routed().attemptId(), "decision",
 					RelayTransfer.this.exchange.decision(), "replica", this.upstream.id(), "sentMs",
 					RelayTransfer.this.sentMs, "tokens", tokens(), "elapsedMs",
@@ -284,7 +279,7 @@
 
 		private void end(RelayOutcome how, String detail) {
 			this.isOver = true;
-			RelayTransfer.this.reservation.handedOut(tokens());
+			RelayTransfer.this.exchange.reservation().handedOut(tokens());
 			int statusCode = (this.status != null) ? this.status.code() : 0;
 			RelayEnd end = new RelayEnd(how, statusCode, tokens(), this.load, detail);
 			RelayTransfer.this.events.record("request.sent", "attempt", routed().attemptId(), "decision",
