Bound idle clients, slow headers and idle connections to replicas by the configuration

Cause: of the limits in the configuration only the size of a body was enforced by its figure; a connection was closed after a fixed 20 s. Each instance kept up to 8 idle connections to a replica, so 54 instances would keep 432 of the 170 that a replica accepts. A replica that starts again under its identifier kept the cache and the faults assumed before. Change: ClientConnection closes idle connections and answers 408 to slow headers, RouteFilter answers 431, an incomplete body gets 408 instead of 400, IdleConnections divides what a replica accepts, ReplicaList tells of new starts (born). Tests: ClientConnectionTests, IdleConnectionsTests, ReplicaListTests, DecoderTests, GatewayTests.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/CacheView.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/CacheView.java
@@ -78,6 +78,7 @@
 
 	void forgetReplica(UpstreamId replica) {
 		this.byOwner.values().forEach((holdings) -> holdings.removeIf((holding) -> holding.replica.equals(replica)));
+		this.lastSequences.remove(replica);
 	}
 
 	long lastSequence(UpstreamId replica) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/OutlierDetector.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/OutlierDetector.java
@@ -64,6 +64,10 @@
 		return this.byReplica.values().stream().filter((health) -> health.ejectedUntilMs > nowMs).count();
 	}
 
+	void forget(UpstreamId replica) {
+		this.byReplica.remove(replica);
+	}
+
 	private Health health(UpstreamId replica) {
 		return this.byReplica.computeIfAbsent(replica, (id) -> new Health());
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
@@ -23,7 +23,6 @@
 	 */
 	private static final double WAIT_DOUBLING_MS = 5_000;
 
-	/** Spread of the tie-breaking term; below the cost of two decode steps. */
 	/** Crossing zones also makes a copy slower, in milliseconds for each token. */
 	private static final double ZONE_COPY_PER_TOKEN_MS = 0.01;
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -265,6 +265,20 @@
 		return cached;
 	}
 
+	/**
+	 * Forgets what was learned of a replica that has started again: its cache is empty,
+	 * and its load and its faults were those of the process before.
+	 * @param id the replica
+	 */
+	public void restarted(UpstreamId id) {
+		this.cache.forgetReplica(id);
+		this.outliers.forget(id);
+		ReplicaState state = this.replicas.get(id);
+		if (state != null) {
+			state.restarted(this.timer.nowMs());
+		}
+	}
+
 	public long lastEventSequence(UpstreamId id) {
 		return this.cache.lastSequence(id);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -20,6 +20,9 @@
 
 	private static final int MAX_HALVINGS = 31;
 
+	/** Assumed until a replica reports its cache; far above any real one. */
+	private static final long UNKNOWN_FREE_TOKENS = Long.MAX_VALUE / 4;
+
 	private final List<InFlightCall> own = new ArrayList<>();
 
 	private final Deque<InFlightCall> ended = new ArrayDeque<>();
@@ -44,7 +47,7 @@
 
 	ReplicaState(Upstream upstream) {
 		this.upstream = upstream;
-		this.reportedFreeCacheTokens = Long.MAX_VALUE / 4;
+		this.reportedFreeCacheTokens = UNKNOWN_FREE_TOKENS;
 		this.freeAtReport = upstream.maxConcurrentCalls();
 	}
 
@@ -99,6 +102,18 @@
 		setOthers(Math.max(0, report.runningCalls() + report.waitingCalls() - ownThen), measuredAtMs);
 	}
 
+	// The counts of a replica start anew with it, and the calls of others ended with the
+	// process before.
+	void restarted(long nowMs) {
+		this.reportSequence = -1;
+		this.reportedAtMs = nowMs;
+		this.reportedBacklogTokens = 0;
+		this.reportedFreeCacheTokens = UNKNOWN_FREE_TOKENS;
+		this.ownAtReport = 0;
+		this.freeAtReport = this.upstream.maxConcurrentCalls();
+		setOthers(0, nowMs);
+	}
+
 	// Applies the sum of the peers' in-flight counts.
 	void setOthers(int calls, long atMs) {
 		if (atMs >= this.othersAtMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
@@ -77,6 +77,15 @@
 		return this.routes;
 	}
 
+	/**
+	 * Returns the bounds of what clients may send.
+	 * @return the limits in force, or the usual ones while no configuration is known
+	 */
+	public RequestLimits limits() {
+		RouteTable table = this.routes;
+		return (table != null) ? table.limits() : RequestLimits.DEFAULT;
+	}
+
 	/**
 	 * Returns whether requests can be served.
 	 * @return {@code true} once a configuration and the replicas are known
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -2,10 +2,12 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +33,13 @@
 	 */
 	static final long LAPSE_GRACE_MS = 2_000;
 
+	/**
+	 * Starts that are remembered, also of replicas that are not listed at present: one
+	 * that crashed is removed before it comes back. Twice the replicas of the largest
+	 * deployment that is planned, with room for identifiers that are used once.
+	 */
+	private static final int MAX_REMEMBERED_STARTS = 2_000;
+
 	/** Time after a failed call in milliseconds during which entries may have lapsed. */
 	private static final long OUTAGE_MEMORY_MS = 2_500;
 
@@ -40,12 +49,25 @@
 
 	private final EventLog events;
 
-	private final BiFunction<String, String, @Nullable Upstream> decoder;
+	private final BiFunction<String, String, @Nullable ListedReplica> decoder;
 
 	private final StoreHealth health;
 
+	private final Consumer<UpstreamId> restarted;
+
 	private final Map<UpstreamId, Upstream> replicas = new HashMap<>();
 
+	private final Map<UpstreamId, Long> startedMs = new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<UpstreamId, Long> eldest) {
+			return size() > MAX_REMEMBERED_STARTS;
+		}
+
+	};
+
 	private final Map<UpstreamId, Long> missingSinceMs = new HashMap<>();
 
 	/**
@@ -56,23 +78,26 @@
 	 * @param decoder turns name and value of an entry into a replica, or {@code null} if
 	 * the entry names none
 	 * @param health tells when the store last failed a call
+	 * @param restarted receives replicas that have started again under their identifier
 	 */
 	public ReplicaList(Deployment deployment, TimerService timer, EventLog events,
-			BiFunction<String, String, @Nullable Upstream> decoder, StoreHealth health) {
+			BiFunction<String, String, @Nullable ListedReplica> decoder, StoreHealth health,
+			Consumer<UpstreamId> restarted) {
 		this.deployment = deployment;
 		this.timer = timer;
 		this.events = events;
 		this.decoder = decoder;
 		this.health = health;
+		this.restarted = restarted;
 	}
 
 	@Override
 	public void listed(List<StoredObject> objects) {
 		Set<UpstreamId> present = new HashSet<>();
 		for (StoredObject object : objects) {
-			Upstream replica = this.decoder.apply(object.name(), object.value());
+			ListedReplica replica = this.decoder.apply(object.name(), object.value());
 			if (replica != null) {
-				present.add(replica.id());
+				present.add(replica.upstream().id());
 				put(replica);
 			}
 		}
@@ -88,7 +113,7 @@
 	public void changed(List<StoreEvent> changes) {
 		for (StoreEvent change : changes) {
 			String value = change.value();
-			Upstream replica = (value != null) ? this.decoder.apply(change.name(), value) : null;
+			ListedReplica replica = (value != null) ? this.decoder.apply(change.name(), value) : null;
 			if (replica != null) {
 				put(replica);
 			}
@@ -99,7 +124,13 @@
 		this.deployment.accept(this.replicas);
 	}
 
-	private void put(Upstream replica) {
+	private void put(ListedReplica listed) {
+		Upstream replica = listed.upstream();
+		Long startedBeforeMs = this.startedMs.put(replica.id(), listed.startedMs());
+		if (startedBeforeMs != null && startedBeforeMs != listed.startedMs()) {
+			this.events.record("replica.restarted", "replica", replica.id(), "startedMs", listed.startedMs());
+			this.restarted.accept(replica.id());
+		}
 		this.missingSinceMs.remove(replica.id());
 		Upstream known = this.replicas.put(replica.id(), replica);
 		if (!replica.equals(known)) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestLimits.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestLimits.java
@@ -10,4 +10,7 @@
  */
 public record RequestLimits(int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
 
+	/** Limits that the deployments' operators have set so far. */
+	public static final RequestLimits DEFAULT = new RequestLimits(16_384, 4_194_304, 3_000, 15_000);
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -69,6 +69,14 @@
 		return ids;
 	}
 
+	/**
+	 * Returns the number of instances, this one included; may be called from any thread.
+	 * @return the number
+	 */
+	public int instances() {
+		return 1 + this.entries.size();
+	}
+
 	List<InstanceId> ids() {
 		return new ArrayList<>(this.entries.keySet());
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.core.route;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
@@ -29,12 +30,18 @@
 
 	private final Deployment deployment = new Deployment(new InvariantRegistry(), EventLog.NONE);
 
+	private final List<UpstreamId> restarted = new ArrayList<>();
+
 	private final ReplicaList list = new ReplicaList(this.deployment, this.timer, EventLog.NONE,
-			ReplicaListTests::decode, this.health);
+			ReplicaListTests::decode, this.health, this.restarted::add);
 
-	private static @Nullable Upstream decode(String name, String value) {
-		return value.equals("other writer") ? null : new Upstream(new UpstreamId(name), UpstreamKind.SERVICE,
-				new AvailabilityZone("a"), "10.0.0.1", 80, List.of("s"), 1, false, value.equals("leaving"));
+	private static @Nullable ListedReplica decode(String name, String value) {
+		if (value.equals("other writer")) {
+			return null;
+		}
+		Upstream upstream = new Upstream(new UpstreamId(name), UpstreamKind.SERVICE, new AvailabilityZone("a"),
+				"10.0.0.1", 80, List.of("s"), 1, false, value.equals("leaving"));
+		return new ListedReplica(upstream, value.equals("started again") ? 2 : 1);
 	}
 
 	private static StoredObject object(String name, String value) {
@@ -76,6 +83,28 @@
 
 	}
 
+	@Nested
+	class OfReplicasThatStartAgain {
+
+		// Guards against turns that are sent to a replica for a history that it no longer
+		// has.
+		@Test
+		void tellsOfANewStartUnderTheSameIdentifier() {
+			ReplicaListTests.this.list.changed(List.of(event("r-1", "ready"), event("r-2", "started again")));
+			assertThat(ReplicaListTests.this.restarted, is(List.of(new UpstreamId("r-2"))));
+		}
+
+		// Guards against a crash that goes unnoticed because the entry was away for a
+		// while.
+		@Test
+		void remembersTheStartOfAReplicaThatWasRemoved() {
+			ReplicaListTests.this.list.changed(List.of(event("r-1", null)));
+			ReplicaListTests.this.list.changed(List.of(event("r-1", "started again")));
+			assertThat(ReplicaListTests.this.restarted, is(List.of(new UpstreamId("r-1"))));
+		}
+
+	}
+
 	@Nested
 	class AfterAnOutage {
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/BodyReader.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/BodyReader.java
@@ -70,7 +70,8 @@
 			.reduceWith(ByteArrayOutputStream::new, (body, bytes) -> append(body, bytes, maxBytes))
 			.timeout(timeout)
 			.onErrorMap(TimeoutException.class,
-					(ex) -> RefusalException.malformed("the body was not complete after " + timeout.toMillis() + " ms"))
+					(ex) -> new RefusalException(Refusal.notRun(RefusalReason.REQUEST_TIMEOUT,
+							"the body was not complete after " + timeout.toMillis() + " ms", 0)))
 			.map(ByteArrayOutputStream::toByteArray);
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -151,11 +151,11 @@
 				events);
 		this.configurationFollower = new KindFollower(this.store, this.control, random, health, events,
 				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), configurations);
-		this.replicaFollower = new KindFollower(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
-				settings.storeWaitMaxMs(),
-				new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode, health));
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
 				random);
+		this.replicaFollower = new KindFollower(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
+				settings.storeWaitMaxMs(), new ReplicaList(this.deployment, this.control, events,
+						new ReplicaDecoder()::decode, health, index::restarted));
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_BYTES);
 		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
@@ -181,7 +181,8 @@
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
 		EventLoop eventLoop = this.loops.onServer(false).next();
 		RequestTranslator translator = new RequestTranslator();
-		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics);
+		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics,
+				new IdleConnections(this.deployment, this.peers::instances)::maxTo);
 		ControlBridge bridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
 		RelayRoute route = new RelayRoute(this.runner, pool, bridge, RandomSource.XO_SHI_RO_256_PP.create(), events);
@@ -192,7 +193,8 @@
 				List.of(route));
 		RefusalAnswers refusals = new RefusalAnswers(new Answers(this.deployment, RetryAfterStyle.FRACTIONS),
 				entryDecisions, this.metrics, events);
-		this.server = new GatewayServer(front, this.loops, chain, refusals, decisionIds, bridge, this.metrics);
+		this.server = new GatewayServer(front, this.loops, chain, refusals, decisionIds, bridge, this.metrics,
+				this.deployment::limits);
 		List<InetSocketAddress> addresses = (metricsPort > 0)
 				? List.of(ready, new InetSocketAddress(settings.host(), metricsPort)) : List.of(ready);
 		this.observation = addresses.stream()
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
@@ -20,6 +21,7 @@
 import reactor.netty.resources.LoopResources;
 
 import dev.nutmegdoor.core.explain.DecisionIds;
+import dev.nutmegdoor.core.route.RequestLimits;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
 import dev.nutmegdoor.node.entry.FilterChain;
@@ -31,16 +33,12 @@
 final class GatewayServer {
 
 	/**
-	 * Bytes of a request line or header up to which the decoder reads on. Larger ones are
-	 * answered by Reactor Netty.
+	 * Bytes of a request line or header up to which the decoder reads on, so that the
+	 * limit of the configuration decides. Larger ones are answered by Reactor Netty.
 	 */
 	private static final int MAX_HEADER_BYTES = 65_536;
 
-	/**
-	 * Time after which an idle connection is closed in milliseconds; more than the 15 s
-	 * that the deployments' configurations allow clients.
-	 */
-	private static final long IDLE_TIMEOUT_MS = 20_000;
+	private static final String CLIENT_HANDLER = "nutmegdoor-client";
 
 	private final InetSocketAddress address;
 
@@ -56,6 +54,8 @@
 
 	private final MetricRegistry metrics;
 
+	private final Supplier<RequestLimits> limits;
+
 	private final AtomicInteger running = new AtomicInteger();
 
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -65,7 +65,7 @@
 	private @Nullable DisposableServer server;
 
 	GatewayServer(InetSocketAddress address, LoopResources loops, FilterChain chain, RefusalAnswers refusals,
-			DecisionIds decisionIds, ControlBridge control, MetricRegistry metrics) {
+			DecisionIds decisionIds, ControlBridge control, MetricRegistry metrics, Supplier<RequestLimits> limits) {
 		this.address = address;
 		this.loops = loops;
 		this.chain = chain;
@@ -73,6 +73,7 @@
 		this.decisionIds = decisionIds;
 		this.control = control;
 		this.metrics = metrics;
+		this.limits = limits;
 		metrics.gauge("gateway.requests.running", () -> this.running::get);
 		metrics.gauge("gateway.connections", () -> this.connections::size);
 	}
@@ -82,7 +83,8 @@
 			.bindAddress(() -> this.address)
 			.runOn(this.loops, false)
 			.channelGroup(this.connections)
-			.idleTimeout(Duration.ofMillis(IDLE_TIMEOUT_MS))
+			.doOnChannelInit((observer, channel, remote) -> channel.pipeline()
+				.addFirst(CLIENT_HANDLER, new ClientConnection(this.limits, System::nanoTime)))
 			.httpRequestDecoder((spec) -> spec.maxHeaderSize(MAX_HEADER_BYTES).maxInitialLineLength(MAX_HEADER_BYTES))
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.handle(this::handle)
@@ -127,11 +129,14 @@
 		if (this.isLeaving) {
 			response.keepAlive(false);
 		}
+		ClientConnection client = channel[0].pipeline().get(ClientConnection.class);
+		client.requestBegun();
 		this.running.incrementAndGet();
 		return this.chain.run(exchange)
 			.onErrorResume((error) -> this.refusals.answer(exchange, error))
 			.doFinally((signal) -> {
 				this.running.decrementAndGet();
+				exchange.channel().eventLoop().execute(client::requestEnded);
 				if (!exchange.isRelayed()) {
 					this.control.execute(exchange.reservation()::settle);
 				}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
 
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
@@ -27,6 +29,9 @@
 	/** Longest time for which a request waits for the configuration. */
 	private static final long STARTING_WAIT_MS = 600;
 
+	/** A colon and the end of the line. */
+	private static final int FIELD_MARKS = 3;
+
 	private static final Duration STARTING_POLL = Duration.ofMillis(20);
 
 	private final Deployment deployment;
@@ -44,7 +49,13 @@
 		if (table == null || !this.deployment.isKnown()) {
 			return awaitConfiguration(exchange);
 		}
-		List<String> hosts = exchange.request().requestHeaders().getAll("Host");
+		HttpServerRequest request = exchange.request();
+		int headerBytes = headerBytes(request);
+		if (headerBytes > table.limits().maxHeaderBytes()) {
+			return refuse(RefusalReason.HEADER_TOO_LARGE, "the header has " + headerBytes + " bytes, at most "
+					+ table.limits().maxHeaderBytes() + " may be sent", 0);
+		}
+		List<String> hosts = request.requestHeaders().getAll("Host");
 		if (hosts.size() != 1) {
 			return refuse(RefusalReason.MALFORMED_REQUEST, "a request must have one Host field", 0);
 		}
@@ -53,11 +64,19 @@
 			return refuse(RefusalReason.NOT_FOUND,
 					"version " + table.version() + " of the configuration has no route for this host and path", 0);
 		}
-		exchange.routed(
-				new RoutedRequest(table, route, this.translator.decodeRequest(exchange.request().requestHeaders())));
+		exchange.routed(new RoutedRequest(table, route, this.translator.decodeRequest(request.requestHeaders())));
 		return Mono.empty();
 	}
 
+	// Counts a field without the blanks that a client may put around its value.
+	private static int headerBytes(HttpServerRequest request) {
+		int bytes = request.method().name().length() + request.uri().length();
+		for (Map.Entry<String, String> field : request.requestHeaders()) {
+			bytes += field.getKey().length() + field.getValue().length() + FIELD_MARKS;
+		}
+		return bytes;
+	}
+
 	// The platform sends requests to a starting instance while too few others are ready.
 	// It learns the configuration within a fraction of a second, less than a client needs
 	// to come back.
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
+import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.route.AnswerFacts;
 import dev.nutmegdoor.platform.RequestTranslator;
 
@@ -40,7 +41,7 @@
 
 	private final UpstreamPool pool;
 
-	private final String key;
+	private final Upstream upstream;
 
 	private @Nullable UpstreamExchange exchange;
 
@@ -54,15 +55,15 @@
 
 	private long idleSinceNs;
 
-	UpstreamConnection(Channel channel, RequestTranslator translator, UpstreamPool pool, String key) {
+	UpstreamConnection(Channel channel, RequestTranslator translator, UpstreamPool pool, Upstream upstream) {
 		this.channel = channel;
 		this.translator = translator;
 		this.pool = pool;
-		this.key = key;
+		this.upstream = upstream;
 	}
 
-	String key() {
-		return this.key;
+	Upstream upstream() {
+		return this.upstream;
 	}
 
 	/**
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
@@ -38,9 +39,6 @@
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
-	/** Idle connections kept for each replica, a share of what it accepts from all. */
-	private static final int MAX_IDLE_PER_REPLICA = 8;
-
 	private final LoopResources loops;
 
 	private final EventLoop eventLoop;
@@ -49,13 +47,25 @@
 
 	private final MetricRegistry metrics;
 
+	private final ToIntFunction<Upstream> maxIdle;
+
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
-	UpstreamPool(LoopResources loops, EventLoop eventLoop, RequestTranslator translator, MetricRegistry metrics) {
+	/**
+	 * Creates an empty pool.
+	 * @param loops event loops
+	 * @param eventLoop the loop that uses the pool
+	 * @param translator names of header fields
+	 * @param metrics counts connections that are opened
+	 * @param maxIdle idle connections to keep to a replica
+	 */
+	UpstreamPool(LoopResources loops, EventLoop eventLoop, RequestTranslator translator, MetricRegistry metrics,
+			ToIntFunction<Upstream> maxIdle) {
 		this.loops = loops;
 		this.eventLoop = eventLoop;
 		this.translator = translator;
 		this.metrics = metrics;
+		this.maxIdle = maxIdle;
 	}
 
 	EventLoop eventLoop() {
@@ -74,7 +84,7 @@
 	 * @return handle that gives up waiting
 	 */
 	Disposable acquire(Upstream upstream, Consumer<UpstreamConnection> onReady, Consumer<String> onFailure) {
-		String key = upstream.id() + "@" + upstream.host() + ":" + upstream.port();
+		String key = keyOf(upstream);
 		UpstreamConnection pooled = poll(key);
 		if (pooled != null) {
 			onReady.accept(pooled);
@@ -88,13 +98,13 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.connect()
-			.subscribe((connection) -> onReady.accept(install(connection, key)),
+			.subscribe((connection) -> onReady.accept(install(connection, upstream)),
 					(error) -> onFailure.accept("no connection to " + key + ": " + error));
 	}
 
-	private UpstreamConnection install(Connection established, String key) {
+	private UpstreamConnection install(Connection established, Upstream upstream) {
 		Channel channel = established.channel();
-		UpstreamConnection connection = new UpstreamConnection(channel, this.translator, this, key);
+		UpstreamConnection connection = new UpstreamConnection(channel, this.translator, this, upstream);
 		channel.pipeline()
 			.addFirst("nutmegdoor-http", new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
 		channel.pipeline().addAfter("nutmegdoor-http", "nutmegdoor-upstream", connection);
@@ -116,19 +126,25 @@
 		return null;
 	}
 
+	// An address that is used again belongs to another replica.
+	private static String keyOf(Upstream upstream) {
+		return upstream.id() + "@" + upstream.host() + ":" + upstream.port();
+	}
+
 	void release(UpstreamConnection connection) {
-		Deque<UpstreamConnection> connections = this.idle.computeIfAbsent(connection.key(),
+		Deque<UpstreamConnection> connections = this.idle.computeIfAbsent(keyOf(connection.upstream()),
 				(key) -> new ArrayDeque<>());
-		if (connections.size() >= MAX_IDLE_PER_REPLICA) {
+		while (connections.size() >= this.maxIdle.applyAsInt(connection.upstream())) {
 			connections.removeFirst().close();
 		}
 		connections.addLast(connection);
 	}
 
 	void closed(UpstreamConnection connection) {
-		Deque<UpstreamConnection> connections = this.idle.get(connection.key());
+		String key = keyOf(connection.upstream());
+		Deque<UpstreamConnection> connections = this.idle.get(key);
 		if (connections != null && connections.remove(connection) && connections.isEmpty()) {
-			this.idle.remove(connection.key());
+			this.idle.remove(key);
 		}
 	}
 
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ClientConnectionTests.java
@@ -0,0 +1,132 @@
+package dev.nutmegdoor.node.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.route.RequestLimits;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.startsWith;
+
+class ClientConnectionTests {
+
+	private RequestLimits limits = new RequestLimits(1_000, 1_000, 3_000, 15_000);
+
+	private final ClientConnection connection = new ClientConnection(() -> this.limits, this::nowNs);
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private long nowMs;
+
+	ClientConnectionTests() {
+		this.channel.freezeTime();
+		this.channel.pipeline().addFirst(this.connection);
+	}
+
+	private long nowNs() {
+		return TimeUnit.MILLISECONDS.toNanos(this.nowMs);
+	}
+
+	private void advance(long millis) {
+		this.nowMs += millis;
+		this.channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+	}
+
+	private void receive(String text) {
+		this.channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+	}
+
+	@Nested
+	class WhileIdle {
+
+		// Guards against a connection that is closed while its client still counts on it.
+		@Test
+		void isKeptForTheIdleTime() {
+			advance(14_999);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(true));
+			advance(1);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(false));
+		}
+
+		// Guards against the figure of an old configuration after a change.
+		@Test
+		void followsAChangedConfiguration() {
+			advance(10_000);
+			ClientConnectionTests.this.limits = new RequestLimits(1_000, 1_000, 3_000, 30_000);
+			advance(19_999);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(true));
+			advance(1);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(false));
+		}
+
+		// Guards against idle time that is counted from the first request on.
+		@Test
+		void countsFromTheLastAnswer() {
+			receive("GET / HTTP/1.1\r\n\r\n");
+			ClientConnectionTests.this.connection.requestBegun();
+			advance(20_000);
+			ClientConnectionTests.this.connection.requestEnded();
+			advance(14_999);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(true));
+			advance(1);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(false));
+		}
+
+	}
+
+	@Nested
+	class WhileAHeaderArrives {
+
+		// Guards against clients that hold connections by sending their header slowly.
+		@Test
+		void answersThatItTookTooLong() {
+			receive("GET / HT");
+			advance(2_000);
+			receive("TP/1.1\r\n");
+			advance(1_000);
+			ByteBuf answer = ClientConnectionTests.this.channel.readOutbound();
+			assertThat(answer.toString(StandardCharsets.US_ASCII), startsWith("HTTP/1.1 408"));
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(false));
+		}
+
+	}
+
+	@Nested
+	class WhileRequestsRun {
+
+		// Guards against a long answer that is cut as if its connection were idle.
+		@Test
+		void hasNoLimitOfItsOwn() {
+			receive("GET / HTTP/1.1\r\n\r\n");
+			ClientConnectionTests.this.connection.requestBegun();
+			advance(600_000);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(true));
+			assertThat(ClientConnectionTests.this.channel.readOutbound(), is(nullValue()));
+		}
+
+		// Guards against a second request on the connection that is closed because the
+		// first one has ended.
+		@Test
+		void waitsForTheLastOfThem() {
+			ClientConnectionTests.this.connection.requestBegun();
+			ClientConnectionTests.this.connection.requestBegun();
+			ClientConnectionTests.this.connection.requestEnded();
+			advance(600_000);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(true));
+			ClientConnectionTests.this.connection.requestEnded();
+			advance(15_000);
+			assertThat(ClientConnectionTests.this.channel.isOpen(), is(false));
+		}
+
+	}
+
+}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -20,6 +20,10 @@
 import org.junit.jupiter.api.Test;
 import reactor.netty.resources.LoopResources;
 
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.route.AnswerFacts;
 import dev.nutmegdoor.platform.RequestTranslator;
 
@@ -29,13 +33,16 @@
 
 class UpstreamConnectionTests {
 
+	private static final Upstream REPLICA = new Upstream(new UpstreamId("replica"), UpstreamKind.SERVICE,
+			new AvailabilityZone("a"), "10.0.0.1", 80, List.of("s"), 1, false, false);
+
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private final UpstreamPool pool = new UpstreamPool(LoopResources.create("test", 1, true), this.channel.eventLoop(),
-			new RequestTranslator(), new MetricRegistry());
+			new RequestTranslator(), new MetricRegistry(), (replica) -> 1);
 
 	private final UpstreamConnection connection = new UpstreamConnection(this.channel, new RequestTranslator(),
-			this.pool, "replica");
+			this.pool, REPLICA);
 
 	private final Recorder exchange = new Recorder();
 
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -208,6 +208,15 @@
 			assertThat(exchange("/open/a", "", ""), containsString("HTTP/1.1 200"));
 		}
 
+		// Guards against a header that is passed on although the operators forbid its
+		// size.
+		@Test
+		void areRefusedWithALargerHeaderThanTheConfigurationAllows() throws Exception {
+			String field = "X-Own: " + "x".repeat(17_000) + "\r\n";
+			assertThat(exchange("/open/a", field, ""), containsString("HTTP/1.1 431"));
+			assertThat(GatewayTests.this.replica.requests, hasSize(0));
+		}
+
 		// Guards against a promise that a booking did not run which only the status made.
 		@Test
 		void areCalledNotRunOnlyIfTheReplicaSaysSo() throws Exception {
