Avoid a zone that gives no sign of life

Turns on connections made before the cut were never answered, and their clients gave up after 2 s. Change: ZoneReachability notes calls without a sign of life; two of them, with no answer from the zone since, make a zone unreachable for 1.5 s. Placement then prefers replicas in reach, and requests that may be repeated and have no answer yet end with 502, so that their clients can repeat them in time. A connection attempt ends after 250 ms. Tests: ZoneReachabilityTests, RelayedCallTests.AcrossACutBetweenZones (fail without the rule).

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -38,6 +38,14 @@
 
 	private final OutlierDetector outliers = new OutlierDetector();
 
+	/**
+	 * Cost in milliseconds of a replica in a zone that counts as unreachable: about what
+	 * a call loses there. Replicas in reach are used up to their own queues before it.
+	 */
+	private static final double UNREACHABLE_COST_MS = 1_000;
+
+	private final ZoneReachability zones;
+
 	private final AvailabilityZone ownZone;
 
 	private final double zoneCrossingMs;
@@ -61,6 +69,7 @@
 	public ReplicaIndex(AvailabilityZone ownZone, double zoneCrossingMs, PlacementCosts costs, TimerService timer,
 			UniformRandomProvider random) {
 		this.ownZone = ownZone;
+		this.zones = new ZoneReachability(ownZone);
 		this.zoneCrossingMs = zoneCrossingMs;
 		this.costs = costs;
 		this.timer = timer;
@@ -168,6 +177,7 @@
 	 */
 	public void answered(Reservation reservation, List<PromptPart> prompt, double actualMs, double expectedMs) {
 		Upstream upstream = release(reservation);
+		this.zones.answered(upstream.availabilityZone(), this.timer.nowMs());
 		for (PromptPart part : prompt) {
 			if (!part.id().isEmpty()) {
 				this.cache.sent(part.id(), upstream.id(), part.tokens(), this.timer.nowMs());
@@ -176,6 +186,29 @@
 		this.outliers.answered(upstream.id(), actualMs, expectedMs, poolSize(upstream), this.timer.nowMs());
 	}
 
+	/**
+	 * Notes that a replica has begun to answer.
+	 * @param reservation place of the call
+	 */
+	public void answerStarted(Reservation reservation) {
+		reservation.outputSeen();
+		this.zones.answered(reservation.upstream().availabilityZone(), this.timer.nowMs());
+	}
+
+	/**
+	 * Notes that a replica gives no sign of life: it accepts no connection, or a request
+	 * that it has had for long is not answered.
+	 * @param reservation place of the call
+	 * @param sinceMs time since which it has been silent
+	 * @return whether its zone counts as reachable all the same
+	 */
+	public boolean silent(Reservation reservation, long sinceMs) {
+		Upstream upstream = reservation.upstream();
+		long nowMs = this.timer.nowMs();
+		this.zones.silent(upstream.availabilityZone(), reservation.call(), sinceMs, nowMs);
+		return this.zones.isReachable(upstream.availabilityZone(), nowMs);
+	}
+
 	/**
 	 * Ends a call that the replica has failed.
 	 * @param reservation place of the call
@@ -362,6 +395,9 @@
 			cached = PromptPart.tokensOf(prompt);
 		}
 		double crossingMs = upstream.availabilityZone().equals(this.ownZone) ? 0 : this.zoneCrossingMs;
+		if (!this.zones.isReachable(upstream.availabilityZone(), nowMs)) {
+			crossingMs += UNREACHABLE_COST_MS;
+		}
 		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.others(nowMs),
 				state.othersAgeMs(nowMs), state.ownAtReport(), state.freeAtReport(),
 				state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()), cached, state.freeCacheTokens(),
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -22,6 +22,16 @@
  */
 final class RelayAttempt implements RelayListener {
 
+	/**
+	 * Time in milliseconds after which an engine that has not begun to answer counts as
+	 * silent, unless its zone has answered since. Engines begin within 100 ms, loaded
+	 * ones mostly within 400 ms.
+	 */
+	private static final long SILENCE_MS = 400;
+
+	/** Time between further checks in milliseconds. */
+	private static final long SILENCE_CHECK_MS = 100;
+
 	private final ScheduledCallRunner runner;
 
 	private final TimerService timer;
@@ -59,7 +69,25 @@
 		CallHandle handle = this.payload.relay().send(this.reservation.upstream(), timeLeftMs, this);
 		if (!this.isEnded) {
 			this.send = handle;
+			if (CallCosts.isWithPrompt(this.payload)) {
+				this.timer.schedule(SILENCE_MS, this::checkSilence);
+			}
+		}
+	}
+
+	// A request that crosses a cut on a connection made before is never answered. Its
+	// client would wait until it gives up; told now, it still has time to repeat it.
+	private void checkSilence() {
+		if (this.isEnded || this.answerStartedMs > 0) {
+			return;
+		}
+		if (this.runner.index().silent(this.reservation, this.startedMs) || !this.payload.isInterruptible()) {
+			this.timer.schedule(SILENCE_CHECK_MS, this::checkSilence);
+			return;
 		}
+		cancel();
+		this.runner.failed(this.call, this.reservation.upstream(), RunState.UNKNOWN,
+				"the zone of the replica does not answer", false);
 	}
 
 	@Override
@@ -68,7 +96,7 @@
 			return;
 		}
 		this.answerStartedMs = this.timer.nowMs();
-		this.reservation.outputSeen();
+		this.runner.index().answerStarted(this.reservation);
 		this.runner.reached(Step.STREAM);
 	}
 
@@ -86,6 +114,9 @@
 			answered(end);
 			return;
 		}
+		if (end.outcome() == RelayOutcome.NOT_CONNECTED) {
+			this.runner.index().silent(this.reservation, this.startedMs);
+		}
 		if (end.outcome().isFailure()) {
 			this.runner.index().failed(this.reservation);
 		}
--- /dev/null
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/ZoneReachabilityTests.java
@@ -0,0 +1,77 @@
+package dev.nutmegdoor.core.placement;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import dev.nutmegdoor.core.id.AvailabilityZone;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class ZoneReachabilityTests {
+
+	private static final AvailabilityZone OWN = new AvailabilityZone("a");
+
+	private static final AvailabilityZone OTHER = new AvailabilityZone("b");
+
+	private final ZoneReachability zones = new ZoneReachability(OWN);
+
+	@Nested
+	class OfAnotherZone {
+
+		// Guards against each call that waits for a connection across a cut.
+		@Test
+		void isLostWithTwoSilentCalls() {
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 1", 0, 400);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 400), is(true));
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 2", 50, 450);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 450), is(false));
+		}
+
+		// Guards against a zone that is given up for one call that takes long.
+		@Test
+		void isNotLostWithOneCallThatIsNotedAgain() {
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 1", 0, 400);
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 1", 0, 500);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 500), is(true));
+		}
+
+		// Guards against a loaded zone that counts as cut off while it answers others.
+		@Test
+		void isNotLostWhileOtherCallsAreAnswered() {
+			ZoneReachabilityTests.this.zones.answered(OTHER, 300);
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 1", 0, 400);
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 2", 50, 450);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 450), is(true));
+		}
+
+		// Guards against a zone that stays unused after the end of a cut.
+		@Test
+		void isTriedAgainAndRegainedWithAnAnswer() {
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 1", 0, 400);
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 2", 0, 400);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 1_900), is(true));
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 3", 1_900, 2_150);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 2_150), is(false));
+			ZoneReachabilityTests.this.zones.answered(OTHER, 2_200);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 2_200), is(true));
+			ZoneReachabilityTests.this.zones.silent(OTHER, "call 4", 2_300, 2_700);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 2_700), is(true));
+		}
+
+	}
+
+	@Nested
+	class OfTheOwnZone {
+
+		// Guards against a zone that avoids its own replicas and has no others.
+		@Test
+		void isNeverLost() {
+			ZoneReachabilityTests.this.zones.silent(OWN, "call 1", 0, 400);
+			ZoneReachabilityTests.this.zones.silent(OWN, "call 2", 0, 400);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OWN, 400), is(true));
+		}
+
+	}
+
+}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -42,8 +42,10 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 class RelayedCallTests {
@@ -83,8 +85,9 @@
 		Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
 		for (String id : ids) {
 			UpstreamId upstream = new UpstreamId(id);
-			upstreams.put(upstream, new Upstream(upstream, UpstreamKind.SERVICE, new AvailabilityZone("a"), "127.0.0.1",
-					1, List.of("s"), 4, false, false));
+			AvailabilityZone zone = new AvailabilityZone(id.startsWith("b") ? "b" : "a");
+			upstreams.put(upstream,
+					new Upstream(upstream, UpstreamKind.SERVICE, zone, "127.0.0.1", 1, List.of("s"), 4, false, false));
 		}
 		return new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), upstreams);
 	}
@@ -195,6 +198,101 @@
 
 	}
 
+	@Nested
+	class AcrossACutBetweenZones {
+
+		private static final int CALLS = 40;
+
+		private static final long CALL_MS = 60;
+
+		/** Calls under way in the own zone; less than its places. */
+		private static final int RUNNING = 6;
+
+		private final List<PromptPart> prompt = List.of(new PromptPart("shared", 2_000));
+
+		private void start() {
+			start("b-1", "b-2");
+		}
+
+		private void start(String... others) {
+			List<String> ids = new ArrayList<>(List.of("a-1", "a-2"));
+			ids.addAll(List.of(others));
+			RelayedCallTests.this.configuration.set(replicas(ids.toArray(String[]::new)));
+			RelayedCallTests.this.runner = createRunner(3);
+		}
+
+		/** Lets the replicas of the own zone answer, but for the last calls. */
+		private void answerOwnZone(int running) {
+			for (int i = 0; i < RelayedCallTests.this.sends.size() - running; i++) {
+				Send send = RelayedCallTests.this.sends.get(i);
+				if (send.replica.value().startsWith("a") && !send.isAnswered) {
+					send.isAnswered = true;
+					send.listener.answerStarted();
+					end(i, RelayOutcome.ANSWERED);
+				}
+			}
+		}
+
+		// Plays calls during a cut: connections to the other zone time out. Guards
+		// against
+		// each of them that loses the time of a connection attempt there.
+		@Test
+		void areKeptInTheOwnZoneOnceTheOtherIsSilent() {
+			start("b-1", "b-2", "b-3", "b-4", "b-5", "b-6", "b-7", "b-8");
+			for (int i = 0; i < CALLS; i++) {
+				run(Repeatability.REPEATABLE, true, 1, this.prompt);
+				RelayedCallTests.this.timer.advance(CALL_MS);
+				for (int send = 0; send < RelayedCallTests.this.sends.size(); send++) {
+					Send one = RelayedCallTests.this.sends.get(send);
+					if (one.replica.value().startsWith("b") && !one.isAnswered) {
+						one.isAnswered = true;
+						end(send, RelayOutcome.NOT_CONNECTED);
+					}
+				}
+				answerOwnZone(RUNNING);
+			}
+			answerOwnZone(0);
+			long tries = RelayedCallTests.this.sends.stream()
+				.filter((send) -> send.replica.value().startsWith("b"))
+				.count();
+			assertThat(tries, lessThanOrEqualTo(4L));
+			assertThat(RelayedCallTests.this.results, hasSize(CALLS));
+		}
+
+		// Guards against clients that wait until they give up for an answer that a cut
+		// has
+		// swallowed.
+		@Test
+		void areEndedEarlyIfTheirZoneIsSilent() {
+			start();
+			for (int i = 0; i < 16; i++) {
+				run(Repeatability.REPEATABLE, true, 1, this.prompt);
+			}
+			RelayedCallTests.this.timer.advance(300);
+			answerOwnZone(0);
+			RelayedCallTests.this.timer.advance(300);
+			long lost = RelayedCallTests.this.sends.stream()
+				.filter((send) -> send.replica.value().startsWith("b"))
+				.count();
+			assertThat(lost, greaterThan(1L));
+			assertThat(RelayedCallTests.this.refusals, hasSize((int) lost));
+			assertThat(RelayedCallTests.this.refusals.get(0).run(), is(RunState.UNKNOWN));
+		}
+
+		// Guards against a second run of what may run once only.
+		@Test
+		void areLeftAloneIfTheyMayNotBeRepeated() {
+			start();
+			for (int i = 0; i < 16; i++) {
+				run(Repeatability.AT_MOST_ONCE, false, 1, this.prompt);
+			}
+			RelayedCallTests.this.timer.advance(2_000);
+			assertThat(RelayedCallTests.this.sends.stream().anyMatch((send) -> send.isCancelled), is(false));
+			assertThat(RelayedCallTests.this.refusals, is(empty()));
+		}
+
+	}
+
 	@Nested
 	class UnderOverload {
 
@@ -264,6 +362,8 @@
 
 		private boolean isCancelled;
 
+		private boolean isAnswered;
+
 		private Send(UpstreamId replica, long timeLeftMs, RelayListener listener) {
 			assertThat(timeLeftMs > 0, is(true));
 			this.replica = replica;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -31,7 +31,7 @@
 	 * Longest time to establish a connection in milliseconds. Round trips take less than
 	 * 20 ms; an opening packet that a full replica drops is repeated after a second only.
 	 */
-	private static final int CONNECT_TIMEOUT_MS = 400;
+	private static final int CONNECT_TIMEOUT_MS = 250;
 
 	private static final int MAX_LINE_BYTES = 16_384;
 
