Take nothing for usage reports that a cut has held up

Cause: after a cut TCP delivers the reports that it held up. Change: reports count again 150 ms after the end of a gap. Test: UsageLimiterTests.AfterACut fails without it; a second test plays programs at four times the rate of their workspace. Tried and dropped: a bound on programs begun by the requests that a program needs; in that test it finished no more programs than the part of the burst that is kept for programs under way.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -208,7 +208,7 @@
 		long nowMs = this.timer.nowMs();
 		boolean isStarting = nowMs - this.startedMs < this.settings.startMs();
 		UsagePeer peer = this.peers.heard(from, report, nowMs);
-		boolean isContinuous = peer.isContinuous(report, nowMs, this.settings.freshMs());
+		boolean isContinuous = peer.isContinuous(report, nowMs, this.settings);
 		report.admitted().forEach((name, total) -> {
 			long before = peer.totals.getOrDefault(name, 0L);
 			if (isContinuous && total > before) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeer.java
@@ -14,6 +14,8 @@
 
 	private long heardMs;
 
+	private long returnedMs = Long.MIN_VALUE / 2;
+
 	UsagePeer(long nowMs) {
 		this.heardMs = nowMs;
 	}
@@ -24,19 +26,23 @@
 
 	/**
 	 * Returns whether the counts of a report continue those of the last one. After a gap
-	 * they do not: both sides used only their part of the rate in between.
+	 * they do not: both sides used only their part of the rate in between. The reports
+	 * that a cut has held up arrive together after its end and belong to the gap as well.
 	 * @param report the report
 	 * @param nowMs present time in milliseconds
-	 * @param freshMs longest time between reports of a reachable instance in milliseconds
+	 * @param settings figures of the exchange
 	 * @return {@code true} if the difference of the counts is to be taken from the
 	 * buckets
 	 */
-	boolean isContinuous(UsageReport report, long nowMs, long freshMs) {
+	boolean isContinuous(UsageReport report, long nowMs, UsageSettings settings) {
 		if (!report.incarnation().equals(this.incarnation)) {
 			this.totals.clear();
 			return !this.incarnation.isEmpty();
 		}
-		return nowMs - this.heardMs <= freshMs;
+		if (nowMs - this.heardMs > settings.freshMs()) {
+			this.returnedMs = nowMs;
+		}
+		return nowMs - this.returnedMs >= settings.returnMs();
 	}
 
 	void reported(UsageReport report, long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageSettings.java
@@ -11,16 +11,18 @@
  * milliseconds
  * @param freshMs age up to which an instance counts as reachable in milliseconds
  * @param forgetMs time after which a silent instance no longer counts in milliseconds
+ * @param returnMs time after the end of a gap in which reports that were held up arrive
+ * in milliseconds
  * @param startMs time after the start in which levels of others are adopted in
  * milliseconds
  */
 public record UsageSettings(long reportPeriodMs, long calmPeriodMs, long quietPeriodMs, long freshMs, long forgetMs,
-		long startMs) {
+		long returnMs, long startMs) {
 
 	/**
 	 * A report period of 100 ms keeps the excess of a tenant that sends seven times its
 	 * rate below the tenth of a 5 s window that the deployments tolerate.
 	 */
-	public static final UsageSettings DEFAULT = new UsageSettings(100, 300, 500, 1_500, 60_000, 1_500);
+	public static final UsageSettings DEFAULT = new UsageSettings(100, 300, 500, 1_500, 60_000, 150, 1_500);
 
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -9,6 +9,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import dev.nutmegdoor.core.configuration.Configuration;
 import dev.nutmegdoor.core.configuration.ProgramBudget;
@@ -24,6 +26,7 @@
 import dev.nutmegdoor.core.limit.Admission;
 import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -47,9 +50,7 @@
 
 	private final FakePeerNetwork network = new FakePeerNetwork(this.random, LinkSettings.RELIABLE);
 
-	private final FakeConfigurationView configuration = new FakeConfigurationView(new Configuration(1,
-			Map.of(WORKSPACE, new Workspace(WORKSPACE, RATE, RATE, 1, Map.of(), ProgramBudget.DEFAULT)), Map.of(),
-			Map.of(), Map.of(), Map.of()));
+	private final FakeConfigurationView configuration = new FakeConfigurationView(withRate(RATE));
 
 	private final List<UsageLimiter> limiters = new ArrayList<>();
 
@@ -57,6 +58,12 @@
 
 	private final List<DirectoryEntry> entries = new ArrayList<>();
 
+	private static Configuration withRate(int rate) {
+		return new Configuration(1,
+				Map.of(WORKSPACE, new Workspace(WORKSPACE, rate, rate, 1, Map.of(), ProgramBudget.DEFAULT)), Map.of(),
+				Map.of(), Map.of(), Map.of());
+	}
+
 	private void start(int instances, boolean isFirstStart) {
 		for (int i = 0; i < instances; i++) {
 			this.entries.add(new DirectoryEntry(new InstanceId("i-" + i), zone(i), "10.0.0." + i, 1, false));
@@ -196,6 +203,83 @@
 
 	}
 
+	@Nested
+	class AfterACut {
+
+		// Guards against the requests of the whole cut that are taken from the buckets
+		// once the reports that it held up arrive.
+		@Test
+		void takeNothingForReportsThatWereHeldUp() {
+			start(1, true);
+			PeerTransport peer = UsageLimiterTests.this.network
+				.join(new FakeHost(UsageLimiterTests.this.timer, new InstanceId("p"), zone(1), 0));
+			report(peer, 0);
+			UsageLimiterTests.this.timer.advance(5_000);
+			for (int i = 1; i <= 50; i++) {
+				report(peer, 4L * i);
+			}
+			UsageLimiterTests.this.timer.advance(50);
+			assertThat(admit(UsageLimiterTests.this.limiters.get(0), RequestStage.CONTINUING), is(true));
+		}
+
+		private void report(PeerTransport peer, long requests) {
+			peer.send(new InstanceId("i-0"), new UsageReport("run-p", zone(1), "10.0.0.9", 1, false,
+					Map.of(WORKSPACE.value(), requests), Map.of()));
+		}
+
+	}
+
+	@Nested
+	class ProgramsAboveTheRate {
+
+		private static final int REQUESTS = 12;
+
+		private static final long GAP_MS = 300;
+
+		private static final int PROGRAMS = 600;
+
+		private static final int DEMAND = 4;
+
+		private int finished;
+
+		// Plays a workspace that begins four times as many programs as its rate carries.
+		// Guards against programs that are begun and can't be finished: of what the rate
+		// carries, callers must get most as whole programs.
+		@ParameterizedTest
+		@ValueSource(ints = { 10, 30, 100 })
+		void areFinishedIfTheyAreBegun(int rate) {
+			UsageLimiterTests.this.configuration.set(withRate(rate));
+			start(3, true);
+			long intervalMs = 1_000L * REQUESTS / rate / DEMAND;
+			for (int i = 0; i < PROGRAMS; i++) {
+				UsageLimiterTests.this.timer.schedule(i * intervalMs, () -> next(0, 0));
+			}
+			UsageLimiterTests.this.timer.advance(PROGRAMS * intervalMs + 20_000);
+			double carried = (double) PROGRAMS / DEMAND;
+			assertThat((double) this.finished, greaterThan(carried * 0.8));
+		}
+
+		// A request that is refused comes back twice when it is told to.
+		private void next(int done, int refused) {
+			if (done == REQUESTS) {
+				this.finished++;
+				return;
+			}
+			RequestStage stage = (done == 0) ? RequestStage.OPENING : RequestStage.CONTINUING;
+			UsageLimiterTests.this.limiters.get(UsageLimiterTests.this.random.nextInt(3))
+				.admit(WORKSPACE, stage)
+				.thenAccept((admission) -> {
+					if (admission.isAdmitted()) {
+						UsageLimiterTests.this.timer.schedule(GAP_MS, () -> next(done + 1, 0));
+					}
+					else if (refused < 2) {
+						UsageLimiterTests.this.timer.schedule(admission.retryAfterMs(), () -> next(done, refused + 1));
+					}
+				});
+		}
+
+	}
+
 	@Nested
 	class Restarts {
 
