Count a refused first turn as the first again when it comes back

Cause: a turn was the first of its program if its reservation was the only one ever made. A first turn that was refused for its rate or for overload and came back counted as under way, so it escaped both rules. Change: a turn is the first if nothing else is charged to its program. Test: LedgerTests, fails without the change.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -88,8 +88,9 @@
 		return this.table;
 	}
 
+	// A turn that was refused and comes again has released its tokens in between.
 	boolean isFirstReservation(String program, long tokens) {
-		return this.table.entries(program).stream().mapToLong(LedgerEntry::reservedTokens).sum() == tokens;
+		return this.table.charged(program) == tokens;
 	}
 
 	private LedgerEntry charge(String program, long reserved, long released, long retentionMs) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerFleet.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerFleet.java
@@ -115,6 +115,10 @@
 		return result.join();
 	}
 
+	void release(String gateway, String program, long tokens) {
+		this.gateways.get(gateway).release(program, tokens);
+	}
+
 	/**
 	 * Runs turns until the budget grants no more.
 	 * @return tokens that were granted
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
@@ -48,6 +48,15 @@
 			assertThat(LedgerTests.this.fleet.reserve("g-b", "p", TURN, BUDGET).isFirst(), is(false));
 		}
 
+		// Guards against a refused beginning of a program that counts as a program under
+		// way when it comes back, and so escapes the rules for beginnings.
+		@Test
+		void isTheFirstAgainAfterARefusal() {
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "q", TURN, BUDGET).isFirst(), is(true));
+			LedgerTests.this.fleet.release("g-a", "q", TURN);
+			assertThat(LedgerTests.this.fleet.reserve("g-a", "q", TURN, BUDGET).isFirst(), is(true));
+		}
+
 		// Guards against concurrent turns at two instances that both use the last tokens.
 		@Test
 		void holdForConcurrentTurns() {
