Collect changes of the list of replicas for 250 ms between watches

Cause: each change ends the watches of all instances. Change: KindFollower waits 250 ms after changes to the list of replicas. Changes of the configuration are still followed at once. Test: KindFollowerTests, fails without the pause.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/KindFollower.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/KindFollower.java
@@ -41,6 +41,8 @@
 
 	private final long watchMs;
 
+	private final long pauseMs;
+
 	private final KindListener listener;
 
 	private long revision;
@@ -60,10 +62,12 @@
 	 * @param events receives {@code store.lost} and {@code store.regained}
 	 * @param kind kind of the objects
 	 * @param watchMs longest wait of one watch in milliseconds
+	 * @param pauseMs time for which changes are collected before the next watch in
+	 * milliseconds; a watch ends with the first change, and each call has its price
 	 * @param listener receives the objects
 	 */
 	public KindFollower(ObjectStore store, TimerService timer, UniformRandomProvider random, StoreHealth health,
-			EventLog events, String kind, long watchMs, KindListener listener) {
+			EventLog events, String kind, long watchMs, long pauseMs, KindListener listener) {
 		this.store = store;
 		this.timer = timer;
 		this.random = random;
@@ -71,6 +75,7 @@
 		this.events = events;
 		this.kind = kind;
 		this.watchMs = watchMs;
+		this.pauseMs = pauseMs;
 		this.listener = listener;
 	}
 
@@ -110,7 +115,12 @@
 			if (!changes.isEmpty()) {
 				this.listener.changed(changes);
 			}
-			watch();
+			if (changes.isEmpty() || this.pauseMs == 0) {
+				watch();
+			}
+			else {
+				this.timer.schedule(this.pauseMs, this::watch);
+			}
 		});
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/KindFollowerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/KindFollowerTests.java
@@ -18,6 +18,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 class KindFollowerTests implements KindListener {
 
@@ -36,8 +37,12 @@
 	private int lists;
 
 	private void start() {
+		start(0);
+	}
+
+	private void start(long pauseMs) {
 		new KindFollower(this.client, this.host, this.random, new StoreHealth(this.host), EventLog.NONE, "k", 30_000,
-				this)
+				pauseMs, this)
 			.start();
 	}
 
@@ -80,4 +85,20 @@
 		assertThat(this.lists, is(1));
 	}
 
+	// Guards against a call of each instance for each of many replicas that start
+	// together.
+	@Test
+	void collectsChangesThatFollowEachOther() {
+		start(250);
+		this.timer.advance(100);
+		long before = this.store.calls();
+		for (int i = 0; i < 20; i++) {
+			this.client.create("k", "n" + i, "v" + i);
+			this.timer.advance(20);
+		}
+		this.timer.advance(1_000);
+		assertThat(this.seen, hasItem("v19"));
+		assertThat(this.store.calls() - before - 20, lessThanOrEqualTo(5L));
+	}
+
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -95,7 +95,7 @@
 				new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events), this.log, this.control, events,
 				LedgerSettings.DEFAULT, this.members);
 		this.retirements = new KindFollower(platform.store(), this.control, random, new StoreHealth(this.control),
-				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(),
+				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(), 0,
 				new RetirementListener(settings.instance(), this.replica, platform.store(), this.control, events));
 		this.metrics.gauge("ledger.programs", () -> this.replica::programs);
 		this.metrics.gauge("ledger.members", () -> this.replica::members);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -92,6 +92,12 @@
 
 	private static final long POLL_MS = 20;
 
+	/**
+	 * Time in milliseconds for which changes of the list of replicas are collected. A
+	 * replica that leaves serves on for 2 s, and one that has come is not missed so soon.
+	 */
+	private static final long REPLICA_PAUSE_MS = 250;
+
 	private final ProcessSettings settings;
 
 	private final EventLog events;
@@ -150,11 +156,11 @@
 		ConfigurationListener configurations = new ConfigurationListener(this.deployment, new ConfigurationDecoder(),
 				events);
 		this.configurationFollower = new KindFollower(this.store, this.control, random, health, events,
-				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), configurations);
+				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations);
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
 				random);
 		this.replicaFollower = new KindFollower(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
-				settings.storeWaitMaxMs(), new ReplicaList(this.deployment, this.control, events,
+				settings.storeWaitMaxMs(), REPLICA_PAUSE_MS, new ReplicaList(this.deployment, this.control, events,
 						new ReplicaDecoder()::decode, health, index::restarted));
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_BYTES);
