--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.resolver.DefaultAddressResolverGroup;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import reactor.netty.DisposableServer;
@@ -207,6 +208,7 @@
 		byte[] hello = this.codec.encode(new Frame(FrameKind.HELLO, this.self.value(), 0, 0,
 				this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8)));
 		TcpClient.newConnection()
+			.resolver(DefaultAddressResolverGroup.INSTANCE)
 			.runOn(this.loops, false)
 			.remoteAddress(() -> address)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.settings.connectTimeoutMs())
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.resolver.DefaultAddressResolverGroup;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
 import reactor.netty.Connection;
@@ -93,6 +94,7 @@
 		}
 		this.metrics.counter("upstream.connections.opened").inc();
 		return TcpClient.newConnection()
+			.resolver(DefaultAddressResolverGroup.INSTANCE)
 			.runOn(this.loops, false)
 			.remoteAddress(() -> new InetSocketAddress(upstream.host(), upstream.port()))
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
