--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -35,6 +35,11 @@
 
 	private static final long MS_PER_SECOND = 1_000;
 
+	/**
+	 * Digits of a number of seconds that are read; more than any replica's timeout has.
+	 */
+	private static final int MAX_TIMEOUT_DIGITS = 9;
+
 	private final Channel channel;
 
 	private final RequestTranslator translator;
@@ -204,9 +209,9 @@
 		if (field == null || at < 0) {
 			return DEFAULT_IDLE_MS;
 		}
-		int end = at + "timeout=".length();
-		int start = end;
-		while (end < field.length() && Character.isDigit(field.charAt(end))) {
+		int start = at + "timeout=".length();
+		int end = start;
+		while (end < Math.min(field.length(), start + MAX_TIMEOUT_DIGITS) && Character.isDigit(field.charAt(end))) {
 			end++;
 		}
 		// A time of whole seconds may have been rounded up.
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/EventCounterTests.java
@@ -0,0 +1,51 @@
+package dev.nutmegdoor.node.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class EventCounterTests {
+
+	private final EventCounter counter = new EventCounter();
+
+	private void add(String text) {
+		this.counter.add(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+	}
+
+	// Guards against tokens that are not charged because an event arrives in parts.
+	@Property(tries = 300)
+	void countsEventsWhereverTheBytesAreDivided(@ForAll @IntRange(min = 1, max = 40) int events,
+			@ForAll @Size(max = 10) List<@IntRange(max = 2_000) Integer> cuts, @ForAll boolean isCrLf) {
+		EventCounter divided = new EventCounter();
+		String end = isCrLf ? "\r\n" : "\n";
+		StringBuilder text = new StringBuilder();
+		for (int i = 1; i <= events; i++) {
+			text.append("id: ").append(i).append(end).append("data: x").append(end).append(end);
+		}
+		int from = 0;
+		for (int cut : cuts.stream().sorted().toList()) {
+			int to = Math.min(cut, text.length());
+			divided.add(Unpooled.copiedBuffer(text.substring(from, to), StandardCharsets.US_ASCII));
+			from = to;
+		}
+		divided.add(Unpooled.copiedBuffer(text.substring(from), StandardCharsets.US_ASCII));
+		assertThat(divided.events(), is(events));
+	}
+
+	// Guards against an unfinished event that a client has read and nobody charges.
+	@Test
+	void countsAnUnfinishedEvent() {
+		add("id: 1\ndata: x\n\nid: 2\nda");
+		assertThat(this.counter.events(), is(2));
+	}
+
+}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -117,6 +117,19 @@
 
 	}
 
+	@Nested
+	class IdleTimes {
+
+		// Guards against a sound answer that is dropped for a time that can't be read.
+		@Test
+		void thatAreNotPlausibleDoNotBreakTheAnswer() {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nKeep-Alive: timeout=99999999999999999999\r\n"
+					+ "Content-Length: 5\r\n\r\nhello");
+			assertThat(UpstreamConnectionTests.this.exchange.seen, contains("200", "hello", "completed"));
+		}
+
+	}
+
 	@Nested
 	class StrayBytes {
 
