--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -13,6 +13,7 @@
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.time.TimerService;
@@ -65,11 +66,12 @@
 	 * @param costs cost model
 	 * @param timer source of time
 	 * @param random seeded generator of samples and tie-breaking seeds
+	 * @param events receives zones that are lost and regained
 	 */
 	public ReplicaIndex(AvailabilityZone ownZone, double zoneCrossingMs, PlacementCosts costs, TimerService timer,
-			UniformRandomProvider random) {
+			UniformRandomProvider random, EventLog events) {
 		this.ownZone = ownZone;
-		this.zones = new ZoneReachability(ownZone);
+		this.zones = new ZoneReachability(ownZone, events);
 		this.zoneCrossingMs = zoneCrossingMs;
 		this.costs = costs;
 		this.timer = timer;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ZoneReachability.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ZoneReachability.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 
 /**
@@ -29,10 +30,13 @@
 
 	private final AvailabilityZone ownZone;
 
+	private final EventLog events;
+
 	private final Map<AvailabilityZone, Signs> zones = new HashMap<>();
 
-	ZoneReachability(AvailabilityZone ownZone) {
+	ZoneReachability(AvailabilityZone ownZone, EventLog events) {
 		this.ownZone = ownZone;
+		this.events = events;
 	}
 
 	/**
@@ -53,7 +57,11 @@
 		}
 		signs.silent.add(call);
 		if (signs.isDoubtful || signs.silent.size() >= SILENT_CALLS) {
-			signs.isDoubtful = true;
+			if (!signs.isDoubtful) {
+				signs.isDoubtful = true;
+				this.events.record("zone.lost", "zone", zone, "silentCalls", signs.silent.size(), "oldestMs",
+						nowMs - sinceMs);
+			}
 			signs.avoidedUntilMs = nowMs + AVOIDED_MS;
 		}
 	}
@@ -67,7 +75,10 @@
 		Signs signs = this.zones.computeIfAbsent(zone, (id) -> new Signs());
 		signs.answeredAtMs = nowMs;
 		signs.silent.clear();
-		signs.isDoubtful = false;
+		if (signs.isDoubtful) {
+			signs.isDoubtful = false;
+			this.events.record("zone.regained", "zone", zone);
+		}
 		signs.avoidedUntilMs = Long.MIN_VALUE;
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/ZoneReachabilityTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/ZoneReachabilityTests.java
@@ -1,11 +1,15 @@
 package dev.nutmegdoor.core.placement;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import dev.nutmegdoor.core.id.AvailabilityZone;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
 class ZoneReachabilityTests {
@@ -14,7 +18,9 @@
 
 	private static final AvailabilityZone OTHER = new AvailabilityZone("b");
 
-	private final ZoneReachability zones = new ZoneReachability(OWN);
+	private final List<String> logged = new ArrayList<>();
+
+	private final ZoneReachability zones = new ZoneReachability(OWN, (event, details) -> this.logged.add(event));
 
 	@Nested
 	class OfAnotherZone {
@@ -57,6 +63,7 @@
 			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 2_200), is(true));
 			ZoneReachabilityTests.this.zones.silent(OTHER, "call 4", 2_300, 2_700);
 			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 2_700), is(true));
+			assertThat(ZoneReachabilityTests.this.logged, contains("zone.lost", "zone.regained"));
 		}
 
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -25,6 +25,7 @@
 import dev.nutmegdoor.core.configuration.Configuration;
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionRecorder;
 import dev.nutmegdoor.core.fake.FakeConfigurationView;
 import dev.nutmegdoor.core.fault.StepListener;
@@ -75,7 +76,7 @@
 
 	private ScheduledCallRunner createRunner(long seed) {
 		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer,
-				RandomSource.XO_SHI_RO_256_PP.create(seed));
+				RandomSource.XO_SHI_RO_256_PP.create(seed), EventLog.NONE);
 		return new ScheduledCallRunner(SETTINGS, COSTS, index, this.timer, this.configuration, UpstreamPorts.RELAY_ONLY,
 				ProgramFactsSource.NONE,
 				new Observers(DecisionRecorder.NONE, new InvariantRegistry(), StepListener.NONE));
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/ScheduledCallRunnerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/ScheduledCallRunnerTests.java
@@ -24,6 +24,7 @@
 import dev.nutmegdoor.core.configuration.ServiceOperation;
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionKind;
 import dev.nutmegdoor.core.explain.DecisionRecord;
 import dev.nutmegdoor.core.fault.StepListener;
@@ -72,7 +73,7 @@
 	private ScheduledCallRunner createRunner() {
 		this.configuration.set(engine("e-1", 1, false), engine("e-2", 1, false));
 		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, PlacementCosts.DEFAULT, this.timer,
-				RandomSource.XO_SHI_RO_256_PP.create(1));
+				RandomSource.XO_SHI_RO_256_PP.create(1), EventLog.NONE);
 		return new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, index, this.timer,
 				this.configuration, new UpstreamPorts(this.upstreams, this.upstreams, (program, call) -> List.of()),
 				ProgramFactsSource.NONE, new Observers(this.records::add, this.invariants, StepListener.NONE));
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/capacity/CapacityQuantity.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/capacity/CapacityQuantity.java
@@ -14,6 +14,7 @@
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
 import dev.nutmegdoor.core.configuration.Workspace;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionKind;
 import dev.nutmegdoor.core.explain.DecisionLog;
@@ -199,7 +200,7 @@
 
 	private static ReplicaIndex index(int replicas) {
 		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("z-0"), 5, PlacementCosts.DEFAULT,
-				new VirtualTimerService(0), RandomSource.XO_SHI_RO_256_PP.create(1));
+				new VirtualTimerService(0), RandomSource.XO_SHI_RO_256_PP.create(1), EventLog.NONE);
 		index.setUpstreams(configuration(0, replicas).upstreams());
 		return index;
 	}
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/DecisionCost.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/DecisionCost.java
@@ -10,6 +10,7 @@
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.placement.Placement;
 import dev.nutmegdoor.core.placement.PlacementCosts;
@@ -37,7 +38,7 @@
 	static ResultRow measure(int replicas) {
 		VirtualTimerService timer = new VirtualTimerService(0);
 		ReplicaIndex index = new ReplicaIndex(SimulatedCluster.zone(0), 4, PlacementCosts.DEFAULT, timer,
-				RandomSource.XO_SHI_RO_256_PP.create(1));
+				RandomSource.XO_SHI_RO_256_PP.create(1), EventLog.NONE);
 		index.setInstances(Deployment.INSTANCES);
 		index.setUpstreams(upstreams(replicas));
 		List<String> pools = new ArrayList<>();
--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/ScheduledRun.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/scheduling/ScheduledRun.java
@@ -8,6 +8,7 @@
 
 import dev.nutmegdoor.core.call.CallRunner;
 import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionRecorder;
 import dev.nutmegdoor.core.fault.StepListener;
 import dev.nutmegdoor.core.id.ProgramId;
@@ -54,7 +55,7 @@
 			int zone = (instances == 1) ? -1 : i % Deployment.ZONES;
 			ReplicaIndex index = new ReplicaIndex(SimulatedCluster.zone(Math.max(0, zone)),
 					(zone < 0) ? 0 : cluster.deployment.zoneCrossingMs(), costs, cluster.timer,
-					RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + i));
+					RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + i), EventLog.NONE);
 			index.setInstances(instances);
 			this.indexes.add(index);
 			this.heartbeats.add(Map.of());
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/StandaloneEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/StandaloneEntry.java
@@ -103,7 +103,7 @@
 			ConfigurationView configuration, EngineClient engines, ServiceClient services, TimerService timers,
 			InvariantRegistry invariants) {
 		ReplicaIndex index = new ReplicaIndex(settings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
-				timers, RandomSource.XO_RO_SHI_RO_128_PP.create(settings.instance().hashCode()));
+				timers, RandomSource.XO_RO_SHI_RO_128_PP.create(settings.instance().hashCode()), EventLog.NONE);
 		index.setInstances(instanceCount);
 		return new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, index, timers, configuration,
 				new UpstreamPorts(engines, services, new BlockPromptHasher()), ProgramFactsSource.NONE,
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/ClusterEntry.java
@@ -135,7 +135,7 @@
 					.withPartitionsPerZone(settings.partitionsPerZone()));
 		this.homes = new ProgramHomes(programs, engines, services, Safeguards.ALL);
 		this.index = new ReplicaIndex(entrySettings.availabilityZone(), ZONE_CROSSING_MS, PlacementCosts.DEFAULT,
-				this.control, random);
+				this.control, random, events);
 		this.scheduler = new ScheduledCallRunner(ScheduleSettings.DEFAULT, PlacementCosts.DEFAULT, this.index,
 				this.control, this.shared.configuration(),
 				new UpstreamPorts(this.homes.engineClient(), services, new BlockPromptHasher()),
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -158,7 +158,7 @@
 		this.configurationFollower = new KindFollower(this.store, this.control, random, health, events,
 				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations);
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
-				random);
+				random, events);
 		this.replicaFollower = new KindFollower(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
 				settings.storeWaitMaxMs(), REPLICA_PAUSE_MS, new ReplicaList(this.deployment, this.control, events,
 						new ReplicaDecoder()::decode, health, index::restarted));
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/cluster/DecisionFunctionsTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/cluster/DecisionFunctionsTests.java
@@ -17,6 +17,7 @@
 import dev.nutmegdoor.core.configuration.ProgramBudget;
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionKind;
 import dev.nutmegdoor.core.explain.DecisionLog;
@@ -62,7 +63,7 @@
 	private final VirtualTimerService timer = new VirtualTimerService(0);
 
 	private final ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 5, PlacementCosts.DEFAULT,
-			this.timer, this.random);
+			this.timer, this.random, EventLog.NONE);
 
 	private final DecisionIds ids = new DecisionIds(new InstanceId("i-1"));
 
