Ask whether other zones answered in the last 400 ms, also for calls that fail at once

Cause: a refused connection fails within some milliseconds, in which no other zone need have answered; such a call counted as no sign of a cut.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ZoneReachability.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ZoneReachability.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long AVOIDED_MS = 1_500;
 
+	/**
+	 * Time in milliseconds in which another zone must have answered, also if the call
+	 * failed sooner. A busy instance reads some answers in it.
+	 */
+	private static final long HEARD_MS = 400;
+
 	private final AvailabilityZone ownZone;
 
 	private final EventLog events;
@@ -48,7 +54,8 @@
 	 */
 	void silent(AvailabilityZone zone, Object call, long sinceMs, long nowMs) {
 		Signs signs = this.zones.computeIfAbsent(zone, (id) -> new Signs());
-		if (zone.equals(this.ownZone) || signs.answeredAtMs >= sinceMs || !isAnsweredElsewhere(zone, sinceMs)) {
+		if (zone.equals(this.ownZone) || signs.answeredAtMs >= sinceMs
+				|| !isAnsweredElsewhere(zone, Math.min(sinceMs, nowMs - HEARD_MS))) {
 			return;
 		}
 		if (nowMs - signs.firstSilentAtMs > WINDOW_MS) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -221,6 +221,18 @@
 			ids.addAll(List.of(others));
 			RelayedCallTests.this.configuration.set(replicas(ids.toArray(String[]::new)));
 			RelayedCallTests.this.runner = createRunner(3);
+			serveBeforeTheCut();
+		}
+
+		private void serveBeforeTheCut() {
+			for (int i = 0; i < RUNNING; i++) {
+				run(Repeatability.REPEATABLE, true, 1, this.prompt);
+			}
+			for (int i = 0; i < RUNNING; i++) {
+				end(i, RelayOutcome.ANSWERED);
+			}
+			RelayedCallTests.this.sends.clear();
+			RelayedCallTests.this.results.clear();
 		}
 
 		/** Lets the replicas of the own zone answer, but for the last calls. */
