--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadPolicy.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadPolicy.java
@@ -16,7 +16,7 @@
 
 		@Override
 		CallRunner runner(LoadPlay play, int instance) {
-			return play.scheduler(instance, false);
+			return play.scheduler(instance);
 		}
 
 	},
@@ -26,7 +26,7 @@
 
 		@Override
 		CallRunner runner(LoadPlay play, int instance) {
-			return play.scheduler(0, true);
+			return play.idealScheduler();
 		}
 
 	},
@@ -35,7 +35,7 @@
 
 		@Override
 		Upstream choose(LoadPlay play, int instance, RelayedCall call, List<Upstream> replicas) {
-			return replicas.get(play.nextTurn(instance, call.service()) % replicas.size());
+			return replicas.get(play.nextSend(instance, call.service()) % replicas.size());
 		}
 
 	},
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledCluster.java
@@ -0,0 +1,171 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayListener;
+import dev.nutmegdoor.core.call.RelayOutcome;
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.fake.FakeConfigurationView;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.placement.PromptPart;
+import dev.nutmegdoor.core.time.VirtualTimerService;
+
+/**
+ * Modelled engines and services of a day, in their zones, on virtual time.
+ */
+final class ModelledCluster {
+
+	static final String ENGINES = "engines";
+
+	static final String SERVICES = "services";
+
+	private static final int ENGINE_REPLICAS = 6;
+
+	final VirtualTimerService timer = new VirtualTimerService(0);
+
+	private final LoadedDay day;
+
+	private final Map<UpstreamId, ModelledEngine> engines = new LinkedHashMap<>();
+
+	private final Map<UpstreamId, ModelledService> services = new LinkedHashMap<>();
+
+	private final Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
+
+	ModelledCluster(LoadedDay day) {
+		this.day = day;
+		for (int i = 0; i < ENGINE_REPLICAS; i++) {
+			UpstreamId id = add("engine-" + i, i % day.zones, ENGINES, ModelledEngine.BATCH);
+			this.engines.put(id, new ModelledEngine(this.timer, day.cacheTokens));
+		}
+		for (int i = 0; i < day.serviceReplicas; i++) {
+			UpstreamId id = add("service-" + i, i % day.zones, SERVICES, ModelledService.PLACES);
+			this.services.put(id, new ModelledService(this.timer));
+		}
+	}
+
+	private UpstreamId add(String name, int zone, String service, int places) {
+		UpstreamId id = new UpstreamId(name);
+		this.upstreams.put(id, new Upstream(id, UpstreamKind.SERVICE, zone(zone), "10.0.0.1", 1, List.of(service),
+				places, false, false));
+		return id;
+	}
+
+	/**
+	 * Returns the zone of an instance or a replica.
+	 * @param index its number
+	 * @return the zone
+	 */
+	AvailabilityZone zone(int index) {
+		return new AvailabilityZone("z" + index % this.day.zones);
+	}
+
+	FakeConfigurationView configuration() {
+		return new FakeConfigurationView(new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), this.upstreams));
+	}
+
+	List<Upstream> replicasOf(String service) {
+		return this.upstreams.values().stream().filter((upstream) -> upstream.serves().contains(service)).toList();
+	}
+
+	List<UpstreamId> replicas() {
+		return List.copyOf(this.upstreams.keySet());
+	}
+
+	long readTokens() {
+		return this.engines.values().stream().mapToLong(ModelledEngine::readTokens).sum();
+	}
+
+	RelayEnd.ReportedLoad load(UpstreamId id) {
+		ModelledEngine engine = this.engines.get(id);
+		ModelledService service = this.services.get(id);
+		if (engine != null) {
+			return engine.load();
+		}
+		if (service == null) {
+			throw new IllegalStateException("no model of " + id);
+		}
+		return service.load();
+	}
+
+	/**
+	 * Sends a request to a replica.
+	 * @param instance number of the instance that sends it
+	 * @param upstream the replica
+	 * @param prompt prompt of a turn, none for a tool
+	 * @param tokens tokens that a turn generates
+	 * @param workMs work of a tool in milliseconds
+	 * @param listener learns of the answer
+	 * @return handle that ends the send
+	 */
+	CallHandle send(int instance, Upstream upstream, List<PromptPart> prompt, int tokens, int workMs,
+			RelayListener listener) {
+		boolean isSameZone = upstream.availabilityZone().equals(zone(instance));
+		long wayMs = isSameZone ? 0 : Math.round(this.day.crossingMs);
+		Answer answer = new Answer(upstream.id(), wayMs, tokens, listener);
+		this.timer.schedule(wayMs, () -> {
+			ModelledEngine engine = this.engines.get(upstream.id());
+			ModelledService service = this.services.get(upstream.id());
+			if (engine != null) {
+				engine.submit(prompt, tokens, answer::begin, answer::end);
+			}
+			else if (service != null) {
+				service.submit(workMs, () -> {
+					answer.begin();
+					answer.end();
+				});
+			}
+		});
+		return () -> answer.isCancelled = true;
+	}
+
+	/**
+	 * The answer of a replica on its way back. Its header tells the load at its
+	 * beginning.
+	 */
+	private final class Answer {
+
+		private final UpstreamId replica;
+
+		private final long wayMs;
+
+		private final int tokens;
+
+		private final RelayListener listener;
+
+		private boolean isCancelled;
+
+		private Answer(UpstreamId replica, long wayMs, int tokens, RelayListener listener) {
+			this.replica = replica;
+			this.wayMs = wayMs;
+			this.tokens = tokens;
+			this.listener = listener;
+		}
+
+		private void begin() {
+			RelayEnd.ReportedLoad load = load(this.replica);
+			arrive(() -> this.listener.answerStarted(load));
+		}
+
+		private void end() {
+			arrive(() -> this.listener
+				.ended(new RelayEnd(RelayOutcome.ANSWERED, 200, this.tokens, null, "status 200")));
+		}
+
+		private void arrive(Runnable event) {
+			ModelledCluster.this.timer.schedule(this.wayMs, () -> {
+				if (!this.isCancelled) {
+					event.run();
+				}
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PlayedProgram.java
@@ -0,0 +1,176 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.List;
+
+import dev.nutmegdoor.core.call.CallListener;
+import dev.nutmegdoor.core.call.CallRequest;
+import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RelayedCall;
+import dev.nutmegdoor.core.call.Repeatability;
+import dev.nutmegdoor.core.id.DecisionId;
+import dev.nutmegdoor.core.id.KeyId;
+import dev.nutmegdoor.core.id.WorkspaceId;
+import dev.nutmegdoor.core.placement.PromptPart;
+
+/**
+ * Runs the turns, tools and sub-agents of one program as its client does.
+ */
+final class PlayedProgram {
+
+	/** A client sends a turn that failed again at most twice. */
+	private static final int MAX_TURN_FAILURES = 2;
+
+	private static final long SHORTEST_PAUSE_MS = 100;
+
+	/** Stands for the call of an engine, which takes 3 s at most. */
+	private static final LoadedDay.ToolCall TURN = new LoadedDay.ToolCall(0, 3_000);
+
+	private static final WorkspaceId WORKSPACE = new WorkspaceId("w");
+
+	private static final KeyId KEY = new KeyId("k");
+
+	private final ModelledCluster cluster;
+
+	private final LoadedDay.Program program;
+
+	private final int instance;
+
+	private final CallRunner runner;
+
+	private final long clientMs;
+
+	private final End whenEnded;
+
+	private long startedMs;
+
+	private int turns;
+
+	/**
+	 * Creates a program that has not begun.
+	 * @param cluster receives its requests
+	 * @param program the program
+	 * @param instance number of the instance that takes its requests
+	 * @param runner scheduler of that instance
+	 * @param clientMs time between the client and the instance in milliseconds
+	 * @param whenEnded learns whether the program was finished
+	 */
+	PlayedProgram(ModelledCluster cluster, LoadedDay.Program program, int instance, CallRunner runner, long clientMs,
+			End whenEnded) {
+		this.cluster = cluster;
+		this.program = program;
+		this.instance = instance;
+		this.runner = runner;
+		this.clientMs = clientMs;
+		this.whenEnded = whenEnded;
+	}
+
+	void start() {
+		this.startedMs = this.cluster.timer.nowMs();
+		run(this.program.turns(), 0, 0, true, this.whenEnded);
+	}
+
+	double elapsedMs() {
+		return (double) this.cluster.timer.nowMs() - this.startedMs;
+	}
+
+	/**
+	 * Returns the number of turns that were asked for.
+	 * @return turns, those asked for again included
+	 */
+	int turns() {
+		return this.turns;
+	}
+
+	private void run(List<LoadedDay.Turn> line, int at, int failures, boolean isMain, End whenLineEnded) {
+		if (at == line.size()) {
+			whenLineEnded.ended(true);
+			return;
+		}
+		LoadedDay.Turn turn = line.get(at);
+		this.turns++;
+		call(ModelledCluster.ENGINES, turn.prompt(), turn.answerTokens(), TURN, isMain && at == 0,
+				(isServed, retryAfterMs) -> {
+					if (isServed) {
+						follow(turn, () -> run(line, at + 1, 0, isMain, whenLineEnded),
+								() -> whenLineEnded.ended(false));
+					}
+					else if (failures < MAX_TURN_FAILURES) {
+						this.cluster.timer.schedule(Math.max(SHORTEST_PAUSE_MS, retryAfterMs),
+								() -> run(line, at, failures + 1, isMain, whenLineEnded));
+					}
+					else {
+						whenLineEnded.ended(false);
+					}
+				});
+	}
+
+	// Pause, tools and sub-agents run at the same time; the next turn waits for all.
+	private void follow(LoadedDay.Turn turn, Runnable next, Runnable failed) {
+		int[] open = { 1 + turn.tools().size() + turn.subAgents().size() };
+		boolean[] isFailed = new boolean[1];
+		End part = (isComplete) -> {
+			isFailed[0] |= !isComplete;
+			if (--open[0] == 0) {
+				(isFailed[0] ? failed : next).run();
+			}
+		};
+		this.cluster.timer.schedule(turn.pauseMs(), () -> part.ended(true));
+		turn.tools()
+			.forEach((tool) -> call(ModelledCluster.SERVICES, List.of(), 0, tool, false,
+					(isServed, retryAfterMs) -> part.ended(isServed)));
+		turn.subAgents().forEach((line) -> run(line, 0, 0, false, part));
+	}
+
+	private void call(String service, List<PromptPart> prompt, int tokens, LoadedDay.ToolCall tool, boolean isOpening,
+			CallEnd whenAnswered) {
+		long leftMs = Math.max(1, Math.round(this.program.objectiveMs() - elapsedMs()));
+		RelayedCall relayed = new RelayedCall(service, Repeatability.REPEATABLE, true, 1, prompt, tokens * 2, tokens,
+				isOpening, "p" + this.program.number(), leftMs, this.program.kind(), 1,
+				(upstream, timeLeftMs, listener) -> this.cluster.send(this.instance, upstream, prompt, tokens,
+						tool.workMs(), listener));
+		CallRequest request = new CallRequest(new DecisionId("d"), WORKSPACE, KEY, null, 0, "", relayed,
+				tool.timeoutMs());
+		CallListener listener = new CallListener() {
+
+			@Override
+			public void generated(int offset, String text) {
+			}
+
+			@Override
+			public void completed(CallResult result) {
+				answer(true, 0);
+			}
+
+			@Override
+			public void refused(Refusal refusal) {
+				answer(false, (refusal.reason() == RefusalReason.OVERLOADED) ? refusal.retryAfterMs() : 0);
+			}
+
+			private void answer(boolean isServed, long retryAfterMs) {
+				PlayedProgram.this.cluster.timer.schedule(PlayedProgram.this.clientMs,
+						() -> whenAnswered.ended(isServed, retryAfterMs));
+			}
+
+		};
+		this.cluster.timer.schedule(this.clientMs, () -> this.runner.run(request, listener));
+	}
+
+	/** Learns of the end of a program, or of a part of it. */
+	@FunctionalInterface
+	interface End {
+
+		void ended(boolean isComplete);
+
+	}
+
+	@FunctionalInterface
+	private interface CallEnd {
+
+		void ended(boolean isServed, long retryAfterMs);
+
+	}
+
+}
