--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PlayedProgram.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PlayedProgram.java
@@ -114,7 +114,8 @@
 		End part = (isComplete) -> {
 			isFailed[0] |= !isComplete;
 			if (--open[0] == 0) {
-				(isFailed[0] ? failed : next).run();
+				Runnable after = isFailed[0] ? failed : next;
+				after.run();
 			}
 		};
 		this.cluster.timer.schedule(turn.pauseMs(), () -> part.ended(true));
