--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PlayedProgram.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PlayedProgram.java
@@ -114,7 +114,7 @@
 		End part = (isComplete) -> {
 			isFailed[0] |= !isComplete;
 			if (--open[0] == 0) {
-				Runnable after = isFailed[0] ? failed : next;
+				Runnable after = (isFailed[0]) ? failed : next;
 				after.run();
 			}
 		};
