Serve the header size with one method, drop what nobody reads

RouteFilter counted the bytes of a header as SizeFilter does: both call Exchange.headerBytes with their own bytes for a field, so the figures stay. RelayTransfer derives whether the load was told from what it has passed on, UsagePeers its share from the known instances, LedgerTable uses streams for its loops. Removed, since nothing reads them: RelayOutcome.CANCELLED, the health path of a service and the objective of a route as decoded, counts of the load model. Two doc comments of one method are one. No behaviour changes.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
@@ -21,10 +21,7 @@
 	BROKEN(RunState.UNKNOWN, true, true),
 
 	/** The answer broke off after a piece of it had been passed on. */
-	TRUNCATED(RunState.RAN, true, true),
-
-	/** The send was ended by this process. */
-	CANCELLED(RunState.UNKNOWN, true, false);
+	TRUNCATED(RunState.RAN, true, true);
 
 	private final RunState run;
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/ConfigurationController.java
@@ -235,11 +235,8 @@
 	}
 
 	/**
-	 * Fetches a newer version from the store if its head was seen there, or else from the
-	 * peer that announced it last.
-	 */
-	/**
-	 * Fetches from the store and from a peer independently, so that neither a store whose
+	 * Fetches a newer version from the store if its head was seen there, and from the
+	 * peer that announced it last. Both are independent, so that neither a store whose
 	 * calls wait for their budget nor a slow peer holds up the other.
 	 */
 	private void fetch() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerTable.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerTable.java
@@ -1,9 +1,6 @@
 package dev.nutmegdoor.core.ledger;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -45,20 +42,11 @@
 	}
 
 	List<LedgerEntry> all() {
-		List<LedgerEntry> all = new ArrayList<>();
-		this.accounts.values()
-			.stream()
-			.map((account) -> account.entries.values())
-			.forEach((Collection<LedgerEntry> entries) -> all.addAll(entries));
-		return all;
+		return this.accounts.values().stream().flatMap((account) -> account.entries.values().stream()).toList();
 	}
 
 	void expire(long nowMs) {
-		for (Iterator<Account> iterator = this.accounts.values().iterator(); iterator.hasNext();) {
-			if (iterator.next().expiresMs < nowMs) {
-				iterator.remove();
-			}
-		}
+		this.accounts.values().removeIf((account) -> account.expiresMs < nowMs);
 	}
 
 	int programs() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ServiceRoute.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ServiceRoute.java
@@ -12,13 +12,12 @@
  * @param shares services that the requests are divided among
  * @param maxReplicas replicas to which one request may be sent
  * @param timeoutMs longest time that a request may take in milliseconds
- * @param objectiveMs time within which an answer is on time in milliseconds
  * @param priority rank, 0 is the most urgent
  * @param isPublic whether requests need no key
  * @param retentionMs time for which the budget of a program is remembered in milliseconds
  */
 public record ServiceRoute(String name, String host, String prefix, RouteKind kind, List<ServiceShare> shares,
-		int maxReplicas, long timeoutMs, long objectiveMs, int priority, boolean isPublic, long retentionMs) {
+		int maxReplicas, long timeoutMs, int priority, boolean isPublic, long retentionMs) {
 
 	public ServiceRoute {
 		if (shares.isEmpty()) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -93,13 +93,8 @@
 
 	// An instance that was listed but never heard does not count: it may be long gone.
 	double reachableShare(long nowMs, UsageSettings settings) {
-		int fresh = 1;
-		int known = 1;
-		for (UsagePeer peer : this.peers.values()) {
-			fresh += peer.isReachable(nowMs, settings) ? 1 : 0;
-			known += peer.isKnown(nowMs, settings) ? 1 : 0;
-		}
-		return (double) fresh / known;
+		long reachable = this.peers.values().stream().filter((peer) -> peer.isReachable(nowMs, settings)).count();
+		return (1.0 + reachable) / known(nowMs, settings);
 	}
 
 	int known(long nowMs, UsageSettings settings) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Exchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/Exchange.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.node.entry;
 
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.Channel;
@@ -85,6 +86,19 @@
 		return this.request.requestHeaders().get(name);
 	}
 
+	/**
+	 * Returns the size of the request's target and header fields.
+	 * @param bytesPerField bytes counted for each field besides its name and value
+	 * @return bytes
+	 */
+	public int headerBytes(int bytesPerField) {
+		int bytes = this.request.uri().length();
+		for (Map.Entry<String, String> field : this.request.requestHeaders()) {
+			bytes += field.getKey().length() + field.getValue().length() + bytesPerField;
+		}
+		return bytes;
+	}
+
 	public long elapsedMs() {
 		return (System.nanoTime() - this.startedNs) / 1_000_000;
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/SizeFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/entry/SizeFilter.java
@@ -1,7 +1,5 @@
 package dev.nutmegdoor.node.entry;
 
-import java.util.Map;
-
 import reactor.core.publisher.Mono;
 
 import dev.nutmegdoor.core.call.Refusal;
@@ -25,10 +23,7 @@
 
 	@Override
 	public Mono<Void> filter(Exchange exchange) {
-		int headerBytes = exchange.request().uri().length();
-		for (Map.Entry<String, String> field : exchange.request().requestHeaders()) {
-			headerBytes += field.getKey().length() + field.getValue().length() + FIELD_OVERHEAD;
-		}
+		int headerBytes = exchange.headerBytes(FIELD_OVERHEAD);
 		if (headerBytes > this.limits.maxHeaderBytes()) {
 			return tooLarge("the header has " + headerBytes + " bytes, more than " + this.limits.maxHeaderBytes());
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -248,7 +248,6 @@
 			this.isPassedOn = true;
 			RelayTransfer.this.answer.begin(this.status, this.headers);
 			RelayEnd.ReportedLoad reported = this.load;
-			this.load = null;
 			RelayTransfer.this.control.execute(() -> this.listener.answerStarted(reported));
 		}
 
@@ -283,7 +282,7 @@
 			this.isOver = true;
 			RelayTransfer.this.exchange.reservation().handedOut(tokens());
 			int statusCode = (this.status != null) ? this.status.code() : 0;
-			RelayEnd end = new RelayEnd(how, statusCode, tokens(), this.load, detail);
+			RelayEnd end = new RelayEnd(how, statusCode, tokens(), this.isPassedOn ? null : this.load, detail);
 			RelayTransfer.this.events.record("request.sent", "attempt", routed().attemptId(), "decision",
 					RelayTransfer.this.exchange.decision(), "workspace",
 					String.valueOf(RelayTransfer.this.exchange.workspaceOrNull()), "route", routed().route().name(),
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RouteFilter.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -29,7 +28,10 @@
 	/** Longest time for which a request waits for the configuration. */
 	private static final long STARTING_WAIT_MS = 600;
 
-	/** A colon and the end of the line. */
+	/**
+	 * A colon and the end of the line, without the blanks that a client may put around a
+	 * value.
+	 */
 	private static final int FIELD_MARKS = 3;
 
 	private static final Duration STARTING_POLL = Duration.ofMillis(20);
@@ -50,7 +52,7 @@
 			return awaitConfiguration(exchange);
 		}
 		HttpServerRequest request = exchange.request();
-		int headerBytes = headerBytes(request);
+		int headerBytes = request.method().name().length() + exchange.headerBytes(FIELD_MARKS);
 		if (headerBytes > table.limits().maxHeaderBytes()) {
 			return refuse(RefusalReason.HEADER_TOO_LARGE, "the header has " + headerBytes + " bytes, at most "
 					+ table.limits().maxHeaderBytes() + " may be sent", 0);
@@ -68,15 +70,6 @@
 		return Mono.empty();
 	}
 
-	// Counts a field without the blanks that a client may put around its value.
-	private static int headerBytes(HttpServerRequest request) {
-		int bytes = request.method().name().length() + request.uri().length();
-		for (Map.Entry<String, String> field : request.requestHeaders()) {
-			bytes += field.getKey().length() + field.getValue().length() + FIELD_MARKS;
-		}
-		return bytes;
-	}
-
 	// The platform sends requests to a starting instance while too few others are ready.
 	// It learns the configuration within a fraction of a second, less than a client needs
 	// to come back.
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/IdleConnectionsTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/IdleConnectionsTests.java
@@ -24,8 +24,8 @@
 	private final Deployment deployment = new Deployment(new InvariantRegistry(), EventLog.NONE);
 
 	private int maxTo(String service, int instances) {
-		this.deployment.accept(new RouteTable(1, List.of(), List.of(new RoutedService("s", "/healthz", 170, 0)),
-				List.of(), Map.of(), RequestLimits.DEFAULT), "test");
+		this.deployment.accept(new RouteTable(1, List.of(), List.of(new RoutedService("s", 170, 0)), List.of(),
+				Map.of(), RequestLimits.DEFAULT), "test");
 		Upstream replica = new Upstream(new UpstreamId("r"), UpstreamKind.SERVICE, new AvailabilityZone("a"),
 				"10.0.0.1", 80, List.of(service), 16, false, false);
 		return new IdleConnections(this.deployment, () -> instances).maxTo(replica);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadPlay.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadPlay.java
@@ -57,10 +57,6 @@
 
 	private double owed;
 
-	private int inTime;
-
-	private int late;
-
 	/**
 	 * Creates a play.
 	 * @param day the load
@@ -92,8 +88,7 @@
 		long lastMs = arriving.get(arriving.size() - 1).arrivalMs();
 		this.cluster.timer.advance(lastMs + FINISH_MS);
 		int turns = played.stream().mapToInt(PlayedProgram::turns).sum();
-		return new LoadResult(played.size(), (double) this.inTime / played.size(), (double) this.late / played.size(),
-				this.earned / this.owed, (double) this.cluster.readTokens() / Math.max(1, turns));
+		return new LoadResult(this.earned / this.owed, (double) this.cluster.readTokens() / Math.max(1, turns));
 	}
 
 	private PlayedProgram played(LoadedDay.Program program, List<PlayedProgram> before) {
@@ -110,11 +105,9 @@
 
 	private void finished(LoadedDay.Program program, double tookMs) {
 		if (tookMs <= program.objectiveMs()) {
-			this.inTime++;
 			this.earned += program.worth();
 		}
 		else if (tookMs <= 2 * program.objectiveMs()) {
-			this.late++;
 			this.earned += program.worth() * LATE_PART;
 		}
 	}
@@ -192,14 +185,10 @@
 	/**
 	 * What callers got.
 	 *
-	 * @param programs number of programs
-	 * @param inTimeShare share that was finished within its objective
-	 * @param lateShare share that was finished within twice its objective
 	 * @param earnedShare credit earned of the credit owed
 	 * @param readTokensPerTurn prompt tokens that engines read for a turn
 	 */
-	record LoadResult(int programs, double inTimeShare, double lateShare, double earnedShare,
-			double readTokensPerTurn) {
+	record LoadResult(double earnedShare, double readTokensPerTurn) {
 
 	}
 
