Report a gateway ready once it knows the ledger; answer only for the own identity

Cause: readiness asked for the configuration and the replicas, not for the ledger, so the first turns of programs met "0 of 0 replicas of the token ledger". A gateway that starts during an outage of the store never learned them at all. Change: readiness waits for a replica of the ledger if a route carries programs, and the answer of a peer at the start carries the replicas of the ledger.

Cause: a connection names its sender only, so a process that restarts at the same address answers requests for the identity that ran there before. Change: the handshake names the receiver; a process with another identity answers requests with an error, that they have not run, and drops messages. A sender that knows only an address names nobody; a receiver of an older version ignores the field. Test: TcpPeerTransportTests.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/DeploymentAnswer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/DeploymentAnswer.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.ledger.LedgerMember;
 import dev.nutmegdoor.core.peer.PeerMessage;
 
 /**
@@ -13,11 +14,17 @@
  * @param configuration newest configuration in the form in which it is stored, or
  * {@code null} if the instance has received none
  * @param replicas replicas that are ready or leaving
+ * @param ledgerReplicas known replicas of the token ledger; {@code null}, which is read
+ * as none, from an instance of an older version
  */
-public record DeploymentAnswer(@Nullable String configuration, List<Upstream> replicas) implements PeerMessage {
+public record DeploymentAnswer(@Nullable String configuration, List<Upstream> replicas,
+		List<LedgerMember> ledgerReplicas) implements PeerMessage {
 
-	public DeploymentAnswer {
-		replicas = List.copyOf(replicas);
+	public DeploymentAnswer(@Nullable String configuration, List<Upstream> replicas,
+			@Nullable List<LedgerMember> ledgerReplicas) {
+		this.configuration = configuration;
+		this.replicas = List.copyOf(replicas);
+		this.ledgerReplicas = (ledgerReplicas != null) ? List.copyOf(ledgerReplicas) : List.of();
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RouteTable.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RouteTable.java
@@ -115,6 +115,17 @@
 				: route.priority();
 	}
 
+	/**
+	 * Returns whether a route carries turns of programs, which need the token ledger.
+	 * @return {@code true} if one of the routes keeps token budgets
+	 */
+	public boolean hasProgramRoutes() {
+		return this.routesByHost.values()
+			.stream()
+			.flatMap(List::stream)
+			.anyMatch((route) -> route.kind().isStream() && route.retentionMs() > 0);
+	}
+
 	public @Nullable RoutedService service(String name) {
 		return this.services.get(name);
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/PeerAddresses.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/PeerAddresses.java
@@ -19,4 +19,14 @@
 	 */
 	@Nullable InetSocketAddress addressOf(InstanceId instance);
 
+	/**
+	 * Returns whether an identifier is that of an instance, as opposed to a name that
+	 * this process has given to an address because it doesn't know who listens there.
+	 * @param instance an identifier that has an address
+	 * @return {@code true} if only the instance with this identifier may answer
+	 */
+	default boolean isIdentityKnown(InstanceId instance) {
+		return true;
+	}
+
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -175,7 +175,6 @@
 
 	private boolean transmit(InstanceId to, Frame frame) {
 		PeerConnection connection = connectionTo(to);
-		byte[] envelope = this.codec.encode(frame);
 		if (connection == null || !connection.send(envelope)) {
 			this.droppedFrames.incrementAndGet();
 			return false;
@@ -205,8 +204,9 @@
 	}
 
 	private void connect(InstanceId to, InetSocketAddress address, PeerConnection connection) {
-		byte[] hello = this.codec.encode(new Frame(FrameKind.HELLO, this.self.value(), 0, 0,
-				this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8)));
+		byte[] hello = this.codec
+			.encode(Frame.hello(this.self.value(), this.addresses.isIdentityKnown(to) ? to.value() : "",
+					this.settings.sharedSecret().getBytes(StandardCharsets.UTF_8)));
 		TcpClient.newConnection()
 			.resolver(DefaultAddressResolverGroup.INSTANCE)
 			.runOn(this.loops, false)
@@ -357,6 +357,9 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+		/** Instance that the peer means to reach; empty if that is this one. */
+		private String otherReceiver = "";
+
 			byte[] bytes = new byte[buffer.readableBytes()];
 			buffer.readBytes(bytes);
 			Frame frame = TcpPeerTransport.this.codec.decode(bytes);
@@ -380,6 +383,11 @@
 				answerError(context.channel(), frame, "unknown type " + frame.type());
 			}
 			else {
+			if (!this.otherReceiver.isEmpty()) {
+				answerError(context.channel(), frame, this.otherReceiver + " has ended; " + TcpPeerTransport.this.self
+						+ " now runs at its address and has not run the request");
+				return;
+			}
 				TcpPeerTransport.this.control.execute(() -> dispatch(context.channel(), from, frame, message));
 			}
 		}
@@ -397,7 +405,14 @@
 			if (frame.kind() != FrameKind.HELLO || !MessageDigest.isEqual(expected, frame.body())) {
 				throw new ProtocolException("connection without a valid hello");
 			}
-			return new InstanceId(frame.type());
+			InstanceId sender = new InstanceId(frame.type());
+			String receiver = frame.receiver();
+			if (!receiver.isEmpty() && !receiver.equals(TcpPeerTransport.this.self.value())) {
+				logger.infof("event=peer.misaddressed peer=%s receiver=%s self=%s", sender, receiver,
+						TcpPeerTransport.this.self);
+				this.otherReceiver = receiver;
+			}
+			return sender;
 		}
 
 		@Override
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/DeploymentExchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/DeploymentExchange.java
@@ -13,10 +13,12 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.UpstreamId;
+import dev.nutmegdoor.core.ledger.LedgerMembers;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
+import dev.nutmegdoor.core.route.RouteTable;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -34,6 +36,8 @@
 
 	private final Deployment deployment;
 
+	private final LedgerMembers ledgerMembers;
+
 	private final ConfigurationListener configurations;
 
 	private final TimerService timer;
@@ -46,16 +50,19 @@
 	 * Creates the exchange and subscribes to requests.
 	 * @param transport transport to other instances
 	 * @param deployment receives the replicas
+	 * @param ledgerMembers receives the replicas of the token ledger
 	 * @param configurations applies received configurations and supplies the active one
 	 * @param timer schedules the requests
 	 * @param events log of events
 	 * @param seeds addresses of other instances; may include that of this instance
 	 * @param self address of this instance, to which no request is sent
 	 */
-	DeploymentExchange(PeerTransport transport, Deployment deployment, ConfigurationListener configurations,
-			TimerService timer, EventLog events, List<InetSocketAddress> seeds, InetSocketAddress self) {
+	DeploymentExchange(PeerTransport transport, Deployment deployment, LedgerMembers ledgerMembers,
+			ConfigurationListener configurations, TimerService timer, EventLog events, List<InetSocketAddress> seeds,
+			InetSocketAddress self) {
 		this.transport = transport;
 		this.deployment = deployment;
+		this.ledgerMembers = ledgerMembers;
 		this.configurations = configurations;
 		this.timer = timer;
 		this.events = events;
@@ -64,17 +71,27 @@
 			.filter((seed) -> !seed.equals(self))
 			.forEach((seed) -> this.seeds.put(new InstanceId("seed-" + seed.getHostString() + ":" + seed.getPort()),
 					seed));
-		transport
-			.subscribe(DeploymentRequest.class,
-					(from, request) -> CompletableFuture
-						.completedFuture(new DeploymentAnswer(configurations.activeConfiguration(),
-								List.copyOf(deployment.current().upstreams().values()))));
+		transport.subscribe(DeploymentRequest.class,
+				(from, request) -> CompletableFuture
+					.completedFuture(new DeploymentAnswer(configurations.activeConfiguration(),
+							List.copyOf(deployment.current().upstreams().values()), List.copyOf(ledgerMembers.all()))));
 	}
 
 	void start() {
 		this.timer.schedule(STORE_RESPONSE_WAIT_MS, this::requestFromSeeds);
 	}
 
+	/**
+	 * Returns whether the instance can serve all routes. May be called from any thread.
+	 * @return {@code true} once a configuration, a list of replicas and, if a route needs
+	 * it, a replica of the token ledger are known
+	 */
+	boolean isComplete() {
+		RouteTable routes = this.deployment.routes();
+		return this.deployment.isReadyToRoute() && routes != null
+				&& (!routes.hasProgramRoutes() || !this.ledgerMembers.all().isEmpty());
+	}
+
 	/**
 	 * Returns the address of a seed; may be called from any thread.
 	 * @param id identifier that this exchange assigned to the seed
@@ -85,7 +102,7 @@
 	}
 
 	private void requestFromSeeds() {
-		if (this.deployment.isReadyToRoute() || this.seeds.isEmpty()) {
+		if (isComplete() || this.seeds.isEmpty()) {
 			return;
 		}
 		this.seeds.keySet()
@@ -96,6 +113,7 @@
 	}
 
 	private void acceptAnswer(InstanceId from, DeploymentAnswer answer) {
+		answer.ledgerReplicas().forEach(this.ledgerMembers::add);
 		String configuration = answer.configuration();
 		if (this.deployment.isReadyToRoute() || configuration == null || answer.replicas().isEmpty()) {
 			return;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -59,6 +59,7 @@
 import dev.nutmegdoor.node.entry.RetryAfterStyle;
 import dev.nutmegdoor.node.ledger.LedgerNode;
 import dev.nutmegdoor.node.peer.PeerTransportSettings;
+import dev.nutmegdoor.node.peer.PeerAddresses;
 import dev.nutmegdoor.node.peer.TcpPeerTransport;
 import dev.nutmegdoor.node.process.MetricsText;
 import dev.nutmegdoor.node.process.ObservationServer;
@@ -182,9 +183,9 @@
 				new PeerTransportSettings(peerAddress.getHostString(), peerAddress.getPort(), "",
 						PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
 						PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
-				new FrameCodec(new MessageTypes(messageTypes())), this.control, this::addressOf, this.loops);
-		this.deploymentExchange = new DeploymentExchange(this.transport, this.deployment, configurations, this.control,
-				events, settings.seeds(), peerAddress);
+				new FrameCodec(new MessageTypes(messageTypes())), this.control, new KnownAddresses(), this.loops);
+		this.deploymentExchange = new DeploymentExchange(this.transport, this.deployment, this.ledgerMembers,
+				configurations, this.control, events, settings.seeds(), peerAddress);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
 		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
 				events, UsageSettings.DEFAULT, new LocalUsageEndpoint(incarnation, settings.zone(),
@@ -301,15 +302,6 @@
 		});
 	}
 
-	private @Nullable InetSocketAddress addressOf(InstanceId id) {
-		DirectoryEntry peer = this.peers.entry(id);
-		LedgerMember ledgerReplica = this.ledgerMembers.member(id);
-		if (ledgerReplica != null) {
-			return new InetSocketAddress(ledgerReplica.host(), ledgerReplica.port());
-		}
-		return (peer != null) ? new InetSocketAddress(peer.host(), peer.port()) : this.deploymentExchange.addressOf(id);
-	}
-
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
 		types.addAll(List.of(UsageReport.class, DeploymentRequest.class, DeploymentAnswer.class));
@@ -317,14 +309,37 @@
 	}
 
 	private boolean isReady() {
-		return !this.isDraining && this.deployment.isReadyToRoute();
+		return !this.isDraining && this.deploymentExchange.isComplete();
 	}
 
 	private Mono<String> dump() {
-		return Mono.fromFuture(this.control
-			.call(() -> "instance=" + this.settings.instance() + " leaving=" + this.isDraining + " configuration="
-					+ this.deployment.current().version() + " replicas=" + this.deployment.current().upstreams().size()
-					+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
+				+ this.isDraining + " configuration=" + this.deployment.current().version() + " replicas="
+				+ this.deployment.current().upstreams().size() + " ledgerReplicas=" + this.ledgerMembers.all().size()
+				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+	}
+
+	/**
+	 * Addresses of other gateways, replicas of the ledger and seeds.
+	 */
+	private final class KnownAddresses implements PeerAddresses {
+
+		@Override
+		public @Nullable InetSocketAddress addressOf(InstanceId id) {
+			LedgerMember ledgerReplica = GatewayNode.this.ledgerMembers.member(id);
+			if (ledgerReplica != null) {
+				return new InetSocketAddress(ledgerReplica.host(), ledgerReplica.port());
+			}
+			DirectoryEntry peer = GatewayNode.this.peers.entry(id);
+			return (peer != null) ? new InetSocketAddress(peer.host(), peer.port())
+					: GatewayNode.this.deploymentExchange.addressOf(id);
+		}
+
+		@Override
+		public boolean isIdentityKnown(InstanceId id) {
+			return GatewayNode.this.deploymentExchange.addressOf(id) == null;
+		}
+
 	}
 
 }
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/peer/TcpPeerTransportTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/peer/TcpPeerTransportTests.java
@@ -3,10 +3,14 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +35,8 @@
 
 	private final Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
 
+	private final Set<InstanceId> namedAddresses = ConcurrentHashMap.newKeySet();
+
 	private final ControlThread control = new ControlThread("test-control");
 
 	private final TcpPeerTransport one = transport(ONE, "secret");
@@ -38,9 +44,21 @@
 	private final TcpPeerTransport two = transport(TWO, "secret");
 
 	private TcpPeerTransport transport(InstanceId id, String secret) {
-		FrameCodec codec = new FrameCodec(new MessageTypes(List.of(Ask.class, Answer.class)));
+		FrameCodec codec = new FrameCodec(new MessageTypes(List.of(Ask.class, Answer.class, Notice.class)));
 		return new TcpPeerTransport(id, new PeerTransportSettings("127.0.0.1", 0, secret, 64, 1_000), codec,
-				this.control, this.addresses::get);
+				this.control, new PeerAddresses() {
+
+					@Override
+					public @Nullable InetSocketAddress addressOf(InstanceId instance) {
+						return TcpPeerTransportTests.this.addresses.get(instance);
+					}
+
+					@Override
+					public boolean isIdentityKnown(InstanceId instance) {
+						return !TcpPeerTransportTests.this.namedAddresses.contains(instance);
+					}
+
+				});
 	}
 
 	@BeforeEach
@@ -96,6 +114,37 @@
 		stranger.close();
 	}
 
+	// Guards against a restarted instance that answers for the one that ran before it at
+	// the same address.
+	@Test
+	void rejectsMessagesForThePredecessorAtItsAddress() throws Exception {
+		InstanceId predecessor = new InstanceId("i-2-before");
+		this.addresses.put(predecessor, Objects.requireNonNull(this.addresses.get(TWO)));
+		AtomicInteger notices = new AtomicInteger();
+		this.two.subscribe(Notice.class, (from, notice) -> {
+			notices.incrementAndGet();
+			return null;
+		});
+		this.one.send(predecessor, new Notice(1));
+		CompletableFuture<Answer> answer = this.one.request(predecessor, new Ask(1), Answer.class, 10_000);
+		assertThat(failureOf(answer), is(PeerFailure.REMOTE_ERROR));
+		assertThat(this.one.request(TWO, new Ask(1), Answer.class, 10_000).get().number(), is(2));
+		assertThat(notices.get(), is(0));
+	}
+
+	// Guards against a starting instance that can't query a seed, of which it knows only
+	// the address.
+	@Test
+	void answersInstanceThatKnowsOnlyTheAddress() throws Exception {
+		InstanceId seed = new InstanceId("seed-2");
+		this.addresses.put(seed, Objects.requireNonNull(this.addresses.get(TWO)));
+		this.namedAddresses.add(seed);
+		assertThat(this.one.request(seed, new Ask(1), Answer.class, 10_000).get().number(), is(2));
+	}
+
+	record Notice(int number) implements PeerMessage {
+	}
+
 	record Ask(int number) implements PeerMessage {
 	}
 
--- a/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/FrameCodec.java
+++ b/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/FrameCodec.java
@@ -19,7 +19,8 @@
  * <p>
  * An envelope is a MessagePack map with the keys {@code v} (protocol version), {@code k}
  * (kind), {@code t} (type), {@code c} (correlation id), {@code d} (timeout in
- * milliseconds) and {@code b} (body as binary). Unknown keys are skipped.
+ * milliseconds), {@code b} (body as binary) and, in a handshake, {@code r} (receiver).
+ * Unknown keys are skipped.
  */
 public final class FrameCodec {
 
@@ -91,13 +92,16 @@
 	public byte[] encode(Frame frame) {
 		ByteArrayOutputStream stream = new ByteArrayOutputStream(frame.body().length + 64);
 		try (MessagePacker packer = MessagePack.newDefaultPacker(stream)) {
-			packer.packMapHeader(6);
+			packer.packMapHeader(frame.receiver().isEmpty() ? 6 : 7);
 			packer.packString("v").packInt(PROTOCOL_VERSION);
 			packer.packString("k").packInt(frame.kind().code());
 			packer.packString("t").packString(frame.type());
 			packer.packString("c").packLong(frame.correlationId());
 			packer.packString("d").packLong(frame.timeoutMs());
 			packer.packString("b").packBinaryHeader(frame.body().length).writePayload(frame.body());
+			if (!frame.receiver().isEmpty()) {
+				packer.packString("r").packString(frame.receiver());
+			}
 		}
 		catch (IOException ex) {
 			throw new ProtocolException("failed to encode a frame of type " + frame.type(), ex);
@@ -122,6 +126,7 @@
 		long correlationId = 0;
 		long timeoutMs = 0;
 		byte[] body = new byte[0];
+		String receiver = "";
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
 			int size = unpacker.unpackMapHeader();
 			for (int i = 0; i < size; i++) {
@@ -141,6 +146,9 @@
 				else if (key.equals("b")) {
 					body = readBody(unpacker, bytes.length);
 				}
+				else if (key.equals("r")) {
+					receiver = unpacker.unpackString();
+				}
 				else {
 					unpacker.skipValue();
 				}
@@ -149,7 +157,7 @@
 		catch (IOException | RuntimeException ex) {
 			throw new ProtocolException("malformed frame of " + bytes.length + " bytes", ex);
 		}
-		return new Frame(kind, type, correlationId, timeoutMs, body);
+		return new Frame(kind, type, correlationId, timeoutMs, body, receiver);
 	}
 
 	private byte[] readBody(MessageUnpacker unpacker, int frameBytes) throws IOException {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -78,6 +78,19 @@
 	void start() throws Exception {
 		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
 		this.replica = new ReplicaServer();
+		putDeployment();
+		this.clientPort = freePort();
+		this.readinessPort = freePort();
+		this.controlPort = freePort();
+		ProcessSettings settings = settings("i-1", this.controlPort, freePort(), List.of());
+		this.ledger = new LedgerNode(settings, 0, EventLog.NONE);
+		this.ledger.start();
+		this.gateway = new GatewayNode(settings, 0, EventLog.NONE);
+		this.gateway.start();
+		await(() -> readiness() == 200);
+	}
+
+	private void putDeployment() throws Exception {
 		put("servers", "r-1", """
 				{"Service":"s","Addr":"%s:%d","Zone":"a","Slots":4,"State":"ready","Seq":1}""".formatted(HOST,
 				this.replica.port()));
@@ -91,15 +104,6 @@
 						"RetainS":60,"Service":"s"}],
 						"Services":[{"Name":"s","Engine":{"Stride":6}}],
 						"Tenants":[{"Name":"w","ApiKeys":["key-1"],"RatePerS":1000,"Burst":1000}]}""");
-		this.clientPort = freePort();
-		this.readinessPort = freePort();
-		this.controlPort = freePort();
-		ProcessSettings settings = settings("i-1", this.controlPort, freePort(), List.of());
-		this.ledger = new LedgerNode(settings, 0, EventLog.NONE);
-		this.ledger.start();
-		this.gateway = new GatewayNode(settings, 0, EventLog.NONE);
-		this.gateway.start();
-		await(() -> readiness() == 200);
 	}
 
 	private ProcessSettings settings(String name, int controlPort, int ledgerPort, List<InetSocketAddress> seeds) {
@@ -136,11 +140,18 @@
 	}
 
 	private int readiness() throws Exception {
-		HttpRequest request = HttpRequest
-			.newBuilder(URI.create("http://" + HOST + ":" + this.readinessPort + "/readyz"))
+		return observe("/readyz").statusCode();
+	}
+
+	private String dump() throws Exception {
+		return observe("/dump").body();
+	}
+
+	private HttpResponse<String> observe(String path) throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + this.readinessPort + path))
 			.timeout(Duration.ofMillis(LIMIT_MS))
 			.build();
-		return this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+		return this.client.send(request, HttpResponse.BodyHandlers.ofString());
 	}
 
 	private static void await(Condition condition) throws Exception {
@@ -383,6 +394,33 @@
 
 	}
 
+	@Nested
+	class Start {
+
+		// Guards against a gateway that takes clients before it knows the token ledger
+		// and
+		// rejects the first turns of programs.
+		@Test
+		void isNotReadyBeforeItKnowsTheLedger() throws Exception {
+			GatewayTests.this.gateway.stop();
+			GatewayTests.this.ledger.stop();
+			GatewayTests.this.platform.close();
+			GatewayTests.this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
+			putDeployment();
+			GatewayTests.this.readinessPort = freePort();
+			ProcessSettings settings = settings("i-3", freePort(), freePort(), List.of());
+			GatewayTests.this.gateway = new GatewayNode(settings, 0, EventLog.NONE);
+			GatewayTests.this.gateway.start();
+			await(() -> dump().contains("configuration=1 replicas=1"));
+			assertThat(readiness(), is(503));
+			GatewayTests.this.ledger = new LedgerNode(settings, 0, EventLog.NONE);
+			GatewayTests.this.ledger.start();
+			await(() -> readiness() == 200);
+			assertThat(dump(), containsString("ledgerReplicas=1"));
+		}
+
+	}
+
 	@Nested
 	class StoreOutage {
 
@@ -402,6 +440,7 @@
 			await(() -> readiness() == 200);
 			GatewayTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "", "ok"));
 			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 200"));
+			assertThat(dump(), containsString("ledgerReplicas=1"));
 			second.stop();
 			GatewayTests.this.readinessPort = firstReadinessPort;
 		}
