--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -13,6 +13,20 @@
 	private Commands() {
 	}
 
+	/**
+	 * Creates the commands that the first word of a command line may select. A process of
+	 * a deployment starts without the classes of all other commands.
+	 * @param firstWord first word of the command line
+	 * @return at least the commands whose name begins with this word
+	 */
+	static List<Command> startingWith(String firstWord) {
+		return switch (firstWord) {
+			case "gateway" -> List.of(new GatewayCommand());
+			case "ledger" -> List.of(new LedgerCommand());
+			default -> all();
+		};
+	}
+
 	static List<Command> all() {
 		List<Command> commands = new ArrayList<>();
 		commands.add(new EntryCommand());
--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Main.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Main.java
@@ -33,7 +33,8 @@
 	public static void main(String[] args) {
 		Console console = new Console(new PrintStream(System.out, true, StandardCharsets.UTF_8),
 				new PrintStream(System.err, true, StandardCharsets.UTF_8));
-		ExitCode code = new Main(Commands.all(), console).run(args);
+		List<Command> commands = (args.length > 0) ? Commands.startingWith(args[0]) : Commands.all();
+		ExitCode code = new Main(commands, console).run(args);
 		System.exit(code.value());
 	}
 
