Exchange usage through relays in deployments of more than 16 gateways

Cause: each gateway reported its admissions to each other, up to ten times a second.

Change: each gateway reports to two relays of its zone, the first two that answer; relays send digests of their zone to the relays of other zones and digests of everything to their own zone. Counts stay cumulative for each instance, so digests that arrive twice or over two relays change nothing. Numbers of instances in reach replace heartbeats of each to each. Gaps are handled as before: what a cut has held up sets the starting point and is not deducted. One encoding serves all receivers of a message.

Tests: UsageLimiterTests LargeDeployment (60 instances): rate, messages, loss of relays, cut, restart of all.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/peer/PeerTransport.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/peer/PeerTransport.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.core.peer;
 
+import java.util.Collection;
 import java.util.concurrent.CompletableFuture;
 
 import dev.nutmegdoor.core.id.InstanceId;
@@ -23,6 +24,15 @@
 	 */
 	void send(InstanceId to, PeerMessage message);
 
+	/**
+	 * Sends the same message to several instances, as {@link #send} does.
+	 * @param receivers receivers
+	 * @param message message to send
+	 */
+	default void sendAll(Collection<InstanceId> receivers, PeerMessage message) {
+		receivers.forEach((receiver) -> send(receiver, message));
+	}
+
 	/**
 	 * Sends a request.
 	 * @param to receiver
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -5,12 +5,11 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.configuration.ConfigurationView;
 import dev.nutmegdoor.core.configuration.Workspace;
 import dev.nutmegdoor.core.event.EventLog;
-import dev.nutmegdoor.core.id.AvailabilityZone;
-import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.limit.Admission;
 import dev.nutmegdoor.core.limit.RateLimiter;
@@ -34,9 +33,10 @@
 	/** Fraction of the burst below which reports are sent more often. */
 	private static final double LOW_LEVEL_FRACTION = 0.6;
 
-	private final PeerTransport transport;
+	/** Fraction of the burst below which restarted instances adopt a level. */
+	private static final double REPORTED_LEVEL_FRACTION = 0.9;
 
-	private final UsagePeers peers;
+	private final UsageExchange exchange;
 
 	private final ConfigurationView configuration;
 
@@ -44,34 +44,12 @@
 
 	private final UniformRandomProvider random;
 
-	private final EventLog eventLog;
-
-	private final UsageSettings settings;
-
-	private final String incarnation;
-
-	private final AvailabilityZone zone;
-
-	private final String host;
-
-	private final int port;
-
 	private final boolean isFirstStart;
 
-	private final long startedMs;
-
 	private final Map<WorkspaceId, UsageBucket> buckets = new HashMap<>();
 
 	private final Map<WorkspaceId, WaitQueue> waitQueues = new HashMap<>();
 
-	private final Map<String, Long> admittedTotals = new HashMap<>();
-
-	private boolean hasUnreportedChanges = true;
-
-	private long lastReportMs = Long.MIN_VALUE / 2;
-
-	private double lastLoggedFraction = 1;
-
 	/**
 	 * Creates a limiter and subscribes it to the timer and to reports of other instances.
 	 * @param transport sends reports and receives those of other instances
@@ -88,25 +66,14 @@
 	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
 			UniformRandomProvider random, EventLog eventLog, UsageSettings settings, LocalUsageEndpoint self,
 			boolean isFirstStart) {
-		this.transport = transport;
-		this.peers = peers;
 		this.configuration = configuration;
 		this.timer = timer;
 		this.random = random;
-		this.eventLog = eventLog;
-		this.settings = settings;
-		this.incarnation = self.incarnation();
-		this.zone = self.zone();
-		this.host = self.host();
-		this.port = self.port();
 		this.isFirstStart = isFirstStart;
-		this.startedMs = timer.nowMs();
-		transport.subscribe(UsageReport.class, (from, report) -> {
-			receive(from, report);
-			return null;
-		});
+		this.exchange = new UsageExchange(transport, peers, timer, eventLog, settings, self, isFirstStart,
+				new BucketListener());
 		timer.subscribe(settings.reportPeriodMs(), () -> {
-			sendReportIfDue();
+			this.exchange.sendIfDue();
 			processWaitQueues();
 		});
 	}
@@ -136,8 +103,7 @@
 
 	private Admission takeToken(Workspace workspace, UsageBucket bucket) {
 		bucket.tokens--;
-		this.admittedTotals.merge(workspace.id().value(), 1L, Long::sum);
-		this.hasUnreportedChanges = true;
+		this.exchange.admitted(workspace.id());
 		return new Admission(true, 0, (long) Math.max(0, bucket.tokens), "within the rate");
 	}
 
@@ -156,8 +122,7 @@
 	private long expectedWaitMs(Workspace workspace, UsageBucket bucket, int aheadCount, RequestStage stage) {
 		double missingTokens = Math.max(0, 1 + reservedTokens(workspace, stage) - bucket.tokens);
 		// Requests that wait on the other instances compete for the same tokens.
-		double neededTokens = missingTokens
-				+ (double) aheadCount * this.peers.knownInstanceCount(this.timer.nowMs(), this.settings);
+		double neededTokens = missingTokens + (double) aheadCount * this.exchange.knownInstances();
 		return (long) Math.ceil(neededTokens * MS_PER_SECOND / (workspace.ratePerSecond() * reachableFraction()));
 	}
 
@@ -165,7 +130,7 @@
 	// only for its fraction of them. Requests whose deadline has passed are rejected.
 	private void processWaitQueues() {
 		long nowMs = this.timer.nowMs();
-		int instanceCount = this.peers.knownInstanceCount(nowMs, this.settings);
+		int instanceCount = this.exchange.knownInstances();
 		this.waitQueues.forEach((id, queue) -> {
 			Workspace workspace = this.configuration.current().workspaces().get(id);
 			if (queue.isEmpty() || workspace == null) {
@@ -207,86 +172,55 @@
 	}
 
 	private double reachableFraction() {
-		return this.peers.reachableFraction(this.timer.nowMs(), this.settings);
+		return this.exchange.reachableFraction();
 	}
 
-	private void receive(InstanceId from, UsageReport report) {
-		long nowMs = this.timer.nowMs();
-		boolean isStarting = nowMs - this.startedMs < this.settings.startMs();
-		UsagePeer peer = this.peers.recordContact(from, report, nowMs);
-		boolean isContinuous = peer.checkContinuity(report, nowMs, this.settings);
-		report.admitted().forEach((name, total) -> {
-			long previousTotal = peer.admittedTotals.getOrDefault(name, 0L);
-			if (isContinuous && total > previousTotal) {
-				deductReported(new WorkspaceId(name), total - previousTotal);
+	/**
+	 * Applies admissions of other instances to the buckets of this one.
+	 */
+	private final class BucketListener implements UsageListener {
+
+		@Override
+		public void admittedElsewhere(WorkspaceId id, long requests) {
+			Workspace workspace = limited(id);
+			if (workspace != null) {
+				refilledBucket(workspace).tokens -= (double) requests;
 			}
-			peer.admittedTotals.put(name, total);
-		});
-		peer.recordReport(report, nowMs);
-		if (isStarting && !this.isFirstStart) {
-			report.levels().forEach((name, level) -> lowerToLevel(new WorkspaceId(name), level));
 		}
-		if (report.isStarting()) {
-			this.transport.send(from, buildReport(true));
-		}
-	}
 
-	private void deductReported(WorkspaceId id, long requests) {
-		Workspace workspace = this.configuration.current().workspaces().get(id);
-		if (workspace != null && workspace.ratePerSecond() > 0) {
-			UsageBucket bucket = refilledBucket(workspace);
-			bucket.tokens -= (double) requests;
+		@Override
+		public void levelReported(WorkspaceId id, long level) {
+			Workspace workspace = limited(id);
+			if (workspace != null) {
+				UsageBucket bucket = refilledBucket(workspace);
+				bucket.tokens = Math.min(bucket.tokens, (double) level);
+			}
 		}
-	}
 
-	private void lowerToLevel(WorkspaceId id, long level) {
-		Workspace workspace = this.configuration.current().workspaces().get(id);
-		if (workspace != null && workspace.ratePerSecond() > 0) {
-			UsageBucket bucket = refilledBucket(workspace);
-			bucket.tokens = Math.min(bucket.tokens, (double) level);
+		@Override
+		public boolean isLow(WorkspaceId id) {
+			Workspace workspace = limited(id);
+			UsageBucket bucket = UsageLimiter.this.buckets.get(id);
+			return workspace != null && bucket != null && bucket.tokens < workspace.burst() * LOW_LEVEL_FRACTION;
 		}
-	}
 
-	private void sendReportIfDue() {
-		long nowMs = this.timer.nowMs();
-		double reachableFraction = reachableFraction();
-		if (Math.abs(reachableFraction - this.lastLoggedFraction) > 0.01) {
-			this.eventLog.record("usage.share", "share", reachableFraction, "before", this.lastLoggedFraction, "known",
-					this.peers.knownInstanceCount(nowMs, this.settings));
-			this.lastLoggedFraction = reachableFraction;
-		}
-		long sinceMs = nowMs - this.lastReportMs;
-		long periodMs = this.hasUnreportedChanges ? this.settings.calmPeriodMs() : this.settings.quietPeriodMs();
-		if (sinceMs < periodMs && !(this.hasUnreportedChanges && hasLowBucket())) {
-			return;
+		@Override
+		public Map<String, Long> levels() {
+			Map<String, Long> levels = new HashMap<>();
+			UsageLimiter.this.configuration.current().workspaces().forEach((id, workspace) -> {
+				UsageBucket bucket = UsageLimiter.this.buckets.get(id);
+				if (bucket != null && bucket.tokens < workspace.burst() * REPORTED_LEVEL_FRACTION) {
+					levels.put(id.value(), (long) bucket.tokens);
+				}
+			});
+			return levels;
 		}
-		this.hasUnreportedChanges = false;
-		this.lastReportMs = nowMs;
-		UsageReport report = buildReport(false);
-		this.peers.instanceIds().forEach((id) -> this.transport.send(id, report));
-	}
 
-	private boolean hasLowBucket() {
-		for (Map.Entry<WorkspaceId, Workspace> entry : this.configuration.current().workspaces().entrySet()) {
-			UsageBucket bucket = this.buckets.get(entry.getKey());
-			if (bucket != null && bucket.tokens < entry.getValue().burst() * LOW_LEVEL_FRACTION) {
-				return true;
-			}
+		private @Nullable Workspace limited(WorkspaceId id) {
+			Workspace workspace = UsageLimiter.this.configuration.current().workspaces().get(id);
+			return (workspace != null && workspace.ratePerSecond() > 0) ? workspace : null;
 		}
-		return false;
-	}
 
-	private UsageReport buildReport(boolean isAnswer) {
-		Map<String, Long> levels = new HashMap<>();
-		this.configuration.current().workspaces().forEach((id, workspace) -> {
-			UsageBucket bucket = this.buckets.get(id);
-			if (bucket != null && bucket.tokens < workspace.burst() * 0.9) {
-				levels.put(id.value(), (long) bucket.tokens);
-			}
-		});
-		boolean isStarting = !isAnswer && this.timer.nowMs() - this.startedMs < this.settings.startMs();
-		return new UsageReport(this.incarnation, this.zone, this.host, this.port, isStarting, this.admittedTotals,
-				levels);
 	}
 
 	private static final class UsageBucket {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeer.java
@@ -8,7 +8,7 @@
  */
 final class UsagePeer {
 
-	final Map<String, Long> admittedTotals = new HashMap<>();
+	private final Map<String, Long> admittedTotals = new HashMap<>();
 
 	private String incarnation = "";
 
@@ -24,6 +24,10 @@
 		return nowMs - this.lastReportMs <= settings.forgetMs();
 	}
 
+	boolean isRecent(long nowMs, UsageSettings settings) {
+		return nowMs - this.lastReportMs <= settings.suspectMs();
+	}
+
 	/**
 	 * Returns whether the instance is reachable and its counts are up to date.
 	 * @param nowMs current time in milliseconds
@@ -58,9 +62,27 @@
 		return nowMs - this.lastReturnMs >= settings.returnMs();
 	}
 
+	/**
+	 * Merges the counts of a report.
+	 * @param report report that was received
+	 * @return increase by workspace since the last report, from 0 for new workspaces
+	 */
+	Map<String, Long> merge(UsageReport report) {
+		Map<String, Long> increases = new HashMap<>();
+		report.admitted().forEach((workspace, total) -> {
+			Long previousTotal = this.admittedTotals.put(workspace, total);
+			increases.put(workspace, Math.max(0, total - ((previousTotal != null) ? previousTotal : 0)));
+		});
+		return increases;
+	}
+
 	void recordReport(UsageReport report, long nowMs) {
 		this.incarnation = report.incarnation();
 		this.lastReportMs = nowMs;
 	}
 
+	void recordDigest(long nowMs) {
+		this.lastReportMs = nowMs;
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -1,9 +1,11 @@
 package dev.nutmegdoor.core.usage;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -62,9 +64,7 @@
 		List<InstanceId> reachableIds = new ArrayList<>();
 		this.peers.forEach((id, peer) -> {
 			if (peer.isReachable(nowMs, settings)) {
-				DirectoryEntry entry = this.entries.get(id);
-				boolean isSameZone = entry != null && entry.availabilityZone().equals(zone);
-				reachableIds.add(isSameZone ? 0 : reachableIds.size(), id);
+				reachableIds.add(isIn(id, zone) ? 0 : reachableIds.size(), id);
 			}
 		});
 		return reachableIds;
@@ -83,14 +83,65 @@
 		return new ArrayList<>(this.entries.keySet());
 	}
 
+	Collection<DirectoryEntry> entries() {
+		return this.entries.values();
+	}
+
 	UsagePeer recordContact(InstanceId from, UsageReport report, long nowMs) {
-		DirectoryEntry knownEntry = this.entries.get(from);
-		if (knownEntry == null || !knownEntry.host().equals(report.host()) || knownEntry.port() != report.port()) {
+		recordAddress(new DirectoryEntry(from, report.zone(), report.host(), report.port(), false));
+		return this.peers.computeIfAbsent(from, (id) -> new UsagePeer(nowMs));
+	}
+
+	void recordContact(InstanceId from, UsageDigest digest, long nowMs) {
+		recordAddress(new DirectoryEntry(from, digest.zone(), digest.host(), digest.port(), false));
+		this.peers.computeIfAbsent(from, (id) -> new UsagePeer(nowMs)).recordDigest(nowMs);
+	}
+
+	private void recordAddress(DirectoryEntry entry) {
+		DirectoryEntry knownEntry = this.entries.get(entry.id());
+		if (knownEntry == null || !knownEntry.host().equals(entry.host()) || knownEntry.port() != entry.port()) {
 			Map<InstanceId, DirectoryEntry> changed = new HashMap<>(this.entries);
-			changed.put(from, new DirectoryEntry(from, report.zone(), report.host(), report.port(), false));
+			changed.put(entry.id(), entry);
 			this.entries = Map.copyOf(changed);
 		}
-		return this.peers.computeIfAbsent(from, (id) -> new UsagePeer(nowMs));
+	}
+
+	/**
+	 * Returns the instances of a zone that have sent something lately.
+	 * @param zone availability zone
+	 * @param nowMs current time in milliseconds
+	 * @param settings time after which an instance is no longer regarded
+	 * @return a new list without this instance
+	 */
+	List<InstanceId> recent(AvailabilityZone zone, long nowMs, UsageSettings settings) {
+		List<InstanceId> recentIds = new ArrayList<>();
+		this.peers.forEach((id, peer) -> {
+			if (isIn(id, zone) && peer.isRecent(nowMs, settings)) {
+				recentIds.add(id);
+			}
+		});
+		return recentIds;
+	}
+
+	int countKnown(AvailabilityZone zone, long nowMs, UsageSettings settings) {
+		return count(zone, (peer) -> peer.isKnown(nowMs, settings));
+	}
+
+	int countReachable(AvailabilityZone zone, long nowMs, UsageSettings settings) {
+		return count(zone, (peer) -> peer.isReachable(nowMs, settings));
+	}
+
+	private int count(AvailabilityZone zone, Predicate<UsagePeer> condition) {
+		int count = 0;
+		for (Map.Entry<InstanceId, UsagePeer> peer : this.peers.entrySet()) {
+			count += (isIn(peer.getKey(), zone) && condition.test(peer.getValue())) ? 1 : 0;
+		}
+		return count;
+	}
+
+	private boolean isIn(InstanceId id, AvailabilityZone zone) {
+		DirectoryEntry entry = this.entries.get(id);
+		return entry != null && entry.availabilityZone().equals(zone);
 	}
 
 	// Ignores instances that were listed but never sent a report: they may have stopped
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
@@ -6,9 +6,9 @@
 import dev.nutmegdoor.core.peer.PeerMessage;
 
 /**
- * Reports what an instance has admitted since its start. It is sent to all other
- * instances several times a second. The counts are cumulative, so the next report makes
- * up for a lost one.
+ * Reports what an instance has admitted since its start. It is sent several times a
+ * second, to all other instances or, in large deployments, to the relays of its zone. The
+ * counts are cumulative, so the next report makes up for a lost one.
  *
  * @param incarnation identifies the run of the sender; counts restart at 0 with each run
  * @param zone availability zone of the sender
@@ -16,12 +16,14 @@
  * @param port port of the sender for peer messages
  * @param isStarting whether the sender has just started and requests an immediate report
  * in return
- * @param admitted requests admitted since the start, by workspace
+ * @param admitted requests admitted since the start, by workspace; from an instance that
+ * reports to relays only workspaces with a change
  * @param levels whole tokens in the sender's buckets that are less than nine tenths full,
  * by workspace; may be negative
+ * @param uptimeMs time since the start of the sender in milliseconds
  */
 public record UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
-		Map<String, Long> admitted, Map<String, Long> levels) implements PeerMessage {
+		Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs) implements PeerMessage {
 
 	public UsageReport {
 		admitted = Map.copyOf(admitted);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageSettings.java
@@ -16,15 +16,19 @@
  * as unreachable; reports that were delayed by a network partition arrive in this time
  * @param startMs time in milliseconds after the start in which an instance adopts the
  * bucket levels of others
+ * @param suspectMs time in milliseconds for which a relay that has not answered is not
+ * chosen, and after which an instance that sends nothing gets no more digests
+ * @param directInstances number of instances up to which each reports to each other
  */
 public record UsageSettings(long reportPeriodMs, long calmPeriodMs, long quietPeriodMs, long freshMs, long forgetMs,
-		long returnMs, long startMs) {
+		long returnMs, long startMs, long suspectMs, int directInstances) {
 
 	/**
 	 * Default settings. The report period of 100 ms keeps the excess of a tenant that
 	 * sends seven times its rate below the 10% of a 5 s window that the deployments
 	 * tolerate.
 	 */
-	public static final UsageSettings DEFAULT = new UsageSettings(100, 300, 500, 1_500, 60_000, 1_000, 1_500);
+	public static final UsageSettings DEFAULT = new UsageSettings(100, 300, 500, 1_500, 60_000, 1_000, 1_500, 3_000,
+			16);
 
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -69,7 +69,8 @@
 
 	private void start(int instanceCount, boolean isFirstStart) {
 		for (int i = 0; i < instanceCount; i++) {
-			this.entries.add(new DirectoryEntry(new InstanceId("i-" + i), zone(i), "10.0.0." + i, 1, false));
+			AvailabilityZone zone = new AvailabilityZone("z" + i % ((instanceCount > 16) ? 5 : 3));
+			this.entries.add(new DirectoryEntry(new InstanceId("i-" + i), zone, "10.0.0." + i, 1, false));
 		}
 		for (int i = 0; i < instanceCount; i++) {
 			startInstance(i, isFirstStart);
@@ -89,8 +90,8 @@
 		return limiter;
 	}
 
-	private static AvailabilityZone zone(int index) {
-		return new AvailabilityZone("z" + index % 3);
+	private AvailabilityZone zone(int index) {
+		return new AvailabilityZone("z" + index % ((this.entries.size() > 16) ? 5 : 3));
 	}
 
 	private boolean admit(UsageLimiter limiter, RequestStage stage) {
@@ -236,7 +237,7 @@
 
 		private void report(PeerTransport peer, long requests) {
 			peer.send(new InstanceId("i-0"), new UsageReport("run-p", zone(1), "10.0.0.9", 1, false,
-					Map.of(WORKSPACE.value(), requests), Map.of()));
+					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000));
 		}
 
 	}
@@ -294,6 +295,93 @@
 
 	}
 
+	@Nested
+	class LargeDeployment {
+
+		private static final int INSTANCES = 60;
+
+		// A tenant sends seven times its rate. Guards against counts that are lost or
+		// counted twice on their way over the relays.
+		@Test
+		void enforcesRateAcrossInstances() {
+			start(INSTANCES, true);
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(MAX_TOLERATED_REQUESTS));
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(MAX_TOLERATED_REQUESTS));
+		}
+
+		// Guards against rejections within the rate because counts arrive twice.
+		@Test
+		void admitsAllRequestsWithinRate() {
+			start(INSTANCES, true);
+			assertThat(send(RATE * 6 / 10, 20_000), is(RATE * 6 / 10 * 20));
+		}
+
+		// Guards against messages of each instance that grow with the deployment. Five
+		// zones of twelve instances have ten relays; each reports to two of them at most
+		// ten times a second, and a relay sends to eleven instances and eight relays.
+		@Test
+		void boundsMessagesOfEachInstance() {
+			start(INSTANCES, true);
+			UsageLimiterTests.this.timer.advance(2_000);
+			long before = UsageLimiterTests.this.network.sentMessages();
+			send(RATE, 10_000);
+			long perSecond = (UsageLimiterTests.this.network.sentMessages() - before) / 10;
+			assertThat(perSecond, lessThanOrEqualTo(INSTANCES * 2 * 10 + 10 * 10 * (11 + 8L)));
+		}
+
+		// Guards against instances that nobody reports to after their relays have died.
+		@Test
+		void enforcesRateAfterLossOfRelays() {
+			start(INSTANCES, true);
+			send(RATE, 2_000);
+			for (int lost : new int[] { 0, 10, 1, 11 }) {
+				UsageLimiterTests.this.hosts.get(lost).crash();
+			}
+			send(RATE, 3_000);
+			UsageLimiterTests.this.limiters
+				.removeAll(List.of(UsageLimiterTests.this.limiters.get(0), UsageLimiterTests.this.limiters.get(1),
+						UsageLimiterTests.this.limiters.get(10), UsageLimiterTests.this.limiters.get(11)));
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(MAX_TOLERATED_REQUESTS));
+			int admitted = send(RATE * 6 / 10, 20_000);
+			assertThat(admitted, greaterThan(RATE * 6 / 10 * 20 * 9 / 10));
+		}
+
+		// Guards against a workspace that gets its rate on each side of a network
+		// partition, and against rejections after it has healed.
+		@Test
+		void enforcesRateDuringAndAfterPartition() {
+			start(INSTANCES, true);
+			send(RATE, 2_000);
+			setZoneCut(true);
+			UsageLimiterTests.this.timer.advance(UsageSettings.DEFAULT.freshMs() + 500);
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(MAX_TOLERATED_REQUESTS));
+			setZoneCut(false);
+			send(RATE / 10, 3_000);
+			assertThat(send(RATE * 6 / 10, 10_000), greaterThan(RATE * 6 / 10 * 10 * 95 / 100));
+		}
+
+		private void setZoneCut(boolean isCut) {
+			for (int otherZone = 1; otherZone < 5; otherZone++) {
+				UsageLimiterTests.this.network.setCut(zone(0), zone(otherZone), isCut);
+			}
+		}
+
+		// Guards against all instances that restart together and then admit a burst each.
+		@Test
+		void enforcesRateAfterRestartOfAll() {
+			start(INSTANCES, true);
+			send(7 * RATE, 5_000);
+			UsageLimiterTests.this.hosts.forEach(FakeHost::crash);
+			UsageLimiterTests.this.limiters.clear();
+			for (int i = 0; i < INSTANCES; i++) {
+				startInstance(i, false);
+			}
+			UsageLimiterTests.this.timer.advance(500);
+			assertThat((double) send(7 * RATE, 5_000), lessThanOrEqualTo(MAX_TOLERATED_REQUESTS));
+		}
+
+	}
+
 	@Nested
 	class InstanceRestart {
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -139,7 +140,15 @@
 
 	@Override
 	public void send(InstanceId to, PeerMessage message) {
-		transmit(to, this.codec.frame(FrameKind.ONE_WAY, message, 0, 0));
+		transmit(to, this.codec.encode(this.codec.frame(FrameKind.ONE_WAY, message, 0, 0)));
+	}
+
+	@Override
+	public void sendAll(Collection<InstanceId> receivers, PeerMessage message) {
+		if (!receivers.isEmpty()) {
+			byte[] envelope = this.codec.encode(this.codec.frame(FrameKind.ONE_WAY, message, 0, 0));
+			receivers.forEach((receiver) -> transmit(receiver, envelope));
+		}
 	}
 
 	@Override
@@ -150,7 +159,7 @@
 		this.pending.put(id, request);
 		this.control.schedule(timeoutMs,
 				() -> fail(id, PeerFailure.TIMEOUT, "no answer from " + to + " within " + timeoutMs + " ms"));
-		if (!transmit(to, this.codec.frame(FrameKind.REQUEST, message, id, timeoutMs))) {
+		if (!transmit(to, this.codec.encode(this.codec.frame(FrameKind.REQUEST, message, id, timeoutMs)))) {
 			this.control.execute(() -> fail(id, PeerFailure.NOT_SENT, "no connection to " + to));
 		}
 		return request.result;
@@ -173,7 +182,7 @@
 		this.connections.clear();
 	}
 
-	private boolean transmit(InstanceId to, Frame frame) {
+	private boolean transmit(InstanceId to, byte[] envelope) {
 		PeerConnection connection = connectionTo(to);
 		if (connection == null || !connection.send(envelope)) {
 			this.droppedFrames.incrementAndGet();
@@ -348,6 +357,9 @@
 
 		private @Nullable InstanceId peer;
 
+		/** Instance that the peer means to reach; empty if that is this one. */
+		private String otherReceiver = "";
+
 		private long acknowledgedNs = System.nanoTime() - ACKNOWLEDGEMENT_PERIOD_NS;
 
 		private Inbound(@Nullable InstanceId peer, @Nullable PeerConnection connection) {
@@ -357,9 +369,6 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
-		/** Instance that the peer means to reach; empty if that is this one. */
-		private String otherReceiver = "";
-
 			byte[] bytes = new byte[buffer.readableBytes()];
 			buffer.readBytes(bytes);
 			Frame frame = TcpPeerTransport.this.codec.decode(bytes);
@@ -374,6 +383,11 @@
 			if (frame.kind() == FrameKind.ACKNOWLEDGEMENT) {
 				return;
 			}
+			if (!this.otherReceiver.isEmpty()) {
+				answerError(context.channel(), frame, this.otherReceiver + " has ended; " + TcpPeerTransport.this.self
+						+ " now runs at its address and has not run the request");
+				return;
+			}
 			acknowledge(context.channel(), frame);
 			PeerMessage message = (frame.kind() != FrameKind.ERROR) ? TcpPeerTransport.this.codec.message(frame) : null;
 			if (frame.kind() == FrameKind.ANSWER || frame.kind() == FrameKind.ERROR) {
@@ -383,11 +397,6 @@
 				answerError(context.channel(), frame, "unknown type " + frame.type());
 			}
 			else {
-			if (!this.otherReceiver.isEmpty()) {
-				answerError(context.channel(), frame, this.otherReceiver + " has ended; " + TcpPeerTransport.this.self
-						+ " now runs at its address and has not run the request");
-				return;
-			}
 				TcpPeerTransport.this.control.execute(() -> dispatch(context.channel(), from, frame, message));
 			}
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -44,6 +44,7 @@
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoreHealth;
 import dev.nutmegdoor.core.usage.LocalUsageEndpoint;
+import dev.nutmegdoor.core.usage.UsageDigest;
 import dev.nutmegdoor.core.usage.UsageLimiter;
 import dev.nutmegdoor.core.usage.UsagePeers;
 import dev.nutmegdoor.core.usage.UsageReport;
@@ -58,8 +59,8 @@
 import dev.nutmegdoor.node.entry.RateFilter;
 import dev.nutmegdoor.node.entry.RetryAfterStyle;
 import dev.nutmegdoor.node.ledger.LedgerNode;
-import dev.nutmegdoor.node.peer.PeerTransportSettings;
 import dev.nutmegdoor.node.peer.PeerAddresses;
+import dev.nutmegdoor.node.peer.PeerTransportSettings;
 import dev.nutmegdoor.node.peer.TcpPeerTransport;
 import dev.nutmegdoor.node.process.MetricsText;
 import dev.nutmegdoor.node.process.ObservationServer;
@@ -82,6 +83,12 @@
 
 	private static final long REGISTRATION_RETRY_MS = 400;
 
+	/**
+	 * Time after the registration in milliseconds at which the other instances are listed
+	 * again: all start at the same moment, and the first ones list only a few.
+	 */
+	private static final long SECOND_LIST_DELAY_MS = 4_000;
+
 	/** Period of reading the list of ledger replicas until one is found. */
 	private static final long LEDGER_LIST_PERIOD_MS = 1_000;
 
@@ -287,9 +294,21 @@
 					return;
 				}
 				this.peers.addListed(entries);
+				this.control.schedule(SECOND_LIST_DELAY_MS, () -> listAgain(registry));
 			});
 	}
 
+	private void listAgain(InstanceRegistry registry) {
+		registry.list().whenComplete((entries, error) -> {
+			if (error != null) {
+				this.events.record("gateways.unlisted", "error", String.valueOf(error.getMessage()));
+				this.control.schedule(SECOND_LIST_DELAY_MS, () -> listAgain(registry));
+				return;
+			}
+			this.peers.addListed(entries);
+		});
+	}
+
 	// The replicas themselves report later changes.
 	private void listLedgerReplicas(InstanceRegistry registry) {
 		registry.list().whenComplete((entries, error) -> {
@@ -304,7 +323,7 @@
 
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
-		types.addAll(List.of(UsageReport.class, DeploymentRequest.class, DeploymentAnswer.class));
+		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class));
 		return types;
 	}
 
