--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/WorkspaceId.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/WorkspaceId.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Identifies the workspace to which a request belongs and is billed.
@@ -20,6 +21,17 @@
 		return this.value.compareTo(other.value);
 	}
 
+	// The generated methods of a record are linked at run time, which delays each start.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof WorkspaceId id && id.value.equals(this.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerAnswer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerAnswer.java
@@ -9,7 +9,7 @@
  *
  * @param entries all entries of the program that the replica has
  * @param members all replicas in the member list of the sender, including itself unless
- * it is leaving
+ * it is leaving; empty if the receiver knows exactly these
  */
 public record LedgerAnswer(List<LedgerEntry> entries, List<LedgerMember> members) implements PeerMessage {
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
+import net.openhft.hashing.LongHashFunction;
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.event.EventLog;
@@ -19,6 +21,8 @@
 
 	private volatile Map<InstanceId, LedgerMember> members = Map.of();
 
+	private long fingerprint = fingerprintOf(List.of());
+
 	/**
 	 * Returns a replica. May be called from any thread.
 	 * @param id the instance that runs the replica
@@ -32,6 +36,23 @@
 		return this.members.values();
 	}
 
+	/**
+	 * Returns a number that is the same in all processes for the same replicas.
+	 * @param members replicas in any order
+	 * @return a hash of their identifiers and addresses, never 0
+	 */
+	static long fingerprintOf(Collection<LedgerMember> members) {
+		long fingerprint = 1;
+		for (LedgerMember member : members) {
+			fingerprint += LongHashFunction.xx().hashChars(member.id() + " " + member.host() + ":" + member.port());
+		}
+		return (fingerprint != 0) ? fingerprint : 1;
+	}
+
+	long fingerprint() {
+		return this.fingerprint;
+	}
+
 	int size() {
 		return this.members.size();
 	}
@@ -73,7 +94,7 @@
 		}
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
 		boolean isNew = updatedMembers.put(member.id(), member) == null;
-		this.members = Map.copyOf(updatedMembers);
+		replaceAll(updatedMembers);
 		this.unreachableSinceMs.remove(member.id());
 		return isNew;
 	}
@@ -81,8 +102,13 @@
 	void remove(InstanceId id) {
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
 		updatedMembers.remove(id);
-		this.members = Map.copyOf(updatedMembers);
+		replaceAll(updatedMembers);
 		this.unreachableSinceMs.remove(id);
 	}
 
+	private void replaceAll(Map<InstanceId, LedgerMember> updatedMembers) {
+		this.members = Map.copyOf(updatedMembers);
+		this.fingerprint = fingerprintOf(updatedMembers.values());
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -207,7 +207,14 @@
 		}
 		this.table.merge(message.entry(), this.timer.nowMs());
 		return this.log.append(List.of(message.entry()))
-			.thenApply((stored) -> new LedgerAnswer(this.table.entries(message.entry().program()), listedMembers()));
+			.thenApply((stored) -> new LedgerAnswer(this.table.entries(message.entry().program()),
+					membersUnlessKnown(message.membersFingerprint())));
+	}
+
+	// The list is longer than everything else in an answer, and hardly ever changes.
+	private List<LedgerMember> membersUnlessKnown(long knownFingerprint) {
+		List<LedgerMember> listed = listedMembers();
+		return (LedgerMembers.fingerprintOf(listed) == knownFingerprint) ? List.of() : listed;
 	}
 
 	private static <T> CompletableFuture<T> notServing() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReserve.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReserve.java
@@ -7,7 +7,9 @@
  * the program.
  *
  * @param entry the entry, which includes the tokens reserved for the new turn
+ * @param membersFingerprint {@link LedgerMembers#fingerprintOf fingerprint} of the
+ * replicas that the sender knows; 0 from an instance of an older version
  */
-public record LedgerReserve(LedgerEntry entry) implements PeerMessage {
+public record LedgerReserve(LedgerEntry entry, long membersFingerprint) implements PeerMessage {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/ReservationAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/ReservationAttempt.java
@@ -53,7 +53,7 @@
 	void send(LedgerEntry entry) {
 		List<LedgerMember> receivers = List.copyOf(this.dependencies.members().all());
 		this.requestedReplicas = receivers.size();
-		LedgerReserve message = new LedgerReserve(entry);
+		LedgerReserve message = new LedgerReserve(entry, this.dependencies.members().fingerprint());
 		List<InstanceId> proxies = receivers.stream()
 			.allMatch((member) -> this.dependencies.members().isReachable(member.id())) ? List.of()
 					: this.dependencies.proxies().reachable();
@@ -86,7 +86,9 @@
 	private void handleAnswer(boolean isAwaited, LedgerAnswer answer) {
 		long nowMs = this.dependencies.timer().nowMs();
 		answer.entries().forEach((entry) -> this.budgets.table().merge(entry, nowMs));
-		this.budgets.updateMembers(answer.members());
+		if (!answer.members().isEmpty()) {
+			this.budgets.updateMembers(answer.members());
+		}
 		this.answerCount++;
 		this.pendingReachable -= isAwaited ? 1 : 0;
 		decide();
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
@@ -1,12 +1,19 @@
 package dev.nutmegdoor.core.ledger;
 
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import dev.nutmegdoor.core.id.InstanceId;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -138,6 +145,42 @@
 
 	}
 
+	@Nested
+	class MemberList {
+
+		private final List<Integer> listedMembers = new ArrayList<>();
+
+		@BeforeEach
+		void observeAnswers() {
+			LedgerTests.this.fleet.network.setObserver((message) -> {
+				if (message instanceof LedgerAnswer answer) {
+					this.listedMembers.add(answer.members().size());
+				}
+			});
+		}
+
+		// Guards against answers that carry the whole member list with each turn.
+		@Test
+		void isNotSentToGatewayThatKnowsIt() {
+			LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET);
+			assertThat(this.listedMembers, everyItem(is(0)));
+			assertThat(this.listedMembers, hasSize(LedgerFleet.ZONES.size()));
+		}
+
+		// Guards against gateways that never learn of a new replica.
+		@Test
+		void isSentAfterChange() {
+			LedgerTests.this.fleet.startReplica("r-d", "b", false);
+			LedgerTests.this.fleet.timer.advance(2_500);
+			LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET);
+			assertThat(this.listedMembers, hasItem(4));
+			this.listedMembers.clear();
+			LedgerTests.this.fleet.reserve("g-a", "p", TURN, BUDGET);
+			assertThat(this.listedMembers, is(List.of(0, 0, 0, 0)));
+		}
+
+	}
+
 	@Nested
 	class ReplicaFailures {
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -22,6 +22,7 @@
 import dev.nutmegdoor.core.ledger.LedgerMessages;
 import dev.nutmegdoor.core.ledger.LedgerReplica;
 import dev.nutmegdoor.core.ledger.LedgerSettings;
+import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.store.ListWatcher;
 import dev.nutmegdoor.core.store.StoreHealth;
@@ -91,12 +92,12 @@
 		this.log = open(folder.resolve(SUBFOLDER));
 		LedgerMember self = new LedgerMember(settings.instance(), settings.zone(), settings.host(),
 				settings.firstPort());
-		this.replica = new LedgerReplica(self, this.transport,
-				new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events), this.log, this.control, events,
+		InstanceRegistry registry = new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events);
+		this.replica = new LedgerReplica(self, this.transport, registry, this.log, this.control, events,
 				LedgerSettings.DEFAULT, this.members);
 		this.retirements = new ListWatcher(platform.store(), this.control, random, new StoreHealth(this.control),
-				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(), 0,
-				new RetirementListener(settings.instance(), this.replica, platform.store(), this.control, events));
+				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(), 0, new RetirementListener(
+						settings.instance(), this.replica, registry, platform.store(), this.control, events));
 		this.metrics.gauge("ledger.programs", () -> this.replica::programCount);
 		this.metrics.gauge("ledger.members", () -> this.replica::memberCount);
 		this.metrics.gauge("ledger.log.bytes", () -> this.log::sizeBytes);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/RetirementListener.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/RetirementListener.java
@@ -1,10 +1,14 @@
 package dev.nutmegdoor.node.ledger;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.ledger.LedgerReplica;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.store.KindListener;
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoreEvent;
@@ -13,27 +17,38 @@
 import dev.nutmegdoor.platform.RetirementTranslator;
 
 /**
- * Empties this machine when the operators order it.
+ * Empties this machine when the operators order it. A machine without a replica of the
+ * ledger has nothing to empty; the replicas report that for it.
  */
 final class RetirementListener implements KindListener {
 
 	private static final long RETRY_MS = 300;
 
+	/**
+	 * Time in milliseconds after which a machine that is still not in the list of
+	 * replicas is taken to have none. A starting replica registers in less time.
+	 */
+	private static final long REGISTRATION_WAIT_MS = 2_000;
+
 	private final InstanceId self;
 
 	private final LedgerReplica replica;
 
+	private final InstanceRegistry registry;
+
 	private final ObjectStore store;
 
 	private final TimerService timer;
 
 	private final EventLog events;
 
-	private boolean isOrdered;
+	private final Set<String> orderedNames = new HashSet<>();
 
-	RetirementListener(InstanceId self, LedgerReplica replica, ObjectStore store, TimerService timer, EventLog events) {
+	RetirementListener(InstanceId self, LedgerReplica replica, InstanceRegistry registry, ObjectStore store,
+			TimerService timer, EventLog events) {
 		this.self = self;
 		this.replica = replica;
+		this.registry = registry;
 		this.store = store;
 		this.timer = timer;
 		this.events = events;
@@ -50,15 +65,39 @@
 	}
 
 	private void ordered(String name) {
-		if (!name.equals(this.self.value()) || this.isOrdered) {
+		if (!this.orderedNames.add(name)) {
+			return;
+		}
+		if (!name.equals(this.self.value())) {
+			this.timer.schedule(REGISTRATION_WAIT_MS, () -> completeIfWithoutReplica(name));
 			return;
 		}
-		this.isOrdered = true;
 		this.events.record("retirement.ordered", "instance", this.self);
-		report(RetirementTranslator.running());
+		report(name, RetirementTranslator.running());
 		empty();
 	}
 
+	private void completeIfWithoutReplica(String name) {
+		this.registry.list().whenComplete((entries, error) -> {
+			if (error != null) {
+				this.timer.schedule(REGISTRATION_WAIT_MS, () -> completeIfWithoutReplica(name));
+				return;
+			}
+			if (entries.stream().anyMatch((entry) -> entry.id().value().equals(name))) {
+				return;
+			}
+			// The first of the list reports, and the second one in case the first is
+			// down.
+			int rank = entries.stream().map(DirectoryEntry::id).sorted().toList().indexOf(this.self);
+			if (rank == 0 || rank == 1) {
+				this.timer.schedule(rank * REGISTRATION_WAIT_MS, () -> {
+					this.events.record("retirement.completed", "instance", name, "reason", "it has no replica");
+					report(name, RetirementTranslator.completed());
+				});
+			}
+		});
+	}
+
 	private void empty() {
 		this.replica.leave().whenComplete((done, error) -> {
 			if (error != null) {
@@ -68,16 +107,16 @@
 				return;
 			}
 			this.events.record("retirement.completed", "instance", this.self);
-			report(RetirementTranslator.completed());
+			report(this.self.value(), RetirementTranslator.completed());
 		});
 	}
 
-	private void report(String status) {
-		this.store.reportStatus(RetirementTranslator.KIND, this.self.value(), status).whenComplete((done, error) -> {
+	private void report(String name, String status) {
+		this.store.reportStatus(RetirementTranslator.KIND, name, status).whenComplete((done, error) -> {
 			if (error != null) {
-				this.events.record("retirement.report-failed", "instance", this.self, "error",
+				this.events.record("retirement.report-failed", "instance", name, "error",
 						String.valueOf(error.getMessage()));
-				this.timer.schedule(RETRY_MS, () -> report(status));
+				this.timer.schedule(RETRY_MS, () -> report(name, status));
 			}
 		});
 	}
