--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -107,10 +107,12 @@
 
 	/**
 	 * Time in milliseconds for which changes of the list of replicas are collected before
-	 * they are applied. The delay is harmless: a replica that is draining continues to
-	 * serve for 2 s, and a new one is not needed immediately.
+	 * they are applied. A watch returns at the first change, so a rolling change would
+	 * otherwise cost one call for each replica and gateway. The delay is harmless: a
+	 * replica that is draining continues to serve for 2 s, and a new one is not needed
+	 * immediately.
 	 */
-	private static final long REPLICA_CHANGE_DELAY_MS = 250;
+	private static final long REPLICA_CHANGE_DELAY_MS = 1_000;
 
 	private final ProcessSettings settings;
 
