Place by the loads that all gateways observe; keep the holder of a history among the candidates

Change: loads travel with the usage reports and digests, the latest of each replica wins; candidates are the holders of the longest known prefix and the replica that all gateways of a zone assume; a replica counts as slow only against the others of its pool, and after three answers.

--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ObservedLoads.java
@@ -0,0 +1,51 @@
+package dev.nutmegdoor.core.placement;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import dev.nutmegdoor.core.id.UpstreamId;
+
+/**
+ * Collects the latest load of each replica until it is passed on. Not thread-safe.
+ */
+public final class ObservedLoads {
+
+	private final Map<UpstreamId, Measurement> measurements = new LinkedHashMap<>();
+
+	/**
+	 * Adds loads. A load that was measured before the one that is known is ignored.
+	 * @param loads loads of any replicas
+	 * @param nowMs current time in milliseconds
+	 */
+	public void add(List<ObservedLoad> loads, long nowMs) {
+		for (ObservedLoad load : loads) {
+			Measurement measurement = new Measurement(load.calls(), nowMs - load.ageMs());
+			this.measurements.merge(load.replica(), measurement,
+					(known, added) -> (added.measuredAtMs > known.measuredAtMs) ? added : known);
+		}
+	}
+
+	public boolean isEmpty() {
+		return this.measurements.isEmpty();
+	}
+
+	/**
+	 * Removes and returns all loads.
+	 * @param nowMs current time in milliseconds
+	 * @return the latest load of each replica
+	 */
+	public List<ObservedLoad> drain(long nowMs) {
+		List<ObservedLoad> loads = new ArrayList<>();
+		this.measurements.forEach((replica, measurement) -> loads
+			.add(new ObservedLoad(replica, measurement.calls, nowMs - measurement.measuredAtMs)));
+		this.measurements.clear();
+		return loads;
+	}
+
+	private record Measurement(int calls, long measuredAtMs) {
+
+	}
+
+}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/OutlierDetector.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/OutlierDetector.java
@@ -19,6 +19,12 @@
 	 */
 	private static final double EJECTION_SLOW_FACTOR = 3;
 
+	/**
+	 * Number of answers from which a replica is judged. A single short answer takes many
+	 * times as long as expected if the engine reads a long prompt meanwhile.
+	 */
+	private static final int MIN_ANSWERS = 3;
+
 	private static final double SMOOTHING_FACTOR = 0.2;
 
 	private static final long BASE_EJECTION_MS = 5_000;
@@ -29,15 +35,29 @@
 
 	private final Map<UpstreamId, Health> healthByReplica = new HashMap<>();
 
-	// Records a successful call. actualMs: time that the answer took. expectedMs: time
-	// that it was expected to take. poolSize: number of replicas that can run the same
-	// calls.
-	void recordAnswer(UpstreamId replica, double actualMs, double expectedMs, int poolSize, long nowMs) {
+	private final Map<String, Double> usualRatios = new HashMap<>();
+
+	/**
+	 * Records a successful call.
+	 * @param replica replica that answered
+	 * @param pool pool of the replica, whose other replicas it is compared with
+	 * @param actualMs time that the answer took in milliseconds
+	 * @param expectedMs time that it was expected to take in milliseconds
+	 * @param poolSize number of replicas that can run the same calls
+	 * @param nowMs current time in milliseconds
+	 */
+	void recordAnswer(UpstreamId replica, String pool, double actualMs, double expectedMs, int poolSize, long nowMs) {
 		Health health = healthOf(replica);
 		health.consecutiveFailures = 0;
+		health.pool = pool;
 		double ratio = Math.min(20, actualMs / Math.max(1, expectedMs));
-		health.slowFactor += SMOOTHING_FACTOR * (ratio - health.slowFactor);
-		if (health.slowFactor > EJECTION_SLOW_FACTOR) {
+		health.smoothedRatio += SMOOTHING_FACTOR * (ratio - health.smoothedRatio);
+		health.answers++;
+		double usualRatio = usualRatio(pool);
+		this.usualRatios.put(pool, usualRatio);
+		health.consecutiveSlowAnswers = (ratio > EJECTION_SLOW_FACTOR * usualRatio) ? health.consecutiveSlowAnswers + 1
+				: 0;
+		if (slowFactor(replica) > EJECTION_SLOW_FACTOR && health.consecutiveSlowAnswers >= MIN_ANSWERS) {
 			eject(health, poolSize, nowMs);
 		}
 		else {
@@ -45,6 +65,18 @@
 		}
 	}
 
+	// All replicas of a pool are slower than expected while they read many prompts. Only
+	// one that is slower than most others has a fault.
+	private double usualRatio(String pool) {
+		double[] ratios = this.healthByReplica.values()
+			.stream()
+			.filter((health) -> health.pool.equals(pool))
+			.mapToDouble((health) -> health.smoothedRatio)
+			.sorted()
+			.toArray();
+		return (ratios.length > 0) ? Math.max(1, ratios[(ratios.length - 1) / 2]) : 1;
+	}
+
 	void recordFailure(UpstreamId replica, int poolSize, long nowMs) {
 		Health health = healthOf(replica);
 		health.consecutiveFailures++;
@@ -58,10 +90,14 @@
 		return health != null && health.ejectedUntilMs > nowMs;
 	}
 
-	// Returns the smoothed ratio of the observed to the expected time, at least 1.
+	// Returns how many times as long the answers of a replica take as those of its pool
+	// usually do, at least 1.
 	double slowFactor(UpstreamId replica) {
 		Health health = this.healthByReplica.get(replica);
-		return (health != null) ? Math.max(1, health.slowFactor) : 1;
+		if (health == null || health.answers < MIN_ANSWERS) {
+			return 1;
+		}
+		return Math.max(1, health.smoothedRatio / this.usualRatios.getOrDefault(health.pool, 1.0));
 	}
 
 	long ejectedReplicaCount(long nowMs) {
@@ -85,12 +121,18 @@
 		health.consecutiveEjections++;
 		health.ejectedUntilMs = nowMs + ejectionMs;
 		health.consecutiveFailures = MAX_CONSECUTIVE_FAILURES - 1;
-		health.slowFactor = 1;
+		health.smoothedRatio = this.usualRatios.getOrDefault(health.pool, 1.0);
 	}
 
 	private static final class Health {
 
-		private double slowFactor = 1;
+		private String pool = "";
+
+		private double smoothedRatio = 1;
+
+		private int answers;
+
+		private int consecutiveSlowAnswers;
 
 		private int consecutiveFailures;
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -33,6 +33,12 @@
 	 */
 	private static final int SAMPLE_SIZE = 12;
 
+	/**
+	 * Maximum number of replicas that are candidates because they hold the longest known
+	 * prefix of a prompt. A history has one or two holders, a shared part has many.
+	 */
+	private static final int MAX_HOLDERS = 4;
+
 	/**
 	 * Typical age of a cache event in milliseconds; more recent records of this instance
 	 * take precedence over an event.
@@ -43,6 +49,8 @@
 
 	private final Map<String, List<ReplicaState>> replicasByPool = new HashMap<>();
 
+	private final ObservedLoads unsharedLoads = new ObservedLoads();
+
 	private final CacheView cache = new CacheView();
 
 	private final OutlierDetector outliers = new OutlierDetector();
@@ -157,9 +165,9 @@
 	public PlacementInput collect(String pool, List<PromptPart> prompt, int answerTokens, long waitedMs,
 			Set<UpstreamId> excluded) {
 		List<ReplicaState> poolReplicas = this.replicasByPool.getOrDefault(pool, List.of());
-		List<ReplicaState> candidates = selectCandidates(poolReplicas, prompt);
-		int promptTokens = PromptPart.tokensOf(prompt);
 		ReplicaState assumedHolder = findAssumedHolder(poolReplicas, prompt);
+		List<ReplicaState> candidates = selectCandidates(poolReplicas, prompt, assumedHolder);
+		int promptTokens = PromptPart.tokensOf(prompt);
 		List<ReplicaView> views = new ArrayList<>(candidates.size());
 		for (ReplicaState state : candidates) {
 			if (!excluded.contains(state.upstream().id())) {
@@ -197,7 +205,8 @@
 				this.cache.recordPrefix(part.id(), upstream.id(), part.tokens(), this.timer.nowMs());
 			}
 		}
-		this.outliers.recordAnswer(upstream.id(), actualMs, expectedMs, poolSize(upstream), this.timer.nowMs());
+		this.outliers.recordAnswer(upstream.id(), poolOf(upstream), actualMs, expectedMs, poolSize(upstream),
+				this.timer.nowMs());
 	}
 
 	/**
@@ -251,6 +260,32 @@
 		ReplicaState state = this.replicas.get(id);
 		if (state != null) {
 			state.applyReport(report, this.timer.nowMs());
+			this.unsharedLoads.add(
+					List.of(new ObservedLoad(id, report.runningCalls() + report.waitingCalls(), report.ageMs())),
+					this.timer.nowMs());
+		}
+	}
+
+	/**
+	 * Returns the loads that this instance has observed since the last call of this
+	 * method, for other instances.
+	 * @return the last load of each observed replica
+	 */
+	public List<ObservedLoad> takeObservedLoads() {
+		return this.unsharedLoads.drain(this.timer.nowMs());
+	}
+
+	/**
+	 * Applies loads that other instances have observed. An instance of a large deployment
+	 * sends so few calls that its own observations are seconds old.
+	 * @param loads loads of any replicas; unknown ones are ignored
+	 */
+	public void loadsObservedElsewhere(List<ObservedLoad> loads) {
+		for (ObservedLoad load : loads) {
+			ReplicaState state = this.replicas.get(load.replica());
+			if (state != null) {
+				state.applyObserved(load.calls(), this.timer.nowMs() - load.ageMs());
+			}
 		}
 	}
 
@@ -351,23 +386,31 @@
 				+ " lostCacheEvents=" + this.cache.lostEventCount();
 	}
 
+	private static String poolOf(Upstream upstream) {
+		return poolOf(upstream.kind(), upstream.serves().isEmpty() ? "" : upstream.serves().get(0));
+	}
+
 	private int poolSize(Upstream upstream) {
-		String name = upstream.serves().isEmpty() ? "" : upstream.serves().get(0);
-		return this.replicasByPool.getOrDefault(poolOf(upstream.kind(), name), List.of()).size();
+		return this.replicasByPool.getOrDefault(poolOf(upstream), List.of()).size();
 	}
 
-	private List<ReplicaState> selectCandidates(List<ReplicaState> poolReplicas, List<PromptPart> prompt) {
+	private List<ReplicaState> selectCandidates(List<ReplicaState> poolReplicas, List<PromptPart> prompt,
+			@Nullable ReplicaState assumedHolder) {
 		if (poolReplicas.size() <= SAMPLE_SIZE) {
 			return poolReplicas;
 		}
-		List<ReplicaState> selected = new ArrayList<>(SAMPLE_SIZE + 2);
-		// The last part identifies the history of the call itself.
-		String lastPartId = prompt.isEmpty() ? "" : prompt.get(prompt.size() - 1).id();
-		for (UpstreamId holder : this.cache.holders(lastPartId)) {
+		List<ReplicaState> selected = new ArrayList<>(SAMPLE_SIZE + MAX_HOLDERS + 1);
+		if (assumedHolder != null) {
+			selected.add(assumedHolder);
+		}
+		for (UpstreamId holder : holdersOfLongestPrefix(prompt)) {
 			ReplicaState state = this.replicas.get(holder);
-			if (state != null && poolReplicas.contains(state)) {
+			if (state != null && !selected.contains(state) && poolReplicas.contains(state)) {
 				selected.add(state);
 			}
+			if (selected.size() > MAX_HOLDERS) {
+				break;
+			}
 		}
 		for (int i = 0; i < SAMPLE_SIZE; i++) {
 			ReplicaState state = poolReplicas.get(this.random.nextInt(poolReplicas.size()));
@@ -378,6 +421,18 @@
 		return selected;
 	}
 
+	// The last parts of a turn are new, so no replica holds them yet.
+	private List<UpstreamId> holdersOfLongestPrefix(List<PromptPart> prompt) {
+		for (int i = prompt.size() - 1; i >= 0; i--) {
+			String partId = prompt.get(i).id();
+			List<UpstreamId> holders = partId.isEmpty() ? List.of() : this.cache.holders(partId);
+			if (!holders.isEmpty()) {
+				return holders;
+			}
+		}
+		return List.of();
+	}
+
 	// Another instance may have sent earlier turns of the same history. All instances of
 	// a zone therefore assume the same replica as the holder of a history that they have
 	// not sent themselves, and start it there.
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -96,6 +96,21 @@
 		this.reportedAtMs = measuredAtMs;
 		this.reportedBacklogTokens = report.prefillTokens();
 		this.reportedFreeCacheTokens = report.cacheCapacityTokens() - report.usedCacheTokens();
+		applyLoad(report.runningCalls() + report.waitingCalls(), measuredAtMs);
+	}
+
+	/**
+	 * Applies a load that another instance has observed, unless a later one is known.
+	 * @param calls running and waiting calls of all instances
+	 * @param measuredAtMs time of the measurement in milliseconds
+	 */
+	void applyObserved(int calls, long measuredAtMs) {
+		if (measuredAtMs > this.othersMeasuredAtMs) {
+			applyLoad(calls, measuredAtMs);
+		}
+	}
+
+	private void applyLoad(int calls, long measuredAtMs) {
 		int ownAtMeasurement = 0;
 		for (InFlightCall call : this.ownCalls) {
 			ownAtMeasurement += (call.startedAtMs < measuredAtMs) ? 1 : 0;
@@ -104,8 +119,8 @@
 			ownAtMeasurement += (call.startedAtMs < measuredAtMs && call.endedAtMs >= measuredAtMs) ? 1 : 0;
 		}
 		this.ownAtReport = ownAtMeasurement;
-		this.freeAtReport = this.upstream.maxConcurrentCalls() - report.runningCalls() - report.waitingCalls();
-		setOthersInFlight(Math.max(0, report.runningCalls() + report.waitingCalls() - ownAtMeasurement), measuredAtMs);
+		this.freeAtReport = this.upstream.maxConcurrentCalls() - calls;
+		setOthersInFlight(Math.max(0, calls - ownAtMeasurement), measuredAtMs);
 	}
 
 	// Discards the reported state after a restart of the replica: its sequence numbers
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -9,6 +10,8 @@
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.placement.ObservedLoad;
+import dev.nutmegdoor.core.placement.ObservedLoads;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -37,6 +40,8 @@
 
 	private final UsageListener listener;
 
+	private final LoadSharing loadSharing;
+
 	private final UsageRelays relays;
 
 	private final long startedMs;
@@ -45,6 +50,8 @@
 
 	private final Set<String> unreportedWorkspaces = new HashSet<>();
 
+	private final ObservedLoads unreportedLoads = new ObservedLoads();
+
 	private boolean isFirstReportSent;
 
 	private boolean isUrgent;
@@ -63,9 +70,11 @@
 	 * @param endpoint run, zone and address of this instance
 	 * @param isFirstStart whether the entire system starts for the first time
 	 * @param listener receives admissions of other instances
+	 * @param loadSharing supplies and receives loads of replicas
 	 */
 	UsageExchange(PeerTransport transport, UsagePeers peers, TimerService timer, EventLog eventLog,
-			UsageSettings settings, LocalUsageEndpoint endpoint, boolean isFirstStart, UsageListener listener) {
+			UsageSettings settings, LocalUsageEndpoint endpoint, boolean isFirstStart, UsageListener listener,
+			LoadSharing loadSharing) {
 		this.transport = transport;
 		this.peers = peers;
 		this.timer = timer;
@@ -74,6 +83,7 @@
 		this.endpoint = endpoint;
 		this.isFirstStart = isFirstStart;
 		this.listener = listener;
+		this.loadSharing = loadSharing;
 		this.startedMs = timer.nowMs();
 		this.relays = new UsageRelays(transport, peers, settings, endpoint, this.startedMs, isFirstStart);
 		transport.subscribe(UsageReport.class, (from, report) -> {
@@ -140,24 +150,27 @@
 	}
 
 	private void sendReportIfDue(long nowMs) {
-		boolean isChanged = !this.unreportedWorkspaces.isEmpty() || !this.isFirstReportSent;
+		this.unreportedLoads.add(this.loadSharing.takeObservedLoads(), nowMs);
+		boolean isChanged = !this.unreportedWorkspaces.isEmpty() || !this.unreportedLoads.isEmpty()
+				|| !this.isFirstReportSent;
 		long periodMs = isChanged ? (this.isUrgent ? 0 : this.settings.calmPeriodMs()) : this.settings.quietPeriodMs();
 		if (nowMs - this.lastReportMs < periodMs) {
 			return;
 		}
 		this.lastReportMs = nowMs;
 		this.isFirstReportSent = true;
+		List<ObservedLoad> loads = this.unreportedLoads.drain(nowMs);
 		if (this.relays.areInUse()) {
 			Map<String, Long> changedTotals = new HashMap<>();
 			this.unreportedWorkspaces
 				.forEach((workspace) -> changedTotals.put(workspace, this.admittedTotals.getOrDefault(workspace, 0L)));
-			this.relays.addOwn(changedTotals, nowMs);
+			this.relays.addOwn(changedTotals, loads, nowMs);
 			this.transport.sendAll(this.relays.reportReceivers(isStarting(), nowMs),
-					report(changedTotals, Map.of(), isStarting()));
+					report(changedTotals, Map.of(), isStarting(), loads));
 		}
 		else {
 			this.transport.sendAll(this.peers.instanceIds(),
-					report(this.admittedTotals, this.listener.levels(), isStarting()));
+					report(this.admittedTotals, this.listener.levels(), isStarting(), loads));
 		}
 		this.unreportedWorkspaces.clear();
 	}
@@ -166,9 +179,10 @@
 		return this.timer.nowMs() - this.startedMs < this.settings.startMs();
 	}
 
-	private UsageReport report(Map<String, Long> totals, Map<String, Long> levels, boolean isStarting) {
+	private UsageReport report(Map<String, Long> totals, Map<String, Long> levels, boolean isStarting,
+			List<ObservedLoad> loads) {
 		return new UsageReport(this.endpoint.incarnation(), this.endpoint.zone(), this.endpoint.host(),
-				this.endpoint.port(), isStarting, totals, levels, this.timer.nowMs() - this.startedMs);
+				this.endpoint.port(), isStarting, totals, levels, this.timer.nowMs() - this.startedMs, loads);
 	}
 
 	private void receive(InstanceId from, UsageReport report) {
@@ -177,6 +191,7 @@
 		boolean isContinuous = peer.checkContinuity(report, nowMs, this.settings);
 		Map<String, Long> directIncreases = peer.merge(report);
 		peer.recordReport(report, nowMs);
+		this.loadSharing.loadsObservedElsewhere(report.loads());
 		if (this.relays.areInUse()) {
 			deduct(this.relays.addReport(from, report, nowMs));
 		}
@@ -187,13 +202,14 @@
 			report.levels().forEach((name, level) -> this.listener.levelReported(new WorkspaceId(name), level));
 		}
 		if (report.isStarting()) {
-			this.transport.send(from, report(this.admittedTotals, this.listener.levels(), false));
+			this.transport.send(from, report(this.admittedTotals, this.listener.levels(), false, List.of()));
 		}
 	}
 
 	private void receive(InstanceId from, UsageDigest digest) {
 		long nowMs = this.timer.nowMs();
 		this.peers.recordContact(from, digest, nowMs);
+		this.loadSharing.loadsObservedElsewhere(digest.loads());
 		deduct(this.relays.addDigest(from, digest, nowMs));
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -62,16 +62,18 @@
 	 * @param self address of this instance, included in its reports
 	 * @param isFirstStart whether the entire system starts for the first time, so that no
 	 * instance can have admitted anything
+	 * @param loadSharing supplies and receives loads of replicas, which travel with the
+	 * reports
 	 */
 	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
 			UniformRandomProvider random, EventLog eventLog, UsageSettings settings, LocalUsageEndpoint self,
-			boolean isFirstStart) {
+			boolean isFirstStart, LoadSharing loadSharing) {
 		this.configuration = configuration;
 		this.timer = timer;
 		this.random = random;
 		this.isFirstStart = isFirstStart;
 		this.exchange = new UsageExchange(transport, peers, timer, eventLog, settings, self, isFirstStart,
-				new BucketListener());
+				new BucketListener(), loadSharing);
 		timer.subscribe(settings.reportPeriodMs(), () -> {
 			this.exchange.sendIfDue();
 			processWaitQueues();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageRelays.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageRelays.java
@@ -13,6 +13,8 @@
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.placement.ObservedLoad;
+import dev.nutmegdoor.core.placement.ObservedLoads;
 
 /**
  * Passes usage on in large deployments. Each instance reports to the relays of its zone;
@@ -47,6 +49,10 @@
 
 	private final PendingCounts pendingForOtherZones = new PendingCounts();
 
+	private final ObservedLoads loadsForZone = new ObservedLoads();
+
+	private final ObservedLoads loadsForOtherZones = new ObservedLoads();
+
 	private final Map<InstanceId, Long> digestSendersMs = new HashMap<>();
 
 	private long lastReportReceivedMs = Long.MIN_VALUE / 2;
@@ -109,9 +115,11 @@
 	/**
 	 * Adds what this instance has admitted itself.
 	 * @param totals cumulative counts of the workspaces with a change
+	 * @param loads loads of replicas that this instance has observed
 	 * @param nowMs current time in milliseconds
 	 */
-	void addOwn(Map<String, Long> totals, long nowMs) {
+	void addOwn(Map<String, Long> totals, List<ObservedLoad> loads, long nowMs) {
+		addLoads(loads, nowMs, true);
 		addEntry(new UsageEntry(this.transport.self(), this.endpoint.zone(), this.endpoint.incarnation(),
 				nowMs - this.startedMs, totals), nowMs, true);
 	}
@@ -127,6 +135,7 @@
 		if (!report.isStarting()) {
 			this.lastReportReceivedMs = nowMs;
 		}
+		addLoads(report.loads(), nowMs, true);
 		return addEntry(new UsageEntry(from, report.zone(), report.incarnation(), report.uptimeMs(), report.admitted()),
 				nowMs, true);
 	}
@@ -142,6 +151,9 @@
 		this.choice.received(from);
 		this.digestSendersMs.put(from, nowMs);
 		boolean isFromOtherZone = !digest.zone().equals(this.endpoint.zone());
+		if (isFromOtherZone) {
+			addLoads(digest.loads(), nowMs, false);
+		}
 		ReachableCount count = isFromOtherZone
 				? this.otherZones.computeIfAbsent(digest.zone(), (zone) -> new ReachableCount(this.settings))
 				: this.deployment;
@@ -169,6 +181,13 @@
 		this.origins.values().stream().filter((origin) -> origin.isIn(zone)).forEach(UsageOrigin::forgetCounts);
 	}
 
+	private void addLoads(List<ObservedLoad> loads, long nowMs, boolean isOfOwnZone) {
+		this.loadsForZone.add(loads, nowMs);
+		if (isOfOwnZone) {
+			this.loadsForOtherZones.add(loads, nowMs);
+		}
+	}
+
 	// Counts of the own zone go to all, counts of other zones only to the own zone. What
 	// another relay of the own zone passes on, the zone gets from that relay.
 	private Map<String, Long> addEntry(UsageEntry entry, long nowMs, boolean isPassedOn) {
@@ -192,9 +211,12 @@
 		if (!isRelay(nowMs)) {
 			this.pendingForZone.drain((instance, workspaces) -> null);
 			this.pendingForOtherZones.drain((instance, workspaces) -> null);
+			this.loadsForZone.drain(nowMs);
+			this.loadsForOtherZones.drain(nowMs);
 			return;
 		}
-		boolean isChanged = !this.pendingForZone.isEmpty() || !this.pendingForOtherZones.isEmpty();
+		boolean isChanged = !this.pendingForZone.isEmpty() || !this.pendingForOtherZones.isEmpty()
+				|| !this.loadsForZone.isEmpty();
 		long periodMs = isChanged ? (isUrgent ? 0 : this.settings.calmPeriodMs()) : this.settings.quietPeriodMs();
 		if (nowMs - this.lastDigestMs < periodMs) {
 			return;
@@ -202,20 +224,21 @@
 		this.lastDigestMs = nowMs;
 		Collection<InstanceId> otherRelays = otherRelays(nowMs);
 		otherRelays.forEach((relay) -> this.choice.sent(relay, nowMs));
-		this.transport.sendAll(otherRelays,
-				digest(knownInZone(nowMs), reachableInZone(nowMs), List.of(), this.pendingForOtherZones, nowMs));
-		this.transport.sendAll(this.peers.recent(this.endpoint.zone(), nowMs, this.settings), digest(
-				knownInstances(nowMs), reachableInstances(nowMs), resumedZones(nowMs), this.pendingForZone, nowMs));
+		this.transport.sendAll(otherRelays, digest(knownInZone(nowMs), reachableInZone(nowMs), List.of(),
+				this.pendingForOtherZones, this.loadsForOtherZones, nowMs));
+		this.transport.sendAll(this.peers.recent(this.endpoint.zone(), nowMs, this.settings),
+				digest(knownInstances(nowMs), reachableInstances(nowMs), resumedZones(nowMs), this.pendingForZone,
+						this.loadsForZone, nowMs));
 	}
 
 	private UsageDigest digest(int known, int reachable, List<AvailabilityZone> resumedZones, PendingCounts pending,
-			long nowMs) {
+			ObservedLoads loads, long nowMs) {
 		List<UsageEntry> entries = pending.drain((instance, workspaces) -> {
 			UsageOrigin origin = this.origins.get(instance);
 			return (origin != null) ? origin.toEntry(instance, workspaces, nowMs) : null;
 		});
 		return new UsageDigest(this.endpoint.zone(), this.endpoint.host(), this.endpoint.port(), known, reachable,
-				resumedZones, entries);
+				resumedZones, entries, loads.drain(nowMs));
 	}
 
 	private List<AvailabilityZone> resumedZones(long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
@@ -1,9 +1,13 @@
 package dev.nutmegdoor.core.usage;
 
+import java.util.List;
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.placement.ObservedLoad;
 
 /**
  * Reports what an instance has admitted since its start. It is sent several times a
@@ -21,13 +25,24 @@
  * @param levels whole tokens in the sender's buckets that are less than nine tenths full,
  * by workspace; may be negative
  * @param uptimeMs time since the start of the sender in milliseconds
+ * @param loads loads of replicas that the sender has observed since its last report;
+ * {@code null}, which is read as none, from an instance of an older version
  */
 public record UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
-		Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs) implements PeerMessage {
+		Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs,
+		List<ObservedLoad> loads) implements PeerMessage {
 
-	public UsageReport {
-		admitted = Map.copyOf(admitted);
-		levels = Map.copyOf(levels);
+	public UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
+			Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs, @Nullable List<ObservedLoad> loads) {
+		this.incarnation = incarnation;
+		this.zone = zone;
+		this.host = host;
+		this.port = port;
+		this.isStarting = isStarting;
+		this.admitted = Map.copyOf(admitted);
+		this.levels = Map.copyOf(levels);
+		this.uptimeMs = uptimeMs;
+		this.loads = (loads != null) ? List.copyOf(loads) : List.of();
 	}
 
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -1,8 +1,10 @@
 package dev.nutmegdoor.core.usage;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -22,16 +24,19 @@
 import dev.nutmegdoor.core.fake.LinkSettings;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.limit.Admission;
 import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -61,6 +66,10 @@
 
 	private final List<DirectoryEntry> entries = new ArrayList<>();
 
+	private final Map<Integer, List<ObservedLoad>> loadsToShare = new HashMap<>();
+
+	private final Map<Integer, ObservedLoad> receivedLoads = new HashMap<>();
+
 	private static Configuration withRate(int rate) {
 		return new Configuration(1,
 				Map.of(WORKSPACE, new Workspace(WORKSPACE, rate, rate, 1, Map.of(), ProgramBudget.DEFAULT)), Map.of(),
@@ -85,7 +94,8 @@
 		peers.addListed(this.entries);
 		UsageLimiter limiter = new UsageLimiter(this.network.join(host), peers, this.configuration, host, this.random,
 				EventLog.NONE, UsageSettings.DEFAULT,
-				new LocalUsageEndpoint("run-" + this.hosts.size(), zone(index), "10.0.0." + index, 1), isFirstStart);
+				new LocalUsageEndpoint("run-" + this.hosts.size(), zone(index), "10.0.0." + index, 1), isFirstStart,
+				new RecordingLoadSharing(index));
 		this.limiters.add(limiter);
 		return limiter;
 	}
@@ -115,6 +125,31 @@
 			.count();
 	}
 
+	/**
+	 * Shares the loads that a test gives to an instance, and records those that it
+	 * receives.
+	 */
+	private final class RecordingLoadSharing implements LoadSharing {
+
+		private final int index;
+
+		private RecordingLoadSharing(int index) {
+			this.index = index;
+		}
+
+		@Override
+		public List<ObservedLoad> takeObservedLoads() {
+			List<ObservedLoad> loads = UsageLimiterTests.this.loadsToShare.remove(this.index);
+			return (loads != null) ? loads : List.of();
+		}
+
+		@Override
+		public void loadsObservedElsewhere(List<ObservedLoad> loads) {
+			loads.forEach((load) -> UsageLimiterTests.this.receivedLoads.put(this.index, load));
+		}
+
+	}
+
 	@Nested
 	class AllInstancesReachable {
 
@@ -237,7 +272,7 @@
 
 		private void report(PeerTransport peer, long requests) {
 			peer.send(new InstanceId("i-0"), new UsageReport("run-p", zone(1), "10.0.0.9", 1, false,
-					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000));
+					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000, List.of()));
 		}
 
 	}
@@ -366,6 +401,23 @@
 			}
 		}
 
+		// Guards against loads of replicas that some instances don't learn of, or learn
+		// of
+		// so late that they are useless.
+		@Test
+		void sharesLoadsWithAllInstances() {
+			start(INSTANCES, true);
+			ObservedLoad load = new ObservedLoad(new UpstreamId("replica"), 7, 0);
+			UsageLimiterTests.this.loadsToShare.put(17, List.of(load));
+			UsageLimiterTests.this.timer.advance(1_000);
+			Set<Integer> informed = UsageLimiterTests.this.receivedLoads.keySet();
+			assertThat(informed.size(), greaterThanOrEqualTo(INSTANCES - 1));
+			UsageLimiterTests.this.receivedLoads.values().forEach((received) -> {
+				assertThat(received.calls(), is(7));
+				assertThat(received.ageMs(), lessThanOrEqualTo(1_000L));
+			});
+		}
+
 		// Guards against all instances that restart together and then admit a burst each.
 		@Test
 		void enforcesRateAfterRestartOfAll() {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -199,7 +199,7 @@
 		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
 				events, UsageSettings.DEFAULT, new LocalUsageEndpoint(incarnation, settings.zone(),
 						peerAddress.getHostString(), peerAddress.getPort()),
-				settings.isFirstStart());
+				settings.isFirstStart(), new IndexLoadSharing(index));
 		TokenBudgets budgets = new TokenBudgets(new LedgerDependencies(this.transport, this.ledgerMembers,
 				() -> this.peers.reachable(settings.zone(), this.control.nowMs(), UsageSettings.DEFAULT), this.control,
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadPolicy.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadPolicy.java
@@ -21,6 +21,16 @@
 
 	},
 
+	/** The scheduler of the gateway without loads that other instances have observed. */
+	WITHOUT_SHARED_LOADS {
+
+		@Override
+		CallRunner runner(LoadSimulation simulation, int instance) {
+			return simulation.schedulerAlone(instance);
+		}
+
+	},
+
 	/** The same scheduler, shared by all instances, with up-to-date load reports. */
 	IDEAL {
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadSimulation.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadSimulation.java
@@ -21,6 +21,7 @@
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.placement.LoadReport;
+import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.schedule.Observers;
 import dev.nutmegdoor.core.schedule.ProgramSchedulingInfoSource;
@@ -35,6 +36,12 @@
 
 	private static final long IDEAL_POLL_MS = 5;
 
+	/** Period in which instances report to their relays, and relays to the others. */
+	private static final long LOAD_SHARING_PERIOD_MS = 300;
+
+	/** Time that a load takes over two relays to another zone. */
+	private static final long LOAD_SHARING_DELAY_MS = 300;
+
 	/** Time after the last arrival in which programs may complete in milliseconds. */
 	private static final long COMPLETION_MS = 60_000;
 
@@ -47,6 +54,10 @@
 
 	private final List<CallRunner> runners = new ArrayList<>();
 
+	private final List<ReplicaIndex> sharingIndexes = new ArrayList<>();
+
+	private @Nullable ReplicaIndex lastIndex;
+
 	private final Map<String, Integer> inFlight = new HashMap<>();
 
 	private final Map<String, Integer> sendCounts = new HashMap<>();
@@ -118,12 +129,33 @@
 	/**
 	 * Creates a scheduler of the gateway.
 	 * @param instance index of the instance
-	 * @return scheduler of this instance alone, which receives loads from responses
+	 * @return scheduler that receives loads from its own responses and, later, from those
+	 * of all other instances
 	 */
 	CallRunner scheduler(int instance) {
+		if (this.sharingIndexes.isEmpty()) {
+			this.cluster.timer.subscribe(LOAD_SHARING_PERIOD_MS, this::shareLoads);
+		}
+		ScheduledCallRunner runner = scheduler(instance, GatewayNode.ZONE_CROSSING_MS);
+		this.sharingIndexes.add(this.lastIndex);
+		return runner;
+	}
+
+	CallRunner schedulerAlone(int instance) {
 		return scheduler(instance, GatewayNode.ZONE_CROSSING_MS);
 	}
 
+	private void shareLoads() {
+		List<ObservedLoad> loads = new ArrayList<>();
+		this.sharingIndexes.forEach((index) -> loads.addAll(index.takeObservedLoads()));
+		this.cluster.timer.schedule(LOAD_SHARING_DELAY_MS, () -> {
+			List<ObservedLoad> received = loads.stream()
+				.map((load) -> new ObservedLoad(load.replica(), load.calls(), load.ageMs() + LOAD_SHARING_DELAY_MS))
+				.toList();
+			this.sharingIndexes.forEach((index) -> index.loadsObservedElsewhere(received));
+		});
+	}
+
 	/**
 	 * Returns a scheduler that all instances share and that receives the load of each
 	 * replica every {@value #IDEAL_POLL_MS} ms.
@@ -145,6 +177,7 @@
 	private ScheduledCallRunner scheduler(int instance, double crossingMs) {
 		ReplicaIndex index = new ReplicaIndex(this.cluster.zone(instance), crossingMs, GatewaySettings.COSTS,
 				this.cluster.timer, RandomSource.XO_SHI_RO_256_PP.create(this.seed * 31 + instance), EventLog.NONE);
+		this.lastIndex = index;
 		return new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.cluster.timer,
 				this.cluster.configuration(), UpstreamClients.RELAY_ONLY, ProgramSchedulingInfoSource.NONE,
 				new Observers(DecisionRecorder.NONE, new InvariantRegistry(), StepListener.NONE));
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledCluster.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledCluster.java
@@ -27,8 +27,6 @@
 
 	static final String SERVICES = "services";
 
-	private static final int ENGINE_REPLICAS = 6;
-
 	final VirtualTimerService timer = new VirtualTimerService(0);
 
 	private final PeakDayWorkload workload;
@@ -41,9 +39,9 @@
 
 	ModelledCluster(PeakDayWorkload workload) {
 		this.workload = workload;
-		for (int i = 0; i < ENGINE_REPLICAS; i++) {
-			UpstreamId id = add("engine-" + i, i % workload.zones, ENGINES, ModelledEngine.MAX_BATCH_SIZE);
-			this.engines.put(id, new ModelledEngine(this.timer, workload.cacheTokens));
+		for (int i = 0; i < workload.engineReplicas; i++) {
+			UpstreamId id = add("engine-" + i, i % workload.zones, ENGINES, workload.engineSlots);
+			this.engines.put(id, new ModelledEngine(this.timer, workload.engineSlots, workload.cacheTokens));
 		}
 		for (int i = 0; i < workload.serviceReplicas; i++) {
 			UpstreamId id = add("service-" + i, i % workload.zones, SERVICES, ModelledService.MAX_CONCURRENT_CALLS);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledEngine.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledEngine.java
@@ -26,12 +26,12 @@
 
 	static final double PREFILL_TOKENS_PER_MS = 112;
 
-	static final int MAX_BATCH_SIZE = 16;
-
 	private static final int MAX_CHUNK_TOKENS = 1_024;
 
 	private final TimerService timer;
 
+	private final int maxBatchSize;
+
 	private final int cacheTokens;
 
 	private final Map<String, Integer> cache = new LinkedHashMap<>(64, 0.75f, true);
@@ -48,8 +48,9 @@
 
 	private boolean isStepping;
 
-	ModelledEngine(TimerService timer, int cacheTokens) {
+	ModelledEngine(TimerService timer, int maxBatchSize, int cacheTokens) {
 		this.timer = timer;
+		this.maxBatchSize = maxBatchSize;
 		this.cacheTokens = cacheTokens;
 	}
 
@@ -58,7 +59,7 @@
 	}
 
 	RelayEnd.ReportedLoad load() {
-		return new RelayEnd.ReportedLoad(this.running.size(), this.waiting.size(), MAX_BATCH_SIZE);
+		return new RelayEnd.ReportedLoad(this.running.size(), this.waiting.size(), this.maxBatchSize);
 	}
 
 	void submit(List<PromptPart> prompt, int answerTokens, Runnable onFirstToken, Runnable onEnd) {
@@ -71,7 +72,7 @@
 	}
 
 	private void step() {
-		while (this.running.size() < MAX_BATCH_SIZE && !this.waiting.isEmpty()) {
+		while (this.running.size() < this.maxBatchSize && !this.waiting.isEmpty()) {
 			Generation generation = this.waiting.remove();
 			generation.unreadPromptTokens = uncachedTokens(generation.prompt);
 			this.readTokens += generation.unreadPromptTokens;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PeakDayWorkload.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/PeakDayWorkload.java
@@ -14,12 +14,16 @@
  */
 enum PeakDayWorkload {
 
-	RTI_LAGGING(3, 9, 24, 231_141, 3.9, 1, 30,
+	RTI_LAGGING(3, 9, 6, 16, 24, 231_141, 3.9, 1, 30,
 			List.of(new Kind(27.6, 3, 3, 1_030, 60, 0.05, 1.9, 37, 200),
 					new Kind(5.09, 10, 11, 514, 150, 0.25, 1.8, 37, 200))),
 
-	SAUTI_TZ(3, 7, 24, 327_101, 4.5, 3, 32.5, List.of(new Kind(20.5, 3, 4, 1_030, 60, 0.05, 1.9, 46, 250),
-			new Kind(6.65, 10, 11, 514, 150, 0.15, 1.8, 46, 250)));
+	SAUTI_TZ(3, 7, 6, 16, 24, 327_101, 4.5, 3, 32.5,
+			List.of(new Kind(20.5, 3, 4, 1_030, 60, 0.05, 1.9, 46, 250),
+					new Kind(6.65, 10, 11, 514, 150, 0.15, 1.8, 46, 250))),
+
+	RTI_LAGGING_LARGE(5, 80, 14, 8, 28, 156_783, 3.9, 3, 39, List
+		.of(new Kind(33.1, 3, 3, 1_030, 60, 0.05, 1.6, 37, 203), new Kind(6.11, 10, 11, 514, 150, 0.25, 1.5, 37, 203)));
 
 	/** Number of shared prompt prefixes for each kind; each program starts with one. */
 	private static final int SHARED_PARTS = 3;
@@ -53,6 +57,10 @@
 
 	final int instances;
 
+	final int engineReplicas;
+
+	final int engineSlots;
+
 	final int serviceReplicas;
 
 	final int cacheTokens;
@@ -65,10 +73,12 @@
 
 	private final List<Kind> kinds;
 
-	PeakDayWorkload(int zones, int instances, int serviceReplicas, int cacheTokens, double crossingMs, double clientMs,
-			double programsPerSecond, List<Kind> kinds) {
+	PeakDayWorkload(int zones, int instances, int engineReplicas, int engineSlots, int serviceReplicas, int cacheTokens,
+			double crossingMs, double clientMs, double programsPerSecond, List<Kind> kinds) {
 		this.zones = zones;
 		this.instances = instances;
+		this.engineReplicas = engineReplicas;
+		this.engineSlots = engineSlots;
 		this.serviceReplicas = serviceReplicas;
 		this.cacheTokens = cacheTokens;
 		this.crossingMs = crossingMs;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/SchedulingUnderLoadTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/SchedulingUnderLoadTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -48,8 +49,18 @@
 	// Guards against a scheduler that earns less than a simple policy while the engines
 	// are overloaded.
 	@ParameterizedTest
-	@EnumSource(PeakDayWorkload.class)
+	@EnumSource(value = PeakDayWorkload.class, names = "RTI_LAGGING_LARGE", mode = EnumSource.Mode.EXCLUDE)
 	void earnsMoreThanSimplePoliciesDuringBurst(PeakDayWorkload workload) {
+		assertEarnsMoreThanSimplePolicies(workload);
+	}
+
+	// The same with 80 instances, where sticky assignment is the strongest simple policy.
+	@Test
+	void earnsMoreThanSimplePoliciesInLargeDeployment() {
+		assertEarnsMoreThanSimplePolicies(PeakDayWorkload.RTI_LAGGING_LARGE);
+	}
+
+	private static void assertEarnsMoreThanSimplePolicies(PeakDayWorkload workload) {
 		double shipped = earnedShare(workload, LoadPolicy.SHIPPED, BURST_LOAD_FACTOR);
 		for (LoadPolicy simplePolicy : List.of(LoadPolicy.ROUND_ROBIN, LoadPolicy.LEAST_LOADED, LoadPolicy.STICKY)) {
 			assertThat(simplePolicy.name(), shipped,
@@ -67,6 +78,17 @@
 				greaterThanOrEqualTo(earnedShare(workload, LoadPolicy.IDEAL, BURST_LOAD_FACTOR) / 1.25));
 	}
 
+	// Guards against 80 instances that each see only their own requests: without the
+	// loads
+	// that others observe, programs lose the engines that hold their histories.
+	@Test
+	void sharedLoadsKeepProgramsInTimeInLargeDeployment() {
+		double withoutSharing = earnedShare(PeakDayWorkload.RTI_LAGGING_LARGE, LoadPolicy.WITHOUT_SHARED_LOADS,
+				BURST_LOAD_FACTOR);
+		double shared = earnedShare(PeakDayWorkload.RTI_LAGGING_LARGE, LoadPolicy.SHIPPED, BURST_LOAD_FACTOR);
+		assertThat(shared, greaterThan(withoutSharing));
+	}
+
 	// Guards against prompts that an engine reads although another replica has them
 	// cached. The target is 0.3 times the excess of the least-loaded policy over the
 	// sticky one.
