Bound responses of replicas that never end

Cause: a connection skipped responses to other requests, informational ones and the body of a rejection until the deadline of the request, and a body without end for a client that doesn't read was buffered in memory without bound.

Change: after 4 skipped responses or 256 KB that don't belong to an answer the connection is closed and the attempt has failed; a rejection counts from its head, so the caller gets its 503 whatever follows; above 256 KB that wait for the client the replica is no longer read until 64 KB are left.

Tests, which fail without the change: UpstreamConnectionTests (other responses, informational responses and their bodies without end; a header without end was bounded before), GatewayTests EndlessResponses over real sockets.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -16,12 +17,24 @@
  */
 final class RelayResponse {
 
+	/**
+	 * Bytes that wait for the client, above which the replica is no longer read; a body
+	 * may be large or never end.
+	 */
+	private static final long HIGH_WATER_BYTES = 256 * 1024;
+
+	private static final long LOW_WATER_BYTES = 64 * 1024;
+
 	private final Exchange exchange;
 
 	private final Sinks.One<Head> head = Sinks.one();
 
 	private final Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
 
+	private long bufferedBytes;
+
+	private @Nullable Runnable drainListener;
+
 	private boolean isEnded;
 
 	RelayResponse(Exchange exchange) {
@@ -40,7 +53,7 @@
 			}
 			this.exchange.response().status(received.status()).headers(received.headers());
 			// Each chunk is flushed immediately: clients wait for individual events.
-			return this.exchange.response().send(this.body.asFlux(), (chunk) -> true).then();
+			return this.exchange.response().send(this.body.asFlux().doOnNext(this::taken), (chunk) -> true).then();
 		});
 	}
 
@@ -49,11 +62,33 @@
 	}
 
 	void writeChunk(ByteBuf chunk) {
+		this.bufferedBytes += chunk.readableBytes();
 		if (this.isEnded || this.body.tryEmitNext(chunk).isFailure()) {
 			chunk.release();
 		}
 	}
 
+	private void taken(ByteBuf chunk) {
+		this.bufferedBytes -= chunk.readableBytes();
+		Runnable listener = this.drainListener;
+		if (listener != null && this.bufferedBytes <= LOW_WATER_BYTES) {
+			this.drainListener = null;
+			listener.run();
+		}
+	}
+
+	boolean isFull() {
+		return this.bufferedBytes > HIGH_WATER_BYTES;
+	}
+
+	/**
+	 * Sets an action that runs once, when the client has taken most of what waits.
+	 * @param listener the action
+	 */
+	void onDrained(Runnable listener) {
+		this.drainListener = listener;
+	}
+
 	void complete() {
 		this.isEnded = true;
 		this.body.tryEmitComplete();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -230,7 +230,11 @@
 		@Override
 		public void chunkReceived(ByteBuf chunk) {
 			if (this.isEnded || this.outcome != RelayOutcome.ANSWERED) {
+				int bytes = chunk.readableBytes();
 				chunk.release();
+				if (this.connection != null) {
+					this.connection.skipped(bytes);
+				}
 				return;
 			}
 			forwardHead();
@@ -238,6 +242,15 @@
 				this.eventCounter.add(chunk);
 			}
 			RelayTransfer.this.response.writeChunk(chunk);
+			UpstreamConnection current = this.connection;
+			if (current != null && RelayTransfer.this.response.isFull()) {
+				current.setReading(false);
+				RelayTransfer.this.response.onDrained(() -> {
+					if (!this.isEnded) {
+						current.setReading(true);
+					}
+				});
+			}
 		}
 
 		// The head is held back until the first chunk arrives, so that the request can be
@@ -272,6 +285,11 @@
 			if (this.isHeadForwarded) {
 				RelayTransfer.this.response.abort();
 			}
+			if (this.outcome == RelayOutcome.DECLINED || this.outcome == RelayOutcome.MISDIRECTED) {
+				// The head states that the request did not run, however its body ends.
+				end(this.outcome, reason);
+				return;
+			}
 			end(this.isHeadForwarded ? RelayOutcome.TRUNCATED : RelayOutcome.BROKEN, reason);
 		}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -35,6 +35,15 @@
 
 	private static final long MS_PER_SECOND = 1_000;
 
+	/**
+	 * Maximum number of responses that are skipped before the one to the request. A
+	 * faulty replica may send them without end.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 4;
+
+	/** Maximum size in bytes of bodies that are read without being forwarded. */
+	private static final long MAX_SKIPPED_BYTES = 256 * 1024;
+
 	/**
 	 * Maximum number of digits of a timeout in seconds that are read; more than the
 	 * timeout of any replica has.
@@ -53,6 +62,10 @@
 
 	private @Nullable SkippedResponse skippedResponse;
 
+	private int skippedResponses;
+
+	private long skippedBytes;
+
 	private boolean isKeepAlive = true;
 
 	private boolean isHeadReceived;
@@ -84,6 +97,8 @@
 	void send(UpstreamExchange next) {
 		this.exchange = next;
 		this.isHeadReceived = false;
+		this.skippedResponses = 0;
+		this.skippedBytes = 0;
 		this.channel.write(next.requestHead());
 		this.channel.writeAndFlush(new DefaultLastHttpContent(next.requestBody())).addListener((written) -> {
 			if (!written.isSuccess()) {
@@ -128,13 +143,13 @@
 			return;
 		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-			this.skippedResponse = SkippedResponse.INFORMATIONAL;
+			skip(SkippedResponse.INFORMATIONAL);
 			return;
 		}
 		ResponseMetadata metadata = this.translator.decodeAnswer(response.status().code(), response.headers());
 		String expected = current.attemptId();
 		if (metadata.attemptId() != null && expected != null && !metadata.attemptId().equals(expected)) {
-			this.skippedResponse = SkippedResponse.OTHER_REQUEST;
+			skip(SkippedResponse.OTHER_REQUEST);
 			return;
 		}
 		boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -148,9 +163,38 @@
 		current.responseStarted(response.status(), response.headers(), metadata);
 	}
 
+	private void skip(SkippedResponse kind) {
+		this.skippedResponse = kind;
+		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+			fail(this.skippedResponses + " responses that don't belong to the request");
+		}
+	}
+
+	/**
+	 * Counts bytes that are not forwarded, and closes the connection when there are too
+	 * many of them.
+	 * @param bytes number of bytes that were read
+	 */
+	void skipped(int bytes) {
+		this.skippedBytes += bytes;
+		if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+			fail("more than " + MAX_SKIPPED_BYTES + " bytes that don't belong to an answer");
+		}
+	}
+
+	/**
+	 * Stops or resumes reading, so that a client that reads slowly holds the replica
+	 * back.
+	 * @param isReading whether to read
+	 */
+	void setReading(boolean isReading) {
+		this.channel.config().setAutoRead(isReading);
+	}
+
 	private void contentReceived(HttpContent content) {
 		UpstreamExchange current = this.exchange;
 		if (this.skippedResponse != null) {
+			skipped(content.content().readableBytes());
 			content.release();
 			if (content instanceof LastHttpContent) {
 				this.skippedResponse = null;
@@ -175,6 +219,7 @@
 
 	private void finish(UpstreamExchange current) {
 		this.exchange = null;
+		setReading(true);
 		this.idleSinceNs = System.nanoTime();
 		if (this.isKeepAlive && this.channel.isActive()) {
 			this.pool.release(this);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -148,6 +148,45 @@
 			assertThat(UpstreamConnectionTests.this.pool.idleConnections(), is(0));
 		}
 
+		// Guards against memory that a header without end takes until the deadline.
+		@Test
+		void failsRequestWhenHeaderNeverEnds() {
+			receive("HTTP/1.1 200 OK\r\n");
+			for (int i = 0; i < 10_000 && UpstreamConnectionTests.this.channel.isActive(); i++) {
+				receive("X-" + i + ": " + "x".repeat(50) + "\r\n");
+			}
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
+		}
+
+		// Guards against a caller that waits until the deadline while the replica sends
+		// responses to other requests without end.
+		@Test
+		void failsRequestWhenOtherResponsesNeverEnd() {
+			for (int i = 0; i < 100 && UpstreamConnectionTests.this.channel.isActive(); i++) {
+				receive(response("a-0", "late"));
+			}
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+		}
+
+		@Test
+		void failsRequestWhenInformationalResponsesNeverEnd() {
+			for (int i = 0; i < 100 && UpstreamConnectionTests.this.channel.isActive(); i++) {
+				receive("HTTP/1.1 100 Continue\r\n\r\n");
+			}
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+		}
+
+		// Guards against a body without end that belongs to another request.
+		@Test
+		void failsRequestWhenBodyOfOtherResponseNeverEnds() {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-0\r\n\r\n");
+			for (int i = 0; i < 10_000 && UpstreamConnectionTests.this.channel.isActive(); i++) {
+				receive("x".repeat(1_000));
+			}
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+		}
+
 		// Guards against bytes that are not an HTTP response and are forwarded to a
 		// client.
 		@Test
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -1,6 +1,7 @@
 package dev.nutmegdoor.standin.relay;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -39,6 +41,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
@@ -303,6 +306,60 @@
 
 	}
 
+	@Nested
+	class EndlessResponses {
+
+		private static final int CHUNK_BYTES = 16 * 1024;
+
+		private static final long MAX_BUFFERED_BYTES = 32L * 1024 * 1024;
+
+		private final AtomicLong writtenBytes = new AtomicLong();
+
+		private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+		private void writeWithoutEnd(ReplicaServer.Request request, OutputStream output, String status, String fields)
+				throws IOException {
+			ReplicaServer.write(output, "HTTP/1.1 " + status + "\r\nAttempt-Id: " + request.fields.get("attempt-id")
+					+ "\r\n" + fields + "\r\n");
+			try {
+				byte[] chunk = new byte[CHUNK_BYTES];
+				while (true) {
+					output.write(chunk);
+					this.writtenBytes.addAndGet(CHUNK_BYTES);
+				}
+			}
+			catch (IOException ex) {
+				this.closed.complete(null);
+				request.isConnectionClosed = true;
+			}
+		}
+
+		// Guards against a gateway that runs out of memory because a replica sends a body
+		// without end to a client that doesn't read it.
+		@Test
+		void holdsReplicaBackWhileClientDoesNotRead() throws Exception {
+			GatewayTests.this.replica
+				.respondWith((request, output) -> writeWithoutEnd(request, output, "200 OK", "Server-Seal: x\r\n"));
+			try (Socket socket = send("/safe/a", "Authorization: Bearer key-1\r\n", "")) {
+				// The route allows 2 s; then the gateway closes the connection.
+				this.closed.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+				assertThat(socket.isClosed(), is(false));
+			}
+			assertThat(this.writtenBytes.get(), lessThan(MAX_BUFFERED_BYTES));
+		}
+
+		// Guards against a caller that waits for the end of a body although the head says
+		// that the request did not run.
+		@Test
+		void reportsNotRunWhenBodyOfRejectionNeverEnds() throws Exception {
+			GatewayTests.this.replica.respondWith((request, output) -> writeWithoutEnd(request, output,
+					"503 Service Unavailable", "Not-Executed: 1\r\n"));
+			assertThat(exchange("/once/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 503"));
+			assertThat(this.writtenBytes.get(), lessThan(MAX_BUFFERED_BYTES));
+		}
+
+	}
+
 	@Nested
 	class Streams {
 
