Keep periodic tasks of the control thread after an Error

Cause: only RuntimeException was caught, so an Error ended a periodic subscription, and the executor kept it in a future that nobody reads. Test: ControlThreadTests (the Error case failed to run again).

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/control/ControlThread.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/control/ControlThread.java
@@ -104,12 +104,12 @@
 
 	private static Runnable logFailures(Runnable task) {
 		// A task that throws must not end its periodic subscription, and its failure must
-		// be logged.
+		// be logged. The executor would drop an Error without a trace as well.
 		return () -> {
 			try {
 				task.run();
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				logger.errorf(ex, "event=control.task_failed error=\"%s\"", ex.getMessage());
 			}
 		};
