--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
@@ -53,7 +53,7 @@
 			}
 			this.exchange.response().status(received.status()).headers(received.headers());
 			// Each chunk is flushed immediately: clients wait for individual events.
-			return this.exchange.response().send(this.body.asFlux().doOnNext(this::taken), (chunk) -> true).then();
+			return this.exchange.response().send(this.body.asFlux().doOnNext(this::chunkTaken), (chunk) -> true).then();
 		});
 	}
 
@@ -62,13 +62,15 @@
 	}
 
 	void writeChunk(ByteBuf chunk) {
-		this.bufferedBytes += chunk.readableBytes();
+		int bytes = chunk.readableBytes();
+		this.bufferedBytes += bytes;
 		if (this.isEnded || this.body.tryEmitNext(chunk).isFailure()) {
+			this.bufferedBytes -= bytes;
 			chunk.release();
 		}
 	}
 
-	private void taken(ByteBuf chunk) {
+	private void chunkTaken(ByteBuf chunk) {
 		this.bufferedBytes -= chunk.readableBytes();
 		Runnable listener = this.drainListener;
 		if (listener != null && this.bufferedBytes <= LOW_WATER_BYTES) {
