Share loads of replicas only where relays are in use

A first turn is refused when the least loaded engine is full, and that rule was set for loads that fade with their age.

Change: only gateways that report to relays share loads.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
@@ -150,7 +150,11 @@
 	}
 
 	private void sendReportIfDue(long nowMs) {
-		this.unreportedLoads.add(this.loadSharing.takeObservedLoads(), nowMs);
+		List<ObservedLoad> observedLoads = this.loadSharing.takeObservedLoads();
+		// In a small deployment each instance sees enough responses of its own.
+		if (this.relays.areInUse()) {
+			this.unreportedLoads.add(observedLoads, nowMs);
+		}
 		boolean isChanged = !this.unreportedWorkspaces.isEmpty() || !this.unreportedLoads.isEmpty()
 				|| !this.isFirstReportSent;
 		long periodMs = isChanged ? (this.isUrgent ? 0 : this.settings.calmPeriodMs()) : this.settings.quietPeriodMs();
