Log the counter of a replica's entry and how long a kind was unwatched

Cause: the report says only that requests reached a leaving replica.

Change: store.changed and store.listed say for how long no watch was open before the call, replica.listed the counter of the entry.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ListedReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ListedReplica.java
@@ -9,7 +9,9 @@
  * @param startedMs Unix time of its start in milliseconds, or 0 if the entry doesn't
  * contain it. A replica that restarts under the same identifier has lost its previous
  * state
+ * @param sequence number of the entry, which the replica increments with each update; it
+ * starts again when the replica restarts
  */
-public record ListedReplica(Upstream upstream, long startedMs) {
+public record ListedReplica(Upstream upstream, long startedMs, long sequence) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -143,7 +143,7 @@
 		if (!replica.equals(previous)) {
 			this.events.record("replica.listed", "replica", replica.id(), "service", replica.serves(), "address",
 					replica.host() + ":" + replica.port(), "zone", replica.availabilityZone(), "leaving",
-					replica.isLeaving());
+					replica.isLeaving(), "sequence", listed.sequence());
 		}
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -51,6 +51,8 @@
 
 	private long lastVersion;
 
+	private long lastResponseMs;
+
 	private boolean isListed;
 
 	private boolean isConnected;
@@ -85,6 +87,7 @@
 	}
 
 	public void start() {
+		this.lastResponseMs = this.timer.nowMs();
 		list();
 	}
 
@@ -97,12 +100,16 @@
 			onSuccess();
 			this.lastVersion = page.version();
 			this.isListed = true;
+			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
+					page.objects().size(), "unwatchedMs", unwatchedMs());
 			this.listener.listed(page.objects());
+			this.lastResponseMs = this.timer.nowMs();
 			watch();
 		});
 	}
 
 	private void watch() {
+		long openedMs = this.timer.nowMs();
 		this.store.watch(this.kind, this.lastVersion, this.watchTimeoutMs).whenComplete((result, error) -> {
 			if (error != null) {
 				onFailure(error);
@@ -118,8 +125,11 @@
 			this.lastVersion = Math.max(this.lastVersion, result.version());
 			List<StoreEvent> changes = result.events();
 			if (!changes.isEmpty()) {
+				this.events.record("store.changed", "kind", this.kind, "revision", this.lastVersion, "changes",
+						changes.size(), "unwatchedMs", openedMs - this.lastResponseMs);
 				this.listener.changed(changes);
 			}
+			this.lastResponseMs = this.timer.nowMs();
 			if (changes.isEmpty() || this.batchDelayMs == 0) {
 				watch();
 			}
@@ -129,6 +139,10 @@
 		});
 	}
 
+	private long unwatchedMs() {
+		return this.timer.nowMs() - this.lastResponseMs;
+	}
+
 	private void onSuccess() {
 		this.consecutiveFailures = 0;
 		if (!this.isConnected) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -41,7 +41,7 @@
 		}
 		Upstream upstream = new Upstream(new UpstreamId(name), UpstreamKind.SERVICE, new AvailabilityZone("a"),
 				"10.0.0.1", 80, List.of("s"), 1, false, value.equals("leaving"));
-		return new ListedReplica(upstream, value.equals("started again") ? 2 : 1);
+		return new ListedReplica(upstream, value.equals("started again") ? 2 : 1, 1);
 	}
 
 	private static StoredObject object(String name, String value) {
