Keep replicas without an entry only until 2 s after an outage

Cause: entries of running replicas can expire during an outage of the store, so a gateway keeps a replica whose entry is missing for 2 s. It did so whenever one of its own calls had failed in the 2.5 s before, and counted the 2 s from the moment at which it noticed. A call also fails when the store turns this gateway away, interrupts a watch, or no longer answers a call sent before the end of an outage; no entry expires then, or its time to reappear has long passed.

Change: StoreHealth knows outages (calls failed for 500 ms or more) and their end. A replica without an entry is kept until 2 s after the end, whenever its entry went. The first watch after a failed call is short: a watch of 30 s without a change would not show that the store answers again.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -23,15 +23,15 @@
 /**
  * Maintains the list of replicas from the entries in the platform's store. An entry can
  * expire during an outage of the store although its replica is running. A replica whose
- * entry is missing after an outage is therefore kept for a grace period, in which the
- * entry of a running replica reappears.
+ * entry is missing is therefore kept until a grace period after the outage has elapsed,
+ * in which the entry of a running replica reappears.
  */
 public final class ReplicaList implements KindListener {
 
 	/**
-	 * Time in milliseconds for which a replica without an entry is kept after an outage.
-	 * The platform guarantees that the entries of running replicas reappear about 2 s
-	 * after the store recovers.
+	 * Time in milliseconds after the end of an outage for which replicas without an entry
+	 * are kept. The platform guarantees that the entries of running replicas reappear
+	 * about 2 s after the store recovers.
 	 */
 	static final long MISSING_ENTRY_GRACE_MS = 2_000;
 
@@ -43,12 +43,6 @@
 	 */
 	private static final int MAX_TRACKED_START_TIMES = 2_000;
 
-	/**
-	 * Time in milliseconds after a failed store call during which a missing entry may
-	 * have expired because of the outage.
-	 */
-	private static final long STORE_OUTAGE_EFFECT_MS = 2_500;
-
 	private final Deployment deployment;
 
 	private final TimerService timer;
@@ -74,7 +68,7 @@
 
 	};
 
-	private final Map<UpstreamId, Long> missingSinceMs = new HashMap<>();
+	private final Set<UpstreamId> missing = new HashSet<>();
 
 	/**
 	 * Creates an empty list.
@@ -83,7 +77,7 @@
 	 * @param events records each change
 	 * @param decoder decodes the name and the value of an entry; returns {@code null} if
 	 * the entry doesn't describe a replica
-	 * @param storeHealth provides the time since the last failed store call
+	 * @param storeHealth provides the time since the last outage of the store
 	 * @param restartListener called with each replica that has restarted under the same
 	 * identifier
 	 */
@@ -138,7 +132,7 @@
 			this.events.record("replica.restarted", "replica", replica.id(), "startedMs", listed.startedMs());
 			this.restartListener.accept(replica.id());
 		}
-		this.missingSinceMs.remove(replica.id());
+		this.missing.remove(replica.id());
 		Upstream previous = this.replicas.put(replica.id(), replica);
 		if (!replica.equals(previous)) {
 			this.events.record("replica.listed", "replica", replica.id(), "service", replica.serves(), "address",
@@ -148,25 +142,38 @@
 	}
 
 	private void handleMissing(UpstreamId id) {
-		if (this.storeHealth.timeSinceFailureMs() > STORE_OUTAGE_EFFECT_MS) {
+		if (remainingGraceMs() <= 0) {
 			remove(id, "removed from the list");
 			return;
 		}
-		if (this.missingSinceMs.putIfAbsent(id, this.timer.nowMs()) != null) {
+		if (!this.missing.add(id)) {
 			return;
 		}
-		this.events.record("replica.missing", "replica", id, "sinceOutageMs", this.storeHealth.timeSinceFailureMs());
-		this.timer.schedule(MISSING_ENTRY_GRACE_MS, () -> {
-			Long sinceMs = this.missingSinceMs.get(id);
-			if (sinceMs != null && this.timer.nowMs() - sinceMs >= MISSING_ENTRY_GRACE_MS) {
-				remove(id, "still missing after an outage");
-				this.deployment.accept(this.replicas);
-			}
-		});
+		this.events.record("replica.missing", "replica", id, "sinceOutageMs", this.storeHealth.timeSinceOutageMs());
+		if (this.missing.size() == 1) {
+			this.timer.schedule(remainingGraceMs(), this::removeMissing);
+		}
+	}
+
+	private void removeMissing() {
+		if (this.missing.isEmpty()) {
+			return;
+		}
+		long remainingMs = remainingGraceMs();
+		if (remainingMs > 0) {
+			this.timer.schedule(remainingMs, this::removeMissing);
+			return;
+		}
+		List.copyOf(this.missing).forEach((id) -> remove(id, "still missing after an outage"));
+		this.deployment.accept(this.replicas);
+	}
+
+	private long remainingGraceMs() {
+		return MISSING_ENTRY_GRACE_MS - this.storeHealth.timeSinceOutageMs();
 	}
 
 	private void remove(UpstreamId id, String reason) {
-		this.missingSinceMs.remove(id);
+		this.missing.remove(id);
 		if (this.replicas.remove(id) != null) {
 			this.events.record("replica.removed", "replica", id, "reason", reason);
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -25,6 +25,12 @@
 
 	private static final int MAX_BACKOFF_DOUBLINGS = 8;
 
+	/**
+	 * Timeout in milliseconds of the first watch after a failed call. It shows whether
+	 * the store answers again, which a longer watch without a change does not.
+	 */
+	private static final long PROBE_TIMEOUT_MS = 100;
+
 	/**
 	 * Maximum duration in milliseconds that is reported in events; applies if no call has
 	 * failed before.
@@ -64,7 +70,7 @@
 	 * @param store store that holds the objects
 	 * @param timer source of time
 	 * @param random source of backoff jitter
-	 * @param health records failed calls
+	 * @param health records failed and successful calls
 	 * @param events receives {@code store.lost} and {@code store.regained}
 	 * @param kind kind of the objects
 	 * @param watchTimeoutMs maximum wait of one watch in milliseconds
@@ -110,7 +116,9 @@
 
 	private void watch() {
 		long openedMs = this.timer.nowMs();
-		this.store.watch(this.kind, this.lastVersion, this.watchTimeoutMs).whenComplete((result, error) -> {
+		long timeoutMs = (this.consecutiveFailures > 0) ? Math.min(PROBE_TIMEOUT_MS, this.watchTimeoutMs)
+				: this.watchTimeoutMs;
+		this.store.watch(this.kind, this.lastVersion, timeoutMs).whenComplete((result, error) -> {
 			if (error != null) {
 				onFailure(error);
 				return;
@@ -145,6 +153,7 @@
 
 	private void onSuccess() {
 		this.consecutiveFailures = 0;
+		this.health.recordSuccess();
 		if (!this.isConnected) {
 			this.isConnected = true;
 			this.events.record("store.regained", "kind", this.kind, "afterMs",
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
@@ -3,14 +3,29 @@
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
- * Records when a store call of this process last failed. Must be used on the control
- * thread.
+ * Records when the store last failed to answer this process, and for how long. Must be
+ * used on the control thread.
  */
 public final class StoreHealth {
 
+	/**
+	 * Duration in milliseconds from which failing calls count as an outage. The store may
+	 * interrupt a single watch at any time, and the next call then succeeds within this
+	 * time.
+	 */
+	private static final long MIN_OUTAGE_MS = 500;
+
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	private final TimerService timer;
 
-	private long lastFailureMs = Long.MIN_VALUE / 2;
+	private long lastFailureMs = NEVER_MS;
+
+	private long failingSinceMs = NEVER_MS;
+
+	private long lastOutageEndMs = NEVER_MS;
+
+	private boolean isFailing;
 
 	public StoreHealth(TimerService timer) {
 		this.timer = timer;
@@ -21,6 +36,20 @@
 	 */
 	public void recordFailure() {
 		this.lastFailureMs = this.timer.nowMs();
+		if (!this.isFailing) {
+			this.isFailing = true;
+			this.failingSinceMs = this.lastFailureMs;
+		}
+	}
+
+	/**
+	 * Records that the store has answered a call at the current time.
+	 */
+	public void recordSuccess() {
+		if (isOutage()) {
+			this.lastOutageEndMs = this.timer.nowMs();
+		}
+		this.isFailing = false;
 	}
 
 	/**
@@ -31,4 +60,16 @@
 		return this.timer.nowMs() - this.lastFailureMs;
 	}
 
+	/**
+	 * Returns the time since the store answered again after an outage.
+	 * @return milliseconds, 0 during an outage, a very large number if there was none
+	 */
+	public long timeSinceOutageMs() {
+		return isOutage() ? 0 : this.timer.nowMs() - this.lastOutageEndMs;
+	}
+
+	private boolean isOutage() {
+		return this.isFailing && this.timer.nowMs() - this.failingSinceMs >= MIN_OUTAGE_MS;
+	}
+
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
@@ -36,6 +36,9 @@
 
 	private static final long OUTAGE_TIMEOUT_MS = 1000;
 
+	/** Time in milliseconds until a client stops waiting for a lost response. */
+	private static final long LOST_RESPONSE_TIMEOUT_MS = 1_500;
+
 	private static final long WATCH_POLL_INTERVAL_MS = 20;
 
 	private final VirtualTimerService timer;
@@ -58,6 +61,10 @@
 
 	private long lastDiscardedVersion;
 
+	private long interruptedWatches;
+
+	private int watchResponsesToLose;
+
 	private long calls;
 
 	private long writes;
@@ -89,6 +96,24 @@
 		this.available = isAvailable;
 	}
 
+	/**
+	 * Interrupts all watches and discards the history, so that the objects have to be
+	 * listed again.
+	 */
+	public void discardHistory() {
+		this.interruptedWatches++;
+		this.lastDiscardedVersion = this.version;
+		this.events.clear();
+	}
+
+	/**
+	 * Discards the next responses to watches that report changes.
+	 * @param count number of responses
+	 */
+	public void loseWatchResponses(int count) {
+		this.watchResponsesToLose = count;
+	}
+
 	/**
 	 * Starts or ends a network partition between a zone and the store.
 	 * @param zone zone to partition or to reconnect
@@ -247,8 +272,9 @@
 		public CompletableFuture<StoreWatchResult> watch(String kind, long afterVersion, long timeoutMs) {
 			long deadlineMs = FakeObjectStore.this.timer.nowMs() + timeoutMs;
 			CompletableFuture<StoreWatchResult> result = new CompletableFuture<>();
+			long openedAfter = FakeObjectStore.this.interruptedWatches;
 			call(false, () -> {
-				poll(kind, afterVersion, deadlineMs, result);
+				poll(kind, afterVersion, deadlineMs, openedAfter, result);
 				return null;
 			}).whenComplete((ignored, error) -> {
 				if (error != null) {
@@ -258,11 +284,16 @@
 			return result;
 		}
 
-		private void poll(String kind, long afterVersion, long deadlineMs, CompletableFuture<StoreWatchResult> result) {
+		private void poll(String kind, long afterVersion, long deadlineMs, long openedAfter,
+				CompletableFuture<StoreWatchResult> result) {
 			if (!isReachable()) {
 				fail(result, StoreFailure.UNAVAILABLE);
 				return;
 			}
+			if (openedAfter != FakeObjectStore.this.interruptedWatches) {
+				fail(result, StoreFailure.UNAVAILABLE, delayMs());
+				return;
+			}
 			if (afterVersion < FakeObjectStore.this.lastDiscardedVersion) {
 				respond(result, new StoreWatchResult(List.of(), FakeObjectStore.this.version, true));
 				return;
@@ -277,13 +308,18 @@
 					found.add(0, event);
 				}
 			}
+			if (!found.isEmpty() && FakeObjectStore.this.watchResponsesToLose > 0) {
+				FakeObjectStore.this.watchResponsesToLose--;
+				fail(result, StoreFailure.UNAVAILABLE, LOST_RESPONSE_TIMEOUT_MS);
+				return;
+			}
 			if (!found.isEmpty() || FakeObjectStore.this.timer.nowMs() >= deadlineMs) {
 				respond(result, new StoreWatchResult(found, FakeObjectStore.this.version, false));
 				return;
 			}
 			FakeObjectStore.this.timer.schedule(WATCH_POLL_INTERVAL_MS, () -> {
 				if (!this.host.isCrashed()) {
-					poll(kind, afterVersion, deadlineMs, result);
+					poll(kind, afterVersion, deadlineMs, openedAfter, result);
 				}
 			});
 		}
@@ -304,7 +340,10 @@
 		}
 
 		private <T> void fail(CompletableFuture<T> result, StoreFailure failure) {
-			long delayMs = (failure == StoreFailure.RATE_LIMITED) ? delayMs() : OUTAGE_TIMEOUT_MS;
+			fail(result, failure, (failure == StoreFailure.RATE_LIMITED) ? delayMs() : OUTAGE_TIMEOUT_MS);
+		}
+
+		private <T> void fail(CompletableFuture<T> result, StoreFailure failure, long delayMs) {
 			this.host.schedule(delayMs,
 					() -> result.completeExceptionally(new StoreException(failure, "store call failed: " + failure)));
 		}
@@ -338,6 +377,7 @@
 			if (isResponseLost) {
 				fail(result, StoreFailure.OUTCOME_UNKNOWN);
 			}
+
 			else {
 				respond(result, value);
 			}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -109,9 +109,10 @@
 	class AfterStoreOutage {
 
 		@BeforeEach
-		void failStoreCall() {
+		void endOutage() {
 			ReplicaListTests.this.storeHealth.recordFailure();
-			ReplicaListTests.this.timer.advance(500);
+			ReplicaListTests.this.timer.advance(5_000);
+			ReplicaListTests.this.storeHealth.recordSuccess();
 		}
 
 		// Guards against a service without replicas because their entries expired during
