Collect changes of the replica list only as long as a notice of leaving can wait

Cause: changes of the list were collected for a second, for all deployments. The bound for a leaving replica is 2, 3 or 4 s by deployment, and a notice that comes in that second must still survive a call that has no response (1.5 s) and its repetition. Of 2 s, 0.25 s are left for collecting.

Change: the time for collecting is what the bound of the deployment leaves, at most a second as before. With bounds of 3 s and more nothing changes, so the calls saved at the start of large deployments remain saved.

The test failed before: LeavingReplicaTests stopsUsingLeavingReplicaWhenNoticeFollowsOtherChangeAndCallHasNoResponse.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -35,6 +35,19 @@
 	 */
 	static final long MISSING_ENTRY_GRACE_MS = 2_000;
 
+	/**
+	 * Maximum time in milliseconds for which changes are collected. A watch returns at
+	 * the first change, so replicas that start together would otherwise cost a call each
+	 * in every instance.
+	 */
+	private static final long MAX_COLLECTION_DELAY_MS = 1_000;
+
+	/**
+	 * Time in milliseconds that the response to a repeated call and the backoff before it
+	 * may take.
+	 */
+	private static final long REPETITION_MS = 250;
+
 	/**
 	 * Maximum number of replicas whose start time is tracked. Replicas that are not
 	 * listed are included, because a crashed replica is removed from the list before it
@@ -92,6 +105,19 @@
 		this.restartListener = restartListener;
 	}
 
+	/**
+	 * Returns the time for which changes of the list may be collected between two
+	 * watches. A notice of leaving waits for that time, and the next call may have to be
+	 * repeated.
+	 * @param drainMs time in milliseconds after which a leaving replica must no longer be
+	 * used
+	 * @param callTimeoutMs timeout of a store call in milliseconds
+	 * @return time in milliseconds, 0 if there is none to spare
+	 */
+	public static long collectionDelayMs(long drainMs, long callTimeoutMs) {
+		return Math.max(0, Math.min(MAX_COLLECTION_DELAY_MS, drainMs - callTimeoutMs - REPETITION_MS));
+	}
+
 	@Override
 	public void listed(List<StoredObject> objects) {
 		Set<UpstreamId> present = new HashSet<>();
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
@@ -37,7 +37,7 @@
 	private static final long OUTAGE_TIMEOUT_MS = 1000;
 
 	/** Time in milliseconds until a client stops waiting for a lost response. */
-	private static final long LOST_RESPONSE_TIMEOUT_MS = 1_500;
+	public static final long LOST_RESPONSE_TIMEOUT_MS = 1_500;
 
 	private static final long WATCH_POLL_INTERVAL_MS = 20;
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/LeavingReplicaTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/LeavingReplicaTests.java
@@ -41,6 +41,8 @@
 	/** Time in milliseconds after an outage from which the bound applies again. */
 	private static final long STABLE_AFTER_MS = 3_000;
 
+	private static final long CALL_TIMEOUT_MS = FakeObjectStore.LOST_RESPONSE_TIMEOUT_MS;
+
 	private final VirtualTimerService timer = new VirtualTimerService(0);
 
 	private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(3);
@@ -84,8 +86,8 @@
 		ReplicaList replicas = new ReplicaList(this.deployment, this.host, EventLog.NONE, LeavingReplicaTests::decode,
 				this.health, (id) -> {
 				});
-		new ListWatcher(this.client, this.host, this.random, this.health, EventLog.NONE, "servers", 30_000, 1_000,
-				replicas)
+		new ListWatcher(this.client, this.host, this.random, this.health, EventLog.NONE, "servers", 30_000,
+				ReplicaList.collectionDelayMs(DRAIN_MS, CALL_TIMEOUT_MS), replicas)
 			.start();
 		this.timer.advance(10_000);
 		assertThat(isUsed("r-1") && isUsed("r-2"), is(true));
@@ -104,6 +106,19 @@
 			assertThat(isUsed("r-1"), is(false));
 		}
 
+		// Guards against a notice of leaving that waits until changes have been collected
+		// and has no time left when the next call has no response.
+		@Test
+		void stopsUsingLeavingReplicaWhenNoticeFollowsOtherChangeAndCallHasNoResponse() {
+			LeavingReplicaTests.this.client.create("servers", "r-3", "ready");
+			LeavingReplicaTests.this.timer.advance(50);
+			markLeaving("r-1");
+			LeavingReplicaTests.this.timer.advance(5);
+			LeavingReplicaTests.this.store.loseWatchResponses(1);
+			LeavingReplicaTests.this.timer.advance(DRAIN_MS);
+			assertThat(isUsed("r-1"), is(false));
+		}
+
 	}
 
 	@Nested
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/process/PlatformConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/process/PlatformConnection.java
@@ -23,7 +23,8 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 500;
 
-	private static final int REQUEST_TIMEOUT_MS = 1_500;
+	/** Timeout in milliseconds of a call, in addition to the wait of a watch. */
+	public static final int REQUEST_TIMEOUT_MS = 1_500;
 
 	/**
 	 * Budget of calls to the store. A process has two watches and makes one call for each
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -105,15 +105,6 @@
 
 	private static final long DRAIN_POLL_MS = 20;
 
-	/**
-	 * Time in milliseconds for which changes of the list of replicas are collected before
-	 * they are applied. A watch returns at the first change, so a rolling change would
-	 * otherwise cost one call for each replica and gateway. The delay is harmless: a
-	 * replica that is draining continues to serve for 2 s, and a new one is not needed
-	 * immediately.
-	 */
-	private static final long REPLICA_CHANGE_DELAY_MS = 1_000;
-
 	private final ProcessSettings settings;
 
 	private final EventLog events;
@@ -178,8 +169,10 @@
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
 				random, events);
 		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
-				settings.storeWaitMaxMs(), REPLICA_CHANGE_DELAY_MS, new ReplicaList(this.deployment, this.control,
-						events, new ReplicaDecoder()::decode, health, index::resetReplica));
+				settings.storeWaitMaxMs(),
+				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS),
+				new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode, health,
+						index::resetReplica));
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_LOG_BYTES);
 		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
