Keep to the request rate that a replica declares

Cause: the field was not read; load and slots were the only things that bounded what a replica gets.

Change: the rate is decoded and kept per replica. RateShares divides it between the instances without messages, by rendezvous hashing over the instances that all know: each gets an equal part, or, if the rate is low for their number, only some of them do, so that requests sent at the same moment stay within half of what is tolerated above the rate. A bucket of one token holds each to its part. Replicas without a token are no candidates, and count as busy when it is decided whether a program may begin, so callers are refused at once rather than at their deadline. The rate ends with the first answer to a later call that doesn't name it; in deployments with relays it travels with the loads, elsewhere an instance without a part forgets it after 30 to 60 s.

Weighed: counts exchanged as for workspaces. They are 100 to 600 ms old, and what all instances send in that time to the one replica that has a token again exceeds the tolerance of a low rate.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayListener.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayListener.java
@@ -8,6 +8,14 @@
  */
 public interface RelayListener {
 
+	/**
+	 * Called before {@link #answerStarted} and {@link #ended} if the replica declares in
+	 * its response how many requests it accepts.
+	 * @param requestsPerSecond requests per second that it accepts from all instances
+	 * together, above 0
+	 */
+	void rateDeclared(double requestsPerSecond);
+
 	/**
 	 * Called when forwarding of the response to the caller has started.
 	 * @param load load that the replica reported in the response header, or {@code null}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ObservedLoads.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ObservedLoads.java
@@ -21,7 +21,7 @@
 	 */
 	public void add(List<ObservedLoad> loads, long nowMs) {
 		for (ObservedLoad load : loads) {
-			Measurement measurement = new Measurement(load.calls(), nowMs - load.ageMs());
+			Measurement measurement = new Measurement(load, nowMs - load.ageMs());
 			this.measurements.merge(load.replica(), measurement,
 					(known, added) -> (added.measuredAtMs > known.measuredAtMs) ? added : known);
 		}
@@ -38,13 +38,13 @@
 	 */
 	public List<ObservedLoad> drain(long nowMs) {
 		List<ObservedLoad> loads = new ArrayList<>();
-		this.measurements.forEach((replica, measurement) -> loads
-			.add(new ObservedLoad(replica, measurement.calls, nowMs - measurement.measuredAtMs)));
+		this.measurements.forEach((replica, measurement) -> loads.add(new ObservedLoad(replica,
+				measurement.load.calls(), nowMs - measurement.measuredAtMs, measurement.load.requestsPerSecond())));
 		this.measurements.clear();
 		return loads;
 	}
 
-	private record Measurement(int calls, long measuredAtMs) {
+	private record Measurement(ObservedLoad load, long measuredAtMs) {
 
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -62,6 +62,18 @@
 	 */
 	private static final double UNREACHABLE_COST_MS = 1_000;
 
+	/**
+	 * Time in milliseconds for which a declared rate applies without being confirmed. An
+	 * instance without a share of the rate sends nothing to the replica and, in a small
+	 * deployment, has no other way to learn that the rate has ended. A random part of the
+	 * same length keeps the instances from trying the replica at the same time.
+	 */
+	private static final long RATE_VALIDITY_MS = 30_000;
+
+	private final RateShares rateShares;
+
+	private final EventLog events;
+
 	private final ZoneReachability zones;
 
 	private final AvailabilityZone ownZone;
@@ -87,6 +99,24 @@
 	 */
 	public ReplicaIndex(AvailabilityZone ownZone, double zoneCrossingMs, PlacementCosts costs, TimerService timer,
 			UniformRandomProvider random, EventLog events) {
+		this(ownZone, zoneCrossingMs, costs, timer, random, events, RateShares.ofSingleInstance());
+	}
+
+	/**
+	 * Creates an empty index of an instance that is one of several.
+	 * @param ownZone availability zone of this instance
+	 * @param zoneCrossingMs additional round-trip time to another zone in milliseconds
+	 * @param costs cost model of the replicas
+	 * @param timer clock for the age of reports and calls
+	 * @param random seeded generator for samples and tie-breaking
+	 * @param events log of zones that become unreachable or reachable, and of rates that
+	 * replicas declare
+	 * @param rateShares divides such rates between the instances
+	 */
+	public ReplicaIndex(AvailabilityZone ownZone, double zoneCrossingMs, PlacementCosts costs, TimerService timer,
+			UniformRandomProvider random, EventLog events, RateShares rateShares) {
+		this.rateShares = rateShares;
+		this.events = events;
 		this.ownZone = ownZone;
 		this.zones = new ZoneReachability(ownZone, events);
 		this.zoneCrossingMs = zoneCrossingMs;
@@ -135,7 +165,8 @@
 	}
 
 	/**
-	 * Returns the load of the least loaded replica of a pool.
+	 * Returns the load of the least loaded replica of a pool. A replica that may get no
+	 * call now, because of the rate that it has declared, counts as busy.
 	 * @param pool name of the pool
 	 * @return number of calls in flight divided by the number of slots; above 1 if calls
 	 * are queued at all replicas, 0 if the pool is empty
@@ -144,7 +175,9 @@
 		double least = Double.MAX_VALUE;
 		for (ReplicaState state : this.replicasByPool.getOrDefault(pool, List.of())) {
 			double inFlight = state.ownInFlight() + state.othersInFlight(this.timer.nowMs());
-			least = Math.min(least, inFlight / Math.max(1, state.upstream().maxConcurrentCalls()));
+			double load = inFlight / Math.max(1, state.upstream().maxConcurrentCalls());
+			double missingTokens = state.declaredRate().missingTokens(this.timer.nowMs());
+			least = Math.min(least, (missingTokens > 0) ? Math.max(load, 1 + missingTokens) : load);
 		}
 		return (least == Double.MAX_VALUE) ? 0 : least;
 	}
@@ -160,7 +193,8 @@
 	 * @param answerTokens expected number of tokens of the answer
 	 * @param waitedMs time that the call has waited in the queue in milliseconds
 	 * @param excluded replicas that have already failed the call
-	 * @return an immutable input
+	 * @return an immutable input, without replicas that may get no call now because of
+	 * the rate that they have declared
 	 */
 	public PlacementInput collect(String pool, List<PromptPart> prompt, int answerTokens, long waitedMs,
 			Set<UpstreamId> excluded) {
@@ -170,7 +204,8 @@
 		int promptTokens = PromptPart.tokensOf(prompt);
 		List<ReplicaView> views = new ArrayList<>(candidates.size());
 		for (ReplicaState state : candidates) {
-			if (!excluded.contains(state.upstream().id())) {
+			boolean isWithinRate = state.declaredRate().missingTokens(this.timer.nowMs()) == 0;
+			if (isWithinRate && !excluded.contains(state.upstream().id())) {
 				views.add(toView(state, prompt, state == assumedHolder));
 			}
 		}
@@ -260,9 +295,50 @@
 		ReplicaState state = this.replicas.get(id);
 		if (state != null) {
 			state.applyReport(report, this.timer.nowMs());
-			this.unsharedLoads.add(
-					List.of(new ObservedLoad(id, report.runningCalls() + report.waitingCalls(), report.ageMs())),
-					this.timer.nowMs());
+			this.unsharedLoads.add(List.of(new ObservedLoad(id, report.runningCalls() + report.waitingCalls(),
+					report.ageMs(), state.declaredRate().requestsPerSecond(this.timer.nowMs()))), this.timer.nowMs());
+		}
+	}
+
+	/**
+	 * Applies the rate of requests that a replica has declared in an answer.
+	 * @param id the replica; ignored if there is no such replica
+	 * @param requestsPerSecond rate that it accepts from all instances together
+	 */
+	public void rateDeclared(UpstreamId id, double requestsPerSecond) {
+		ReplicaState state = this.replicas.get(id);
+		if (state != null) {
+			declareRate(state, requestsPerSecond, this.timer.nowMs());
+		}
+	}
+
+	/**
+	 * Ends the limit of a replica that has answered without declaring a rate.
+	 * @param id the replica; ignored if there is no such replica
+	 * @param sentMs time in milliseconds at which the call was sent; answers may overtake
+	 * each other, so a rate that was declared later remains in force
+	 */
+	public void rateNotDeclared(UpstreamId id, long sentMs) {
+		ReplicaState state = this.replicas.get(id);
+		if (state != null) {
+			withdrawRate(state, sentMs);
+		}
+	}
+
+	private void declareRate(ReplicaState state, double requestsPerSecond, long declaredMs) {
+		UpstreamId id = state.upstream().id();
+		double ownRequestsPerSecond = this.rateShares.shareOf(id, requestsPerSecond);
+		long validForMs = RATE_VALIDITY_MS + this.random.nextLong(RATE_VALIDITY_MS);
+		if (state.declaredRate()
+			.declare(requestsPerSecond, ownRequestsPerSecond, declaredMs, validForMs, this.timer.nowMs())) {
+			this.events.record("replica.rate-declared", "replica", id, "requestsPerSecond", requestsPerSecond, "own",
+					ownRequestsPerSecond);
+		}
+	}
+
+	private void withdrawRate(ReplicaState state, long observedMs) {
+		if (state.declaredRate().withdraw(observedMs, this.timer.nowMs())) {
+			this.events.record("replica.rate-ended", "replica", state.upstream().id());
 		}
 	}
 
@@ -284,11 +360,25 @@
 		for (ObservedLoad load : loads) {
 			ReplicaState state = this.replicas.get(load.replica());
 			if (state != null) {
-				state.applyObserved(load.calls(), this.timer.nowMs() - load.ageMs());
+				long measuredMs = this.timer.nowMs() - load.ageMs();
+				state.applyObserved(load.calls(), measuredMs);
+				applyObservedRate(state, load.requestsPerSecond(), measuredMs);
 			}
 		}
 	}
 
+	private void applyObservedRate(ReplicaState state, @Nullable Double requestsPerSecond, long measuredMs) {
+		if (requestsPerSecond == null) {
+			return;
+		}
+		if (requestsPerSecond > 0) {
+			declareRate(state, requestsPerSecond, measuredMs);
+		}
+		else {
+			withdrawRate(state, measuredMs);
+		}
+	}
+
 	/**
 	 * Applies cache events.
 	 * @param id the replica
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -33,6 +33,8 @@
 
 	private final Deque<InFlightCall> endedCalls = new ArrayDeque<>();
 
+	private final DeclaredRate declaredRate = new DeclaredRate();
+
 	private Upstream upstream;
 
 	private int othersInFlight;
@@ -65,7 +67,12 @@
 		this.upstream = upstream;
 	}
 
+	DeclaredRate declaredRate() {
+		return this.declaredRate;
+	}
+
 	InFlightCall startCall(long nowMs, int prefillTokens) {
+		this.declaredRate.take(nowMs);
 		InFlightCall call = new InFlightCall(nowMs, prefillTokens);
 		this.ownCalls.add(call);
 		return call;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ResponseMetadata.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ResponseMetadata.java
@@ -13,8 +13,10 @@
  * @param isMisdirected whether the request reached another replica than the intended one,
  * because the address has been reassigned
  * @param load load of the replica, or {@code null} if it reported none
+ * @param requestsPerSecond rate of requests that the replica accepts from all instances
+ * together, 0 if it declared none
  */
 public record ResponseMetadata(@Nullable String attemptId, boolean isDeclined, boolean isMisdirected,
-		RelayEnd.@Nullable ReportedLoad load) {
+		RelayEnd.@Nullable ReportedLoad load, double requestsPerSecond) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -50,6 +50,8 @@
 
 	private long responseStartedMs;
 
+	private boolean isRateDeclared;
+
 	private boolean isEnded;
 
 	RelayAttempt(ScheduledCallRunner runner, TimerService timer, QueuedCall call, RelayedCall payload,
@@ -91,6 +93,18 @@
 				"the zone of the replica does not answer", false);
 	}
 
+	@Override
+	public void rateDeclared(double requestsPerSecond) {
+		this.isRateDeclared = true;
+		this.runner.index().rateDeclared(this.reservation.upstream().id(), requestsPerSecond);
+	}
+
+	private void endUndeclaredRate() {
+		if (!this.isRateDeclared) {
+			this.runner.index().rateNotDeclared(this.reservation.upstream().id(), this.startedMs);
+		}
+	}
+
 	@Override
 	public void answerStarted(RelayEnd.@Nullable ReportedLoad load) {
 		if (this.isEnded) {
@@ -98,6 +112,7 @@
 		}
 		this.responseStartedMs = this.timer.nowMs();
 		this.runner.index().recordAnswerStarted(this.reservation);
+		endUndeclaredRate();
 		// The load in the header describes the start of the stream and is outdated when
 		// the stream ends, so it is recorded here.
 		recordLoad(load, 0);
@@ -110,6 +125,9 @@
 			return;
 		}
 		finish();
+		if (end.outcome() == RelayOutcome.ANSWERED || end.outcome() == RelayOutcome.DECLINED) {
+			endUndeclaredRate();
+		}
 		// The replica counts the call that carries this report as still running.
 		recordLoad(end.load(), 1);
 		if (end.outcome().isSent()) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -79,8 +79,13 @@
 		return 1 + this.entries.size();
 	}
 
-	List<InstanceId> instanceIds() {
-		return new ArrayList<>(this.entries.keySet());
+	/**
+	 * Returns the other instances that were listed or sent a report. May be called from
+	 * any thread.
+	 * @return identifiers without that of this instance
+	 */
+	public Collection<InstanceId> instanceIds() {
+		return this.entries.keySet();
 	}
 
 	Collection<DirectoryEntry> entries() {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -407,7 +407,7 @@
 		@Test
 		void sharesLoadsWithAllInstances() {
 			start(INSTANCES, true);
-			ObservedLoad load = new ObservedLoad(new UpstreamId("replica"), 7, 0);
+			ObservedLoad load = new ObservedLoad(new UpstreamId("replica"), 7, 0, 4.5);
 			UsageLimiterTests.this.loadsToShare.put(17, List.of(load));
 			UsageLimiterTests.this.timer.advance(1_000);
 			Set<Integer> informed = UsageLimiterTests.this.receivedLoads.keySet();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -31,6 +31,7 @@
 import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.placement.RateShares;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
@@ -166,8 +167,9 @@
 				events);
 		this.configurationWatcher = new ListWatcher(this.store, this.control, random, health, events,
 				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations);
+		this.peers = new UsagePeers(settings.instance());
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
-				random, events);
+				random, events, new RateShares(settings.instance(), this.peers::instanceIds));
 		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
 				settings.storeWaitMaxMs(),
 				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS),
@@ -180,7 +182,6 @@
 				new Observers(decisions, this.invariants, StepListener.NONE));
 		InetSocketAddress peerAddress = Objects.requireNonNull(settings.control(),
 				"the gateway requires an address for other processes, but the settings have none");
-		this.peers = new UsagePeers(settings.instance());
 		this.transport = new TcpPeerTransport(settings.instance(),
 				new PeerTransportSettings(peerAddress.getHostString(), peerAddress.getPort(), "",
 						PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -206,6 +206,10 @@
 		public void responseStarted(HttpResponseStatus receivedStatus, HttpHeaders receivedHeaders,
 				ResponseMetadata metadata) {
 			this.reportedLoad = metadata.load();
+			double requestsPerSecond = metadata.requestsPerSecond();
+			if (requestsPerSecond > 0 && !metadata.isMisdirected()) {
+				RelayTransfer.this.control.execute(() -> this.listener.rateDeclared(requestsPerSecond));
+			}
 			if (metadata.isDeclined()) {
 				this.outcome = RelayOutcome.DECLINED;
 			}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadSimulation.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadSimulation.java
@@ -150,7 +150,8 @@
 		this.sharingIndexes.forEach((index) -> loads.addAll(index.takeObservedLoads()));
 		this.cluster.timer.schedule(LOAD_SHARING_DELAY_MS, () -> {
 			List<ObservedLoad> received = loads.stream()
-				.map((load) -> new ObservedLoad(load.replica(), load.calls(), load.ageMs() + LOAD_SHARING_DELAY_MS))
+				.map((load) -> new ObservedLoad(load.replica(), load.calls(), load.ageMs() + LOAD_SHARING_DELAY_MS,
+						load.requestsPerSecond()))
 				.toList();
 			this.sharingIndexes.forEach((index) -> index.loadsObservedElsewhere(received));
 		});
@@ -197,6 +198,10 @@
 			this.inFlight.merge(key, 1, Integer::sum);
 			return call.relay().send(chosen, request.timeoutMs(), new RelayListener() {
 
+				@Override
+				public void rateDeclared(double requestsPerSecond) {
+				}
+
 				@Override
 				public void answerStarted(RelayEnd.@Nullable ReportedLoad load) {
 				}
