Drop the declared rate of a replica that restarts

A replica that starts again under its identifier knows nothing of before, so its rate has ended with its predecessor. Test: DeclaredRateTests.forgetsRateOfReplicaThatHasRestarted.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/PlacementRule.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/PlacementRule.java
@@ -14,7 +14,10 @@
 	 */
 	WAIT_FOR_LOWEST_COST,
 
-	/** No healthy replica serves the pool. */
+	/**
+	 * No healthy replica serves the pool, or each of them has had as many calls as the
+	 * rate allows that it has declared.
+	 */
 	NO_REPLICA
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -139,6 +139,7 @@
 		this.reportedFreeCacheTokens = ASSUMED_FREE_CACHE_TOKENS;
 		this.ownAtReport = 0;
 		this.freeAtReport = this.upstream.maxConcurrentCalls();
+		this.declaredRate.withdraw(nowMs, nowMs);
 		setOthersInFlight(0, nowMs);
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
@@ -93,14 +93,18 @@
 
 	private int refused;
 
-	private void createInstances(int instances, int replicas) {
+	private static Map<UpstreamId, Upstream> upstreams(int replicas) {
 		Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
 		for (int i = 0; i < replicas; i++) {
 			UpstreamId id = new UpstreamId("r-" + i);
 			upstreams.put(id, new Upstream(id, UpstreamKind.SERVICE, new AvailabilityZone("a"), "127.0.0.1", 1,
 					List.of("s"), 16, false, false));
 		}
-		Configuration configuration = new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), upstreams);
+		return upstreams;
+	}
+
+	private void createInstances(int instances, int replicas) {
+		Configuration configuration = new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), upstreams(replicas));
 		List<InstanceId> ids = new ArrayList<>();
 		for (int i = 0; i < instances; i++) {
 			ids.add(new InstanceId("i-" + i));
@@ -237,11 +241,10 @@
 	// overtake each other.
 	@Test
 	void keepsRateWhenAnswerToEarlierCallArrivesLate() {
+		UpstreamId id = new UpstreamId("r-0");
 		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer, this.random,
 				EventLog.NONE);
-		UpstreamId id = new UpstreamId("r-0");
-		index.setUpstreams(Map.of(id, new Upstream(id, UpstreamKind.SERVICE, new AvailabilityZone("a"), "127.0.0.1", 1,
-				List.of("s"), 16, false, false)));
+		index.setUpstreams(upstreams(1));
 		this.timer.advance(1_000);
 		index.rateDeclared(id, 1);
 		index.rateNotDeclared(id, 900);
@@ -251,6 +254,18 @@
 		assertThat(index.leastLoad("service:s"), is(0.0));
 	}
 
+	// Guards against a rate that outlives the process that declared it.
+	@Test
+	void forgetsRateOfReplicaThatHasRestarted() {
+		UpstreamId id = new UpstreamId("r-0");
+		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer, this.random,
+				EventLog.NONE);
+		index.setUpstreams(upstreams(1));
+		index.rateDeclared(id, 1);
+		index.resetReplica(id);
+		assertThat(index.leastLoad("service:s"), is(0.0));
+	}
+
 	private final class OutcomeCounter implements CallListener {
 
 		@Override
