Begin no programs for replicas that declare a rate while others are busy

Cause: whether a program may begin is decided by the least loaded replica. A replica with a declared rate is nearly idle, so each token of one let a program begin whose further turns went to the engines that were busy already.

Change: such replicas count in this decision only if all replicas of the pool have declared a rate.

Test: DeclaredRateTests doesNotBeginProgramForReplicaWithRateWhileOthersAreBusy.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import net.openhft.hashing.LongHashFunction;
@@ -165,21 +166,28 @@
 	}
 
 	/**
-	 * Returns the load of the least loaded replica of a pool. A replica that may get no
-	 * call now, because of the rate that it has declared, counts as busy.
+	 * Returns the load of the least loaded replica of a pool, which tells whether a
+	 * program may begin. A replica that has declared a rate cannot serve the further
+	 * calls of a program at the pace of its slots, so it only counts if all replicas of
+	 * the pool have declared one, and as busy if it may get no call now.
 	 * @param pool name of the pool
 	 * @return number of calls in flight divided by the number of slots; above 1 if calls
 	 * are queued at all replicas, 0 if the pool is empty
 	 */
 	public double leastLoad(String pool) {
-		double least = Double.MAX_VALUE;
-		for (ReplicaState state : this.replicasByPool.getOrDefault(pool, List.of())) {
-			double inFlight = state.ownInFlight() + state.othersInFlight(this.timer.nowMs());
-			double load = inFlight / Math.max(1, state.upstream().maxConcurrentCalls());
-			double missingTokens = state.declaredRate().missingTokens(this.timer.nowMs());
-			least = Math.min(least, (missingTokens > 0) ? Math.max(load, 1 + missingTokens) : load);
+		long nowMs = this.timer.nowMs();
+		List<ReplicaState> poolReplicas = this.replicasByPool.getOrDefault(pool, List.of());
+		OptionalDouble least = poolReplicas.stream()
+			.filter((state) -> state.declaredRate().requestsPerSecond(nowMs) == 0)
+			.mapToDouble((state) -> state.load(nowMs))
+			.min();
+		if (least.isPresent()) {
+			return least.getAsDouble();
 		}
-		return (least == Double.MAX_VALUE) ? 0 : least;
+		return poolReplicas.stream().mapToDouble((state) -> {
+			double missingTokens = state.declaredRate().missingTokens(nowMs);
+			return (missingTokens > 0) ? Math.max(state.load(nowMs), 1 + missingTokens) : state.load(nowMs);
+		}).min().orElse(0);
 	}
 
 	public boolean hasPool(String pool) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -92,6 +92,11 @@
 		return this.ownCalls.size();
 	}
 
+	// Returns the number of calls in flight divided by the number of slots.
+	double load(long nowMs) {
+		return (double) (ownInFlight() + othersInFlight(nowMs)) / Math.max(1, this.upstream.maxConcurrentCalls());
+	}
+
 	// Applies a load report. The calls that it counts in excess of the calls that this
 	// instance had in flight at the time of the measurement belong to other instances.
 	void applyReport(LoadReport report, long nowMs) {
