Keep the handling of declared rates in a class of its own

ReplicaIndex held it beside the placement input. store.listed logs the time since the last response under its own name. Test of a rate that another instance has observed.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -63,17 +63,7 @@
 	 */
 	private static final double UNREACHABLE_COST_MS = 1_000;
 
-	/**
-	 * Time in milliseconds for which a declared rate applies without being confirmed. An
-	 * instance without a share of the rate sends nothing to the replica and, in a small
-	 * deployment, has no other way to learn that the rate has ended. A random part of the
-	 * same length keeps the instances from trying the replica at the same time.
-	 */
-	private static final long RATE_VALIDITY_MS = 30_000;
-
-	private final RateShares rateShares;
-
-	private final EventLog events;
+	private final DeclaredRates declaredRates;
 
 	private final ZoneReachability zones;
 
@@ -116,8 +106,7 @@
 	 */
 	public ReplicaIndex(AvailabilityZone ownZone, double zoneCrossingMs, PlacementCosts costs, TimerService timer,
 			UniformRandomProvider random, EventLog events, RateShares rateShares) {
-		this.rateShares = rateShares;
-		this.events = events;
+		this.declaredRates = new DeclaredRates(rateShares, timer, random, events);
 		this.ownZone = ownZone;
 		this.zones = new ZoneReachability(ownZone, events);
 		this.zoneCrossingMs = zoneCrossingMs;
@@ -316,7 +305,7 @@
 	public void rateDeclared(UpstreamId id, double requestsPerSecond) {
 		ReplicaState state = this.replicas.get(id);
 		if (state != null) {
-			declareRate(state, requestsPerSecond, this.timer.nowMs());
+			this.declaredRates.declare(state, requestsPerSecond, this.timer.nowMs());
 		}
 	}
 
@@ -329,24 +318,7 @@
 	public void rateNotDeclared(UpstreamId id, long sentMs) {
 		ReplicaState state = this.replicas.get(id);
 		if (state != null) {
-			withdrawRate(state, sentMs);
-		}
-	}
-
-	private void declareRate(ReplicaState state, double requestsPerSecond, long declaredMs) {
-		UpstreamId id = state.upstream().id();
-		double ownRequestsPerSecond = this.rateShares.shareOf(id, requestsPerSecond);
-		long validForMs = RATE_VALIDITY_MS + this.random.nextLong(RATE_VALIDITY_MS);
-		if (state.declaredRate()
-			.declare(requestsPerSecond, ownRequestsPerSecond, declaredMs, validForMs, this.timer.nowMs())) {
-			this.events.record("replica.rate-declared", "replica", id, "requestsPerSecond", requestsPerSecond, "own",
-					ownRequestsPerSecond);
-		}
-	}
-
-	private void withdrawRate(ReplicaState state, long observedMs) {
-		if (state.declaredRate().withdraw(observedMs, this.timer.nowMs())) {
-			this.events.record("replica.rate-ended", "replica", state.upstream().id());
+			this.declaredRates.withdraw(state, sentMs);
 		}
 	}
 
@@ -370,23 +342,11 @@
 			if (state != null) {
 				long measuredMs = this.timer.nowMs() - load.ageMs();
 				state.applyObserved(load.calls(), measuredMs);
-				applyObservedRate(state, load.requestsPerSecond(), measuredMs);
+				this.declaredRates.observedElsewhere(state, load.requestsPerSecond(), measuredMs);
 			}
 		}
 	}
 
-	private void applyObservedRate(ReplicaState state, @Nullable Double requestsPerSecond, long measuredMs) {
-		if (requestsPerSecond == null) {
-			return;
-		}
-		if (requestsPerSecond > 0) {
-			declareRate(state, requestsPerSecond, measuredMs);
-		}
-		else {
-			withdrawRate(state, measuredMs);
-		}
-	}
-
 	/**
 	 * Applies cache events.
 	 * @param id the replica
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -107,7 +107,7 @@
 			this.lastVersion = page.version();
 			this.isListed = true;
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
-					page.objects().size(), "unwatchedMs", unwatchedMs());
+					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
 			this.listener.listed(page.objects());
 			this.lastResponseMs = this.timer.nowMs();
 			watch();
@@ -147,10 +147,6 @@
 		});
 	}
 
-	private long unwatchedMs() {
-		return this.timer.nowMs() - this.lastResponseMs;
-	}
-
 	private void onSuccess() {
 		this.consecutiveFailures = 0;
 		this.health.recordSuccess();
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
@@ -36,6 +36,7 @@
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
+import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.placement.PlacementCosts;
 import dev.nutmegdoor.core.placement.RateShares;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
@@ -103,6 +104,13 @@
 		return upstreams;
 	}
 
+	private ReplicaIndex createIndex(int replicas) {
+		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer, this.random,
+				EventLog.NONE);
+		index.setUpstreams(upstreams(replicas));
+		return index;
+	}
+
 	private void createInstances(int instances, int replicas) {
 		Configuration configuration = new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), upstreams(replicas));
 		List<InstanceId> ids = new ArrayList<>();
@@ -227,9 +235,7 @@
 	// and whose further calls overload the other replicas.
 	@Test
 	void doesNotBeginProgramForReplicaWithRateWhileOthersAreBusy() {
-		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer, this.random,
-				EventLog.NONE);
-		index.setUpstreams(upstreams(2));
+		ReplicaIndex index = createIndex(2);
 		index.rateDeclared(new UpstreamId("r-0"), 5);
 		this.timer.advance(1_000);
 		assertThat(index.leastLoad("service:s"), is(0.0));
@@ -258,9 +264,7 @@
 	@Test
 	void keepsRateWhenAnswerToEarlierCallArrivesLate() {
 		UpstreamId id = new UpstreamId("r-0");
-		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer, this.random,
-				EventLog.NONE);
-		index.setUpstreams(upstreams(1));
+		ReplicaIndex index = createIndex(1);
 		this.timer.advance(1_000);
 		index.rateDeclared(id, 1);
 		index.rateNotDeclared(id, 900);
@@ -270,13 +274,26 @@
 		assertThat(index.leastLoad("service:s"), is(0.0));
 	}
 
+	// Guards against an instance without a share of a rate, which sends nothing to the
+	// replica and would not learn that the rate has ended.
+	@Test
+	void followsRateThatOtherInstanceObserves() {
+		ReplicaIndex index = createIndex(1);
+		UpstreamId id = new UpstreamId("r-0");
+		this.timer.advance(1_000);
+		index.loadsObservedElsewhere(List.of(new ObservedLoad(id, 0, 100, 1.0)));
+		assertThat(index.leastLoad("service:s"), greaterThan(1.0));
+		index.loadsObservedElsewhere(List.of(new ObservedLoad(id, 0, 50, null)));
+		assertThat(index.leastLoad("service:s"), greaterThan(1.0));
+		index.loadsObservedElsewhere(List.of(new ObservedLoad(id, 0, 50, 0.0)));
+		assertThat(index.leastLoad("service:s"), is(0.0));
+	}
+
 	// Guards against a rate that outlives the process that declared it.
 	@Test
 	void forgetsRateOfReplicaThatHasRestarted() {
 		UpstreamId id = new UpstreamId("r-0");
-		ReplicaIndex index = new ReplicaIndex(new AvailabilityZone("a"), 4, COSTS, this.timer, this.random,
-				EventLog.NONE);
-		index.setUpstreams(upstreams(1));
+		ReplicaIndex index = createIndex(1);
 		index.rateDeclared(id, 1);
 		index.resetReplica(id);
 		assertThat(index.leastLoad("service:s"), is(0.0));
