--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
 
 import net.openhft.hashing.LongHashFunction;
@@ -155,25 +154,15 @@
 	}
 
 	/**
-	 * Returns the load of the least loaded replica of a pool, which tells whether a
-	 * program may begin. A replica that has declared a rate cannot serve the further
-	 * calls of a program at the pace of its slots, so it only counts if all replicas of
-	 * the pool have declared one, and as busy if it may get no call now.
+	 * Returns the load of the least loaded replica of a pool. A replica that may get no
+	 * call now, because of the rate that it has declared, counts as busy.
 	 * @param pool name of the pool
 	 * @return number of calls in flight divided by the number of slots; above 1 if calls
 	 * are queued at all replicas, 0 if the pool is empty
 	 */
 	public double leastLoad(String pool) {
 		long nowMs = this.timer.nowMs();
-		List<ReplicaState> poolReplicas = this.replicasByPool.getOrDefault(pool, List.of());
-		OptionalDouble least = poolReplicas.stream()
-			.filter((state) -> state.declaredRate().requestsPerSecond(nowMs) == 0)
-			.mapToDouble((state) -> state.load(nowMs))
-			.min();
-		if (least.isPresent()) {
-			return least.getAsDouble();
-		}
-		return poolReplicas.stream().mapToDouble((state) -> {
+		return this.replicasByPool.getOrDefault(pool, List.of()).stream().mapToDouble((state) -> {
 			double missingTokens = state.declaredRate().missingTokens(nowMs);
 			return (missingTokens > 0) ? Math.max(state.load(nowMs), 1 + missingTokens) : state.load(nowMs);
 		}).min().orElse(0);
