--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -291,6 +291,17 @@
 			assertThat(response, containsString("Retry-After: 0."));
 		}
 
+		// Guards against a replica that gets more requests than it has declared to
+		// accept,
+		// and against a caller that is told nothing about a request that has not run.
+		@Test
+		void sendsNoFurtherRequestWhileReplicaDeclaresLowRate() throws Exception {
+			GatewayTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "Server-Limit: 0.01\r\n", "answer"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 200"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 503"));
+			assertThat(GatewayTests.this.replica.requests, hasSize(1));
+		}
+
 		// Guards against a truncated response that looks complete to the client.
 		@Test
 		void closesConnectionWhenReplicaClosesDuringResponse() throws Exception {
