Refuse a call at once if no replica accepts one before its deadline

Cause: with all replicas of a pool limited by declared rates, or at an instance without a part of any of them, a call waited in the queue until its deadline was near, although the time until the next token is known.

Change: the expected wait of a call is at least the time until a replica of its pool may get one.

The test failed before: DeclaredRateTests.refusesCallAtOnceWhenNoReplicaAcceptsOneBeforeItsDeadline (0 of 20 refused).

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/DeclaredRate.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/DeclaredRate.java
@@ -88,6 +88,17 @@
 		return Math.max(0, 1 - this.tokens);
 	}
 
+	/**
+	 * Returns the time until the next request may be sent.
+	 * @param nowMs current time in milliseconds
+	 * @return milliseconds, at most the time until the rate ends unless it is confirmed
+	 */
+	double waitMs(long nowMs) {
+		double missingTokens = missingTokens(nowMs);
+		return (missingTokens > 0) ? Math.min(missingTokens * MS_PER_SECOND / this.ownRequestsPerSecond,
+				(double) (this.validUntilMs - nowMs)) : 0;
+	}
+
 	void take(long nowMs) {
 		if (requestsPerSecond(nowMs) > 0) {
 			refill(nowMs);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -168,6 +168,21 @@
 		}).min().orElse(0);
 	}
 
+	/**
+	 * Returns the time until a replica of a pool may get a call by the rates that the
+	 * replicas have declared.
+	 * @param pool name of the pool
+	 * @return milliseconds, 0 if one may get a call now
+	 */
+	public double rateWaitMs(String pool) {
+		long nowMs = this.timer.nowMs();
+		return this.replicasByPool.getOrDefault(pool, List.of())
+			.stream()
+			.mapToDouble((state) -> state.declaredRate().waitMs(nowMs))
+			.min()
+			.orElse(0);
+	}
+
 	public boolean hasPool(String pool) {
 		return this.replicasByPool.containsKey(pool);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -120,7 +120,8 @@
 		FairQueue queue = this.queuesByPool.computeIfAbsent(pool,
 				(name) -> new FairQueue(this.settings.firstDispatchGapMs()));
 		QueueInput input = new QueueInput(this.index.hasPool(pool), queue.queuedCalls(request.workspace()),
-				this.settings.maxQueuedPerWorkspace(), queue.expectedWaitMs(request.workspace()),
+				this.settings.maxQueuedPerWorkspace(),
+				Math.max(queue.expectedWaitMs(request.workspace()), this.index.rateWaitMs(pool)),
 				this.callCosts.minServiceMs(request), request.timeoutMs(), this.index.leastLoad(pool),
 				maxLoad(request));
 		Refusal refusal = input.decide();
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
@@ -231,6 +231,20 @@
 		assertThat(this.callCount - this.answered - this.refused, lessThanOrEqualTo(2));
 	}
 
+	// Guards against a call that waits until its deadline although no replica accepts
+	// one before.
+	@Test
+	void refusesCallAtOnceWhenNoReplicaAcceptsOneBeforeItsDeadline() {
+		createInstances(1, 1);
+		this.declaringReplicas = 1;
+		this.declaredRate = 0.1;
+		run(1, 1_000, false);
+		this.timer.advance(CALL_MS);
+		assertThat(this.answered, is(1));
+		run(20, 1_000, false);
+		assertThat(this.refused, is(20));
+	}
+
 	// Guards against a replica that stays limited after it has stopped declaring a rate.
 	@Test
 	void liftsLimitWhenReplicaAnswersWithoutRate() {
