--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -49,6 +49,8 @@
 
 	private final int tokensPerEvent;
 
+	private final RequestFingerprint fingerprint;
+
 	private volatile long sentMs;
 
 	/**
@@ -71,6 +73,8 @@
 		this.control = control;
 		this.events = events;
 		this.tokensPerEvent = tokensPerEvent;
+		this.fingerprint = RequestFingerprint.of(exchange.method(), exchange.request().uri(),
+				exchange.workspaceOrNull(), body);
 	}
 
 	@Override
@@ -310,10 +314,10 @@
 			RelayTransfer.this.events.record("request.sent", "attempt", routed().attemptId(), "decision",
 					RelayTransfer.this.exchange.decision(), "workspace",
 					String.valueOf(RelayTransfer.this.exchange.workspaceOrNull()), "route", routed().route().name(),
-					"version", routed().table().version(), "replica", this.upstream.id(), "sentMs",
-					RelayTransfer.this.sentMs, "timeLeftMs", this.timeLeftMs, "outcome", sendOutcome, "status",
-					statusCode, "tokens", end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(),
-					"detail", detail);
+					"version", routed().table().version(), "fingerprint", RelayTransfer.this.fingerprint, "replica",
+					this.upstream.id(), "sentMs", RelayTransfer.this.sentMs, "timeLeftMs", this.timeLeftMs, "outcome",
+					sendOutcome, "status", statusCode, "tokens", end.generatedTokens(), "elapsedMs",
+					RelayTransfer.this.exchange.elapsedMs(), "detail", detail);
 			RelayTransfer.this.control.execute(() -> this.listener.ended(end));
 		}
 
