--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +43,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
@@ -317,6 +319,68 @@
 
 	}
 
+	@Nested
+	class RequestsThatCrashReplicas {
+
+		private static final int REPLICAS = 12;
+
+		/** Crashes after which a request must not be sent any more, and three retries. */
+		private static final int MAX_CRASHES = 6;
+
+		private static final String KEY = "Authorization: Bearer key-1\r\n";
+
+		private final List<ReplicaServer> replicas = new ArrayList<>();
+
+		private void startReplicas() throws Exception {
+			GatewayTests.this.replica.respondWith(this::respondOrCrash);
+			this.replicas.add(GatewayTests.this.replica);
+			for (int i = 2; i <= REPLICAS; i++) {
+				ReplicaServer added = new ReplicaServer();
+				added.respondWith(this::respondOrCrash);
+				this.replicas.add(added);
+				put("servers", "r-" + i, """
+						{"Service":"s","Addr":"%s:%d","Zone":"a","Slots":4,"State":"ready","Seq":1}""".formatted(HOST,
+						added.port()));
+			}
+			await(() -> dump().contains("replicas=" + REPLICAS));
+		}
+
+		private void respondOrCrash(ReplicaServer.Request request, OutputStream output) throws IOException {
+			if (!request.body.startsWith("crash")) {
+				ReplicaServer.fixedResponse(200, "", "answer").respond(request, output);
+				return;
+			}
+			for (ReplicaServer candidate : this.replicas) {
+				if (candidate.isServing(request)) {
+					candidate.crash();
+				}
+			}
+		}
+
+		private long crashedReplicas() {
+			return this.replicas.stream().filter(ReplicaServer::isCrashed).count();
+		}
+
+		@AfterEach
+		void stopReplicas() throws IOException {
+			for (ReplicaServer added : this.replicas) {
+				added.close();
+			}
+		}
+
+		// Guards against a request that crashes one replica after the other.
+		@Test
+		void getNoFurtherReplicaAfterThreeCrashes() throws Exception {
+			startReplicas();
+			for (int i = 0; i < REPLICAS; i++) {
+				exchange("/safe/a", KEY, "crash");
+			}
+			assertThat(crashedReplicas(), lessThanOrEqualTo((long) MAX_CRASHES));
+			assertThat(exchange("/safe/a", KEY, "other body"), containsString("HTTP/1.1 200"));
+		}
+
+	}
+
 	@Nested
 	class EndlessResponses {
 
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/ReplicaServer.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/ReplicaServer.java
@@ -11,8 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 
 /**
@@ -26,6 +28,8 @@
 
 	private final ServerSocket server;
 
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
 	private volatile Responder responder = (request, output) -> {
 	};
 
@@ -60,6 +64,7 @@
 		while (!this.server.isClosed()) {
 			try {
 				Socket socket = this.server.accept();
+				this.sockets.add(socket);
 				Thread thread = new Thread(() -> serve(socket), "replica-connection");
 				thread.setDaemon(true);
 				thread.start();
@@ -117,6 +122,27 @@
 		return request;
 	}
 
+	/**
+	 * Ends like a process that crashes: accepts no connection and closes all that are
+	 * open.
+	 */
+	void crash() throws IOException {
+		this.server.close();
+		for (Socket socket : this.sockets) {
+			socket.close();
+		}
+	}
+
+	boolean isCrashed() {
+		return this.server.isClosed();
+	}
+
+	boolean isServing(Request request) {
+		synchronized (this.requests) {
+			return this.requests.contains(request);
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.server.close();
