Withhold requests that crashed three replicas

Cause: nothing remembered what a request did to the replicas that ran it. Each client attempt started anew at any gateway.

RequestQuarantine counts crashes of replicas by the content of a request and by its path and workspace, over all gateways: the crashes travel with the usage reports. From the third independent crash on the request is refused at once. A lost connection counts as a crash unless another connection to the replica outlives it; a completed request clears its content and its path. The path is needed besides the content: the body of a turn contains the turns before it, so programs for the same object send bodies of different lengths.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
@@ -17,6 +17,11 @@
 	/** The replica stated that it did not run the request. */
 	DECLINED(RunState.NOT_RUN, true, false),
 
+	/**
+	 * The request was not sent, because replicas have crashed while they had it.
+	 */
+	WITHHELD(RunState.NOT_RUN, false, false),
+
 	/** The connection failed before any part of a response was forwarded. */
 	BROKEN(RunState.UNKNOWN, true, true),
 
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Recognises requests that crash the replicas that run them, and keeps them from further
+ * replicas.
+ */
+@NullMarked
+package dev.nutmegdoor.core.quarantine;
+
+import org.jspecify.annotations.NullMarked;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -184,6 +184,9 @@
 	}
 
 	private boolean isRetryable(RelayOutcome outcome) {
+		if (outcome == RelayOutcome.WITHHELD) {
+			return false;
+		}
 		if (outcome.run() == RunState.NOT_RUN) {
 			return this.call.sendCount < this.payload.maxReplicas();
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageDigest.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageDigest.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.placement.ObservedLoad;
+import dev.nutmegdoor.core.quarantine.SuspectRequest;
 
 /**
  * Passes on what a relay has learned from others since its last digest. Counts are
@@ -20,15 +23,25 @@
  * their counts include what was admitted in the gap and only set the starting point
  * @param entries instances whose counts have changed
  * @param loads latest loads of replicas that were observed since the last digest
+ * @param suspects requests that replicas had when they crashed; {@code null}, which is
+ * read as none, from an instance of an older version
  */
 public record UsageDigest(AvailabilityZone zone, String host, int port, int knownInstances, int reachableInstances,
-		List<AvailabilityZone> resumedZones, List<UsageEntry> entries,
-		List<ObservedLoad> loads) implements PeerMessage {
+		List<AvailabilityZone> resumedZones, List<UsageEntry> entries, List<ObservedLoad> loads,
+		List<SuspectRequest> suspects) implements PeerMessage {
 
-	public UsageDigest {
-		resumedZones = List.copyOf(resumedZones);
-		entries = List.copyOf(entries);
-		loads = List.copyOf(loads);
+	public UsageDigest(AvailabilityZone zone, String host, int port, int knownInstances, int reachableInstances,
+			List<AvailabilityZone> resumedZones, List<UsageEntry> entries, List<ObservedLoad> loads,
+			@Nullable List<SuspectRequest> suspects) {
+		this.zone = zone;
+		this.host = host;
+		this.port = port;
+		this.knownInstances = knownInstances;
+		this.reachableInstances = reachableInstances;
+		this.resumedZones = List.copyOf(resumedZones);
+		this.entries = List.copyOf(entries);
+		this.loads = List.copyOf(loads);
+		this.suspects = (suspects != null) ? List.copyOf(suspects) : List.of();
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
@@ -12,6 +12,8 @@
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.placement.ObservedLoads;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
+import dev.nutmegdoor.core.quarantine.SuspectRequest;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -42,6 +44,8 @@
 
 	private final LoadSharing loadSharing;
 
+	private final RequestQuarantine quarantine;
+
 	private final UsageRelays relays;
 
 	private final long startedMs;
@@ -71,10 +75,12 @@
 	 * @param isFirstStart whether the entire system starts for the first time
 	 * @param listener receives admissions of other instances
 	 * @param loadSharing supplies and receives loads of replicas
+	 * @param quarantine supplies and receives requests that replicas had when they
+	 * crashed
 	 */
 	UsageExchange(PeerTransport transport, UsagePeers peers, TimerService timer, EventLog eventLog,
 			UsageSettings settings, LocalUsageEndpoint endpoint, boolean isFirstStart, UsageListener listener,
-			LoadSharing loadSharing) {
+			LoadSharing loadSharing, RequestQuarantine quarantine) {
 		this.transport = transport;
 		this.peers = peers;
 		this.timer = timer;
@@ -84,6 +90,7 @@
 		this.isFirstStart = isFirstStart;
 		this.listener = listener;
 		this.loadSharing = loadSharing;
+		this.quarantine = quarantine;
 		this.startedMs = timer.nowMs();
 		this.relays = new UsageRelays(transport, peers, settings, endpoint, this.startedMs, isFirstStart);
 		transport.subscribe(UsageReport.class, (from, report) -> {
@@ -133,9 +140,11 @@
 		for (String workspace : this.unreportedWorkspaces) {
 			this.isUrgent |= this.listener.isLow(new WorkspaceId(workspace));
 		}
-		sendReportIfDue(nowMs);
+		List<SuspectRequest> suspects = this.quarantine.takeDue();
+		this.isUrgent |= !suspects.isEmpty();
+		sendReportIfDue(suspects, nowMs);
 		if (this.relays.areInUse()) {
-			this.relays.sendDigestsIfDue(this.isUrgent, nowMs);
+			this.relays.sendDigestsIfDue(this.isUrgent, suspects, nowMs);
 		}
 		this.isUrgent = false;
 	}
@@ -149,14 +158,14 @@
 		}
 	}
 
-	private void sendReportIfDue(long nowMs) {
+	private void sendReportIfDue(List<SuspectRequest> suspects, long nowMs) {
 		List<ObservedLoad> observedLoads = this.loadSharing.takeObservedLoads();
 		// In a small deployment each instance sees enough responses of its own.
 		if (this.relays.areInUse()) {
 			this.unreportedLoads.add(observedLoads, nowMs);
 		}
 		boolean isChanged = !this.unreportedWorkspaces.isEmpty() || !this.unreportedLoads.isEmpty()
-				|| !this.isFirstReportSent;
+				|| !suspects.isEmpty() || !this.isFirstReportSent;
 		long periodMs = isChanged ? (this.isUrgent ? 0 : this.settings.calmPeriodMs()) : this.settings.quietPeriodMs();
 		if (nowMs - this.lastReportMs < periodMs) {
 			return;
@@ -170,11 +179,11 @@
 				.forEach((workspace) -> changedTotals.put(workspace, this.admittedTotals.getOrDefault(workspace, 0L)));
 			this.relays.addOwn(changedTotals, loads, nowMs);
 			this.transport.sendAll(this.relays.reportReceivers(isStarting(), nowMs),
-					report(changedTotals, Map.of(), isStarting(), loads));
+					report(changedTotals, Map.of(), isStarting(), loads, suspects));
 		}
 		else {
 			this.transport.sendAll(this.peers.instanceIds(),
-					report(this.admittedTotals, this.listener.levels(), isStarting(), loads));
+					report(this.admittedTotals, this.listener.levels(), isStarting(), loads, suspects));
 		}
 		this.unreportedWorkspaces.clear();
 	}
@@ -184,9 +193,9 @@
 	}
 
 	private UsageReport report(Map<String, Long> totals, Map<String, Long> levels, boolean isStarting,
-			List<ObservedLoad> loads) {
+			List<ObservedLoad> loads, List<SuspectRequest> suspects) {
 		return new UsageReport(this.endpoint.incarnation(), this.endpoint.zone(), this.endpoint.host(),
-				this.endpoint.port(), isStarting, totals, levels, this.timer.nowMs() - this.startedMs, loads);
+				this.endpoint.port(), isStarting, totals, levels, this.timer.nowMs() - this.startedMs, loads, suspects);
 	}
 
 	private void receive(InstanceId from, UsageReport report) {
@@ -196,6 +205,7 @@
 		Map<String, Long> directIncreases = peer.merge(report);
 		peer.recordReport(report, nowMs);
 		this.loadSharing.loadsObservedElsewhere(report.loads());
+		this.quarantine.observedElsewhere(report.suspects(), this.relays.areInUse());
 		if (this.relays.areInUse()) {
 			deduct(this.relays.addReport(from, report, nowMs));
 		}
@@ -206,7 +216,8 @@
 			report.levels().forEach((name, level) -> this.listener.levelReported(new WorkspaceId(name), level));
 		}
 		if (report.isStarting()) {
-			this.transport.send(from, report(this.admittedTotals, this.listener.levels(), false, List.of()));
+			this.transport.send(from,
+					report(this.admittedTotals, this.listener.levels(), false, List.of(), this.quarantine.all()));
 		}
 	}
 
@@ -214,6 +225,7 @@
 		long nowMs = this.timer.nowMs();
 		this.peers.recordContact(from, digest, nowMs);
 		this.loadSharing.loadsObservedElsewhere(digest.loads());
+		this.quarantine.observedElsewhere(digest.suspects(), this.relays.areInUse());
 		deduct(this.relays.addDigest(from, digest, nowMs));
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -15,6 +15,7 @@
 import dev.nutmegdoor.core.limit.RateLimiter;
 import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -64,16 +65,18 @@
 	 * instance can have admitted anything
 	 * @param loadSharing supplies and receives loads of replicas, which travel with the
 	 * reports
+	 * @param quarantine supplies and receives requests that replicas had when they
+	 * crashed, which travel with the reports as well
 	 */
 	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
 			UniformRandomProvider random, EventLog eventLog, UsageSettings settings, LocalUsageEndpoint self,
-			boolean isFirstStart, LoadSharing loadSharing) {
+			boolean isFirstStart, LoadSharing loadSharing, RequestQuarantine quarantine) {
 		this.configuration = configuration;
 		this.timer = timer;
 		this.random = random;
 		this.isFirstStart = isFirstStart;
 		this.exchange = new UsageExchange(transport, peers, timer, eventLog, settings, self, isFirstStart,
-				new BucketListener(), loadSharing);
+				new BucketListener(), loadSharing, quarantine);
 		timer.subscribe(settings.reportPeriodMs(), () -> {
 			this.exchange.sendIfDue();
 			processWaitQueues();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageRelays.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageRelays.java
@@ -15,6 +15,7 @@
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.placement.ObservedLoads;
+import dev.nutmegdoor.core.quarantine.SuspectRequest;
 
 /**
  * Passes usage on in large deployments. Each instance reports to the relays of its zone;
@@ -204,10 +205,11 @@
 
 	/**
 	 * Sends digests if this instance is a relay and one is due.
-	 * @param isUrgent whether a bucket with changes is low
+	 * @param isUrgent whether a bucket with changes is low or there are suspects
+	 * @param suspects requests that replicas had when they crashed, to pass on
 	 * @param nowMs current time in milliseconds
 	 */
-	void sendDigestsIfDue(boolean isUrgent, long nowMs) {
+	void sendDigestsIfDue(boolean isUrgent, List<SuspectRequest> suspects, long nowMs) {
 		if (!isRelay(nowMs)) {
 			this.pendingForZone.drain((instance, workspaces) -> null);
 			this.pendingForOtherZones.drain((instance, workspaces) -> null);
@@ -216,7 +218,7 @@
 			return;
 		}
 		boolean isChanged = !this.pendingForZone.isEmpty() || !this.pendingForOtherZones.isEmpty()
-				|| !this.loadsForZone.isEmpty();
+				|| !this.loadsForZone.isEmpty() || !suspects.isEmpty();
 		long periodMs = isChanged ? (isUrgent ? 0 : this.settings.calmPeriodMs()) : this.settings.quietPeriodMs();
 		if (nowMs - this.lastDigestMs < periodMs) {
 			return;
@@ -225,20 +227,20 @@
 		Collection<InstanceId> otherRelays = otherRelays(nowMs);
 		otherRelays.forEach((relay) -> this.choice.sent(relay, nowMs));
 		this.transport.sendAll(otherRelays, digest(knownInZone(nowMs), reachableInZone(nowMs), List.of(),
-				this.pendingForOtherZones, this.loadsForOtherZones, nowMs));
+				this.pendingForOtherZones, this.loadsForOtherZones, suspects, nowMs));
 		this.transport.sendAll(this.peers.recent(this.endpoint.zone(), nowMs, this.settings),
 				digest(knownInstances(nowMs), reachableInstances(nowMs), resumedZones(nowMs), this.pendingForZone,
-						this.loadsForZone, nowMs));
+						this.loadsForZone, suspects, nowMs));
 	}
 
 	private UsageDigest digest(int known, int reachable, List<AvailabilityZone> resumedZones, PendingCounts pending,
-			ObservedLoads loads, long nowMs) {
+			ObservedLoads loads, List<SuspectRequest> suspects, long nowMs) {
 		List<UsageEntry> entries = pending.drain((instance, workspaces) -> {
 			UsageOrigin origin = this.origins.get(instance);
 			return (origin != null) ? origin.toEntry(instance, workspaces, nowMs) : null;
 		});
 		return new UsageDigest(this.endpoint.zone(), this.endpoint.host(), this.endpoint.port(), known, reachable,
-				resumedZones, entries, loads.drain(nowMs));
+				resumedZones, entries, loads.drain(nowMs), suspects);
 	}
 
 	private List<AvailabilityZone> resumedZones(long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
@@ -8,6 +8,7 @@
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.placement.ObservedLoad;
+import dev.nutmegdoor.core.quarantine.SuspectRequest;
 
 /**
  * Reports what an instance has admitted since its start. It is sent several times a
@@ -27,13 +28,16 @@
  * @param uptimeMs time since the start of the sender in milliseconds
  * @param loads loads of replicas that the sender has observed since its last report;
  * {@code null}, which is read as none, from an instance of an older version
+ * @param suspects requests that replicas had when they crashed; {@code null}, which is
+ * read as none, from an instance of an older version
  */
 public record UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
-		Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs,
-		List<ObservedLoad> loads) implements PeerMessage {
+		Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs, List<ObservedLoad> loads,
+		List<SuspectRequest> suspects) implements PeerMessage {
 
 	public UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
-			Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs, @Nullable List<ObservedLoad> loads) {
+			Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs, @Nullable List<ObservedLoad> loads,
+			@Nullable List<SuspectRequest> suspects) {
 		this.incarnation = incarnation;
 		this.zone = zone;
 		this.host = host;
@@ -43,6 +47,7 @@
 		this.levels = Map.copyOf(levels);
 		this.uptimeMs = uptimeMs;
 		this.loads = (loads != null) ? List.copyOf(loads) : List.of();
+		this.suspects = (suspects != null) ? List.copyOf(suspects) : List.of();
 	}
 
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -31,6 +31,7 @@
 import dev.nutmegdoor.core.membership.DirectoryEntry;
 import dev.nutmegdoor.core.peer.PeerTransport;
 import dev.nutmegdoor.core.placement.ObservedLoad;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -95,7 +96,7 @@
 		UsageLimiter limiter = new UsageLimiter(this.network.join(host), peers, this.configuration, host, this.random,
 				EventLog.NONE, UsageSettings.DEFAULT,
 				new LocalUsageEndpoint("run-" + this.hosts.size(), zone(index), "10.0.0." + index, 1), isFirstStart,
-				new RecordingLoadSharing(index));
+				new RecordingLoadSharing(index), new RequestQuarantine(host, EventLog.NONE));
 		this.limiters.add(limiter);
 		return limiter;
 	}
@@ -272,7 +273,7 @@
 
 		private void report(PeerTransport peer, long requests) {
 			peer.send(new InstanceId("i-0"), new UsageReport("run-p", zone(1), "10.0.0.9", 1, false,
-					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000, List.of()));
+					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000, List.of(), List.of()));
 		}
 
 	}
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
@@ -0,0 +1,58 @@
+package dev.nutmegdoor.node.relay;
+
+import java.util.concurrent.TimeUnit;
+
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.quarantine.RequestFingerprint;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
+import dev.nutmegdoor.node.entry.ControlBridge;
+
+/**
+ * Tells a crash of a replica from the failure of a single connection: a crash closes all
+ * connections to the replica. Confined to the event loop of the pool.
+ */
+final class CrashWatch {
+
+	/**
+	 * Time in milliseconds in which the other connections of a crashed replica are closed
+	 * as well; several times the delay between zones.
+	 */
+	private static final long CHECK_DELAY_MS = RequestQuarantine.CONFIRMATION_MS / 2;
+
+	private final UpstreamPool pool;
+
+	private final RequestQuarantine quarantine;
+
+	private final ControlBridge control;
+
+	/**
+	 * Creates a watch.
+	 * @param pool connections to replicas
+	 * @param quarantine receives the crashes, on the control thread
+	 * @param control runs tasks on the control thread
+	 */
+	CrashWatch(UpstreamPool pool, RequestQuarantine quarantine, ControlBridge control) {
+		this.pool = pool;
+		this.quarantine = quarantine;
+		this.control = control;
+	}
+
+	/**
+	 * Called when the connection to a replica is lost while it has a request. The replica
+	 * counts as crashed unless another connection to it outlives this one.
+	 * @param fingerprint fingerprint of the request
+	 * @param upstream the replica
+	 * @param sentMs time at which the request was sent in milliseconds
+	 */
+	void connectionLost(RequestFingerprint fingerprint, Upstream upstream, long sentMs) {
+		long lostNs = System.nanoTime();
+		long lostMs = this.control.timers().nowMs();
+		this.control.execute(() -> this.quarantine.crashed(fingerprint, upstream.id(), sentMs, lostMs));
+		this.pool.eventLoop().schedule(() -> {
+			if (this.pool.hasConnectionSince(upstream, lostNs)) {
+				this.control.execute(() -> this.quarantine.survived(fingerprint, upstream.id(), lostMs));
+			}
+		}, CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -33,6 +33,7 @@
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.placement.RateShares;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
@@ -122,6 +123,8 @@
 
 	private final Deployment deployment;
 
+	private final RequestQuarantine quarantine;
+
 	private final UsagePeers peers;
 
 	private final LedgerMembers ledgerMembers = new LedgerMembers();
@@ -162,6 +165,7 @@
 				Set.of(ConfigurationDecoder.KIND))
 			.store();
 		this.deployment = new Deployment(this.invariants, events);
+		this.quarantine = new RequestQuarantine(this.control, events);
 		StoreHealth health = new StoreHealth(this.control);
 		ConfigurationListener configurations = new ConfigurationListener(this.deployment, new ConfigurationDecoder(),
 				events);
@@ -193,7 +197,7 @@
 		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
 				events, UsageSettings.DEFAULT, new LocalUsageEndpoint(incarnation, settings.zone(),
 						peerAddress.getHostString(), peerAddress.getPort()),
-				settings.isFirstStart(), new IndexLoadSharing(index));
+				settings.isFirstStart(), new IndexLoadSharing(index), this.quarantine);
 		TokenBudgets budgets = new TokenBudgets(new LedgerDependencies(this.transport, this.ledgerMembers,
 				() -> this.peers.reachable(settings.zone(), this.control.nowMs(), UsageSettings.DEFAULT), this.control,
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
@@ -204,7 +208,7 @@
 		ControlBridge controlBridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
-				events);
+				events, this.quarantine);
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
@@ -328,10 +332,11 @@
 	}
 
 	private Mono<String> dump() {
-		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
-				+ this.isDraining + " configuration=" + this.deployment.current().version() + " replicas="
-				+ this.deployment.current().upstreams().size() + " ledgerReplicas=" + this.ledgerMembers.all().size()
-				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+		return Mono.fromFuture(this.control
+			.call(() -> "instance=" + this.settings.instance() + " leaving=" + this.isDraining + " configuration="
+					+ this.deployment.current().version() + " replicas=" + this.deployment.current().upstreams().size()
+					+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
+					+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
 	}
 
 	/**
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -9,11 +9,15 @@
 import dev.nutmegdoor.core.call.CallHandle;
 import dev.nutmegdoor.core.call.CallRequest;
 import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.id.WorkspaceId;
 import dev.nutmegdoor.core.limit.RequestStage;
+import dev.nutmegdoor.core.quarantine.RequestFingerprint;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.route.RequestMetadata;
 import dev.nutmegdoor.core.route.RoutedService;
 import dev.nutmegdoor.core.route.ServiceRoute;
@@ -53,6 +57,8 @@
 
 	private final EventLog events;
 
+	private final RequestQuarantine quarantine;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -61,14 +67,17 @@
 	 * @param random selects the service of a route that is split among several; used on
 	 * the event loop
 	 * @param events receives an event for each send
+	 * @param quarantine knows the requests that must not be sent; used on the control
+	 * thread
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
-			EventLog events) {
+			EventLog events, RequestQuarantine quarantine) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
 		this.random = random;
 		this.events = events;
+		this.quarantine = quarantine;
 	}
 
 	@Override
@@ -90,13 +99,23 @@
 		RoutedService service = routed.table().service(serviceName);
 		int tokensPerEvent = (service != null && route.kind().isStream()) ? service.tokensPerEvent() : 0;
 		RelayResponse response = new RelayResponse(exchange);
+		RequestFingerprint fingerprint = RequestFingerprint.of(exchange.method(), exchange.path(),
+				exchange.request().uri(), exchange.workspaceOrNull(), body);
 		RelayTransfer transfer = new RelayTransfer(exchange, body, response, this.pool, this.control, this.events,
-				tokensPerEvent);
+				tokensPerEvent, fingerprint, this.quarantine);
 		CallRequest request = callRequest(exchange, routed, serviceName, transfer);
 		RelayCallListener listener = new RelayCallListener(exchange, response, this.pool.eventLoop(), this.control);
 		CallHandle[] handle = new CallHandle[1];
 		exchange.relayed();
-		this.control.execute(() -> handle[0] = this.runner.run(request, listener));
+		this.control.execute(() -> {
+			long withheldMs = this.quarantine.withheldMs(fingerprint);
+			if (withheldMs > 0) {
+				listener.refused(Refusal.notRun(RefusalReason.QUARANTINED,
+						"replicas crashed while they had this request", withheldMs));
+				return;
+			}
+			handle[0] = this.runner.run(request, listener);
+		});
 		return response.respond().doOnCancel(() -> this.control.execute(() -> {
 			if (handle[0] != null) {
 				handle[0].cancel();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
@@ -19,6 +20,8 @@
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.limit.RequestStage;
+import dev.nutmegdoor.core.quarantine.RequestFingerprint;
+import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.route.ResponseMetadata;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
@@ -51,6 +54,10 @@
 
 	private final RequestFingerprint fingerprint;
 
+	private final RequestQuarantine quarantine;
+
+	private final CrashWatch crashWatch;
+
 	private volatile long sentMs;
 
 	/**
@@ -63,9 +70,11 @@
 	 * @param events receives an event for each send
 	 * @param tokensPerEvent number of tokens that one event of the response stands for; 0
 	 * if the response is not a stream
+	 * @param fingerprint fingerprint of the request
+	 * @param quarantine knows the requests that must not be sent
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
-			EventLog events, int tokensPerEvent) {
+			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
@@ -73,14 +82,21 @@
 		this.control = control;
 		this.events = events;
 		this.tokensPerEvent = tokensPerEvent;
-		this.fingerprint = RequestFingerprint.of(exchange.method(), exchange.request().uri(),
-				exchange.workspaceOrNull(), body);
+		this.fingerprint = fingerprint;
+		this.quarantine = quarantine;
+		this.crashWatch = new CrashWatch(pool, quarantine, control);
 	}
 
 	@Override
 	public CallHandle send(Upstream upstream, long timeLeftMs, RelayListener listener) {
+		if (this.quarantine.withheldMs(this.fingerprint) > 0) {
+			listener
+				.ended(new RelayEnd(RelayOutcome.WITHHELD, 0, 0, null, "replicas crashed while they had the request"));
+			return () -> {
+			};
+		}
 		this.sentMs = this.exchange.elapsedMs();
-		SendAttempt attempt = new SendAttempt(upstream, timeLeftMs, listener);
+		SendAttempt attempt = new SendAttempt(upstream, timeLeftMs, listener, this.control.timers().nowMs());
 		this.pool.eventLoop().execute(attempt::start);
 		return () -> this.pool.eventLoop().execute(attempt::cancel);
 	}
@@ -100,6 +116,8 @@
 
 		private final RelayListener listener;
 
+		private final long startedMs;
+
 		private final ServerSentEventCounter eventCounter = new ServerSentEventCounter();
 
 		private HttpHeaders headers = HopByHopHeaders.without(RelayTransfer.this.exchange.request().requestHeaders());
@@ -118,10 +136,11 @@
 
 		private boolean isEnded;
 
-		private SendAttempt(Upstream upstream, long timeLeftMs, RelayListener listener) {
+		private SendAttempt(Upstream upstream, long timeLeftMs, RelayListener listener, long startedMs) {
 			this.upstream = upstream;
 			this.timeLeftMs = timeLeftMs;
 			this.listener = listener;
+			this.startedMs = startedMs;
 		}
 
 		private void start() {
@@ -281,15 +300,23 @@
 			if (this.outcome == RelayOutcome.ANSWERED) {
 				forwardHead();
 				RelayTransfer.this.response.complete();
+				if (!isServerError(this.status)) {
+					RelayTransfer.this.control
+						.execute(() -> RelayTransfer.this.quarantine.completed(RelayTransfer.this.fingerprint));
+				}
 			}
 			end(this.outcome, "status " + this.status);
 		}
 
 		@Override
-		public void failed(String reason) {
+		public void failed(String reason, boolean isConnectionLost) {
 			if (this.isEnded) {
 				return;
 			}
+			if (isConnectionLost) {
+				RelayTransfer.this.crashWatch.connectionLost(RelayTransfer.this.fingerprint, this.upstream,
+						this.startedMs);
+			}
 			if (this.isHeadForwarded) {
 				RelayTransfer.this.response.abort();
 			}
@@ -301,6 +328,10 @@
 			end(this.isHeadForwarded ? RelayOutcome.TRUNCATED : RelayOutcome.BROKEN, reason);
 		}
 
+		private static boolean isServerError(@Nullable HttpResponseStatus receivedStatus) {
+			return receivedStatus == null || receivedStatus.codeClass() == HttpStatusClass.SERVER_ERROR;
+		}
+
 		private int deliveredTokens() {
 			return this.eventCounter.events() * RelayTransfer.this.tokensPerEvent;
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -58,6 +58,8 @@
 
 	private final Upstream upstream;
 
+	private final long openedNs = System.nanoTime();
+
 	private @Nullable UpstreamExchange exchange;
 
 	private @Nullable SkippedResponse skippedResponse;
@@ -94,6 +96,15 @@
 		return this.channel.isActive() && idleMs < this.idleTimeoutMs;
 	}
 
+	/**
+	 * Returns whether the connection is open and has been since a given time.
+	 * @param sinceNs value of {@link System#nanoTime()}
+	 * @return {@code false} if it was opened later or is closed
+	 */
+	boolean isOpenSince(long sinceNs) {
+		return this.channel.isActive() && this.openedNs - sinceNs <= 0;
+	}
+
 	void send(UpstreamExchange next) {
 		this.exchange = next;
 		this.isHeadReceived = false;
@@ -102,7 +113,7 @@
 		this.channel.write(next.requestHead());
 		this.channel.writeAndFlush(new DefaultLastHttpContent(next.requestBody())).addListener((written) -> {
 			if (!written.isSuccess()) {
-				fail("the request could not be written: " + written.cause());
+				fail("the request could not be written: " + written.cause(), true);
 			}
 		});
 	}
@@ -232,21 +243,25 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		fail("the replica closed the connection");
+		fail("the replica closed the connection", true);
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		fail("the connection failed: " + cause);
+		fail("the connection failed: " + cause, true);
 	}
 
 	private void fail(String reason) {
+		fail(reason, false);
+	}
+
+	private void fail(String reason, boolean isConnectionLost) {
 		UpstreamExchange current = this.exchange;
 		this.exchange = null;
 		this.channel.close();
 		this.pool.closed(this);
 		if (current != null) {
-			current.failed(reason);
+			current.failed(reason, isConnectionLost);
 		}
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamExchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamExchange.java
@@ -54,7 +54,9 @@
 	/**
 	 * Called when the connection fails before the response is complete.
 	 * @param reason description of the failure
+	 * @param isConnectionLost whether the replica closed the connection or the connection
+	 * broke, rather than that this side gave it up
 	 */
-	void failed(String reason);
+	void failed(String reason, boolean isConnectionLost);
 
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -4,7 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 
@@ -53,6 +55,8 @@
 
 	private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
 
+	private final Map<String, Set<UpstreamConnection>> openConnections = new HashMap<>();
+
 	/**
 	 * Creates an empty pool.
 	 * @param loops event loops on which connections run
@@ -115,6 +119,7 @@
 		// Reactor Netty reads only on demand of its own subscribers, which are not used
 		// here.
 		channel.config().setAutoRead(true);
+		this.openConnections.computeIfAbsent(keyOf(upstream), (key) -> new HashSet<>()).add(connection);
 		return connection;
 	}
 
@@ -150,6 +155,23 @@
 		if (connections != null && connections.remove(connection) && connections.isEmpty()) {
 			this.idleConnections.remove(key);
 		}
+		Set<UpstreamConnection> open = this.openConnections.get(key);
+		if (open != null && open.remove(connection) && open.isEmpty()) {
+			this.openConnections.remove(key);
+		}
+	}
+
+	/**
+	 * Returns whether a connection to a replica has been open since a given time, which a
+	 * process that crashed meanwhile can't have.
+	 * @param upstream the replica
+	 * @param sinceNs value of {@link System#nanoTime()}
+	 * @return {@code false} also if there was no connection at that time
+	 */
+	boolean hasConnectionSince(Upstream upstream, long sinceNs) {
+		return this.openConnections.getOrDefault(keyOf(upstream), Set.of())
+			.stream()
+			.anyMatch((connection) -> connection.isOpenSince(sinceNs));
 	}
 
 	int idleConnections() {
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -233,7 +233,7 @@
 		}
 
 		@Override
-		public void failed(String reason) {
+		public void failed(String reason, boolean isConnectionLost) {
 			this.events.add("broken");
 		}
 
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -368,17 +368,33 @@
 			}
 		}
 
-		// Guards against a request that crashes one replica after the other.
+		// Guards against a request that crashes one replica after the other, and against
+		// a
+		// path that is closed to the workspace because of it.
 		@Test
 		void getNoFurtherReplicaAfterThreeCrashes() throws Exception {
 			startReplicas();
 			for (int i = 0; i < REPLICAS; i++) {
 				exchange("/safe/a", KEY, "crash");
+				exchange("/safe/a", KEY, "other body");
 			}
 			assertThat(crashedReplicas(), lessThanOrEqualTo((long) MAX_CRASHES));
 			assertThat(exchange("/safe/a", KEY, "other body"), containsString("HTTP/1.1 200"));
 		}
 
+		// Guards against a program that crashes replicas with each turn that it adds to
+		// its
+		// history.
+		@Test
+		void getNoFurtherReplicaWithLongerBodies() throws Exception {
+			startReplicas();
+			for (int i = 0; i < REPLICAS; i++) {
+				exchange("/safe/a", KEY, "crash" + "x".repeat(i));
+			}
+			assertThat(crashedReplicas(), lessThanOrEqualTo((long) MAX_CRASHES));
+			assertThat(exchange("/safe/b", KEY, "other path"), containsString("HTTP/1.1 200"));
+		}
+
 	}
 
 	@Nested
