--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/Upstream.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/Upstream.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.UpstreamId;
 
@@ -18,12 +20,19 @@
  * @param isFencingChecked whether the replica rejects orders with an outdated fencing
  * token
  * @param isLeaving whether the replica is draining and receives no new work
+ * @param softwareVersion version of its software, or {@code null} if it is not known
  */
 public record Upstream(UpstreamId id, UpstreamKind kind, AvailabilityZone availabilityZone, String host, int port,
-		List<String> serves, int maxConcurrentCalls, boolean isFencingChecked, boolean isLeaving) {
+		List<String> serves, int maxConcurrentCalls, boolean isFencingChecked, boolean isLeaving,
+		@Nullable String softwareVersion) {
 
 	public Upstream {
 		serves = List.copyOf(serves);
 	}
 
+	public Upstream(UpstreamId id, UpstreamKind kind, AvailabilityZone availabilityZone, String host, int port,
+			List<String> serves, int maxConcurrentCalls, boolean isFencingChecked, boolean isLeaving) {
+		this(id, kind, availabilityZone, host, port, serves, maxConcurrentCalls, isFencingChecked, isLeaving, null);
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -163,7 +163,8 @@
 		if (!replica.equals(previous)) {
 			this.events.record("replica.listed", "replica", replica.id(), "service", replica.serves(), "address",
 					replica.host() + ":" + replica.port(), "zone", replica.availabilityZone(), "leaving",
-					replica.isLeaving(), "sequence", listed.sequence());
+					replica.isLeaving(), "softwareVersion", String.valueOf(replica.softwareVersion()), "sequence",
+					listed.sequence());
 		}
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestMetadata.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestMetadata.java
@@ -24,11 +24,13 @@
  * it sent none. Accurate at the median, but often far off for a single request
  * @param resumeAfterEvent number of the last event that the client received; 0 for a new
  * stream
+ * @param resumedAttemptId identifier of the attempt that brought the first event of the
+ * stream that the client takes up, or {@code null} if it names none
  * @param prompt parts of the prompt in order; empty for a plain request
  */
 public record RequestMetadata(@Nullable String attemptId, @Nullable Long deadlineMs, @Nullable String programId,
 		@Nullable Long finishMs, @Nullable Long tokenBudget, int maxAnswerTokens, int expectedAnswerTokens,
-		long resumeAfterEvent, List<PromptPart> prompt) {
+		long resumeAfterEvent, @Nullable String resumedAttemptId, List<PromptPart> prompt) {
 
 	public RequestMetadata {
 		prompt = List.copyOf(prompt);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -346,9 +346,10 @@
 					RelayTransfer.this.exchange.decision(), "workspace",
 					String.valueOf(RelayTransfer.this.exchange.workspaceOrNull()), "route", routed().route().name(),
 					"version", routed().table().version(), "fingerprint", RelayTransfer.this.fingerprint, "replica",
-					this.upstream.id(), "sentMs", RelayTransfer.this.sentMs, "timeLeftMs", this.timeLeftMs, "outcome",
-					sendOutcome, "status", statusCode, "tokens", end.generatedTokens(), "elapsedMs",
-					RelayTransfer.this.exchange.elapsedMs(), "detail", detail);
+					this.upstream.id(), "softwareVersion", String.valueOf(this.upstream.softwareVersion()), "resumes",
+					String.valueOf(routed().facts().resumedAttemptId()), "sentMs", RelayTransfer.this.sentMs,
+					"timeLeftMs", this.timeLeftMs, "outcome", sendOutcome, "status", statusCode, "tokens",
+					end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(), "detail", detail);
 			RelayTransfer.this.control.execute(() -> this.listener.ended(end));
 		}
 
