--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/CrashHistory.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/CrashHistory.java
@@ -93,6 +93,10 @@
 		return count;
 	}
 
+	boolean isEmpty() {
+		return this.crashes.isEmpty() && this.completedMs == NEVER_MS;
+	}
+
 	/**
 	 * Returns the time of the last crash or completion.
 	 * @return time in milliseconds, long ago if there is neither
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/RequestQuarantine.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/RequestQuarantine.java
@@ -107,6 +107,9 @@
 			CrashHistory history = this.histories.get(key);
 			if (history != null) {
 				history.remove(replica, crashedMs);
+				if (history.isEmpty()) {
+					this.histories.remove(key);
+				}
 			}
 		}
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -59,6 +59,8 @@
 
 	private final RequestQuarantine quarantine;
 
+	private final CrashWatch crashWatch;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -78,6 +80,7 @@
 		this.random = random;
 		this.events = events;
 		this.quarantine = quarantine;
+		this.crashWatch = new CrashWatch(pool, quarantine, control);
 	}
 
 	@Override
@@ -102,7 +105,7 @@
 		RequestFingerprint fingerprint = RequestFingerprint.of(exchange.method(), exchange.path(),
 				exchange.request().uri(), exchange.workspaceOrNull(), body);
 		RelayTransfer transfer = new RelayTransfer(exchange, body, response, this.pool, this.control, this.events,
-				tokensPerEvent, fingerprint, this.quarantine);
+				tokensPerEvent, fingerprint, this.quarantine, this.crashWatch);
 		CallRequest request = callRequest(exchange, routed, serviceName, transfer);
 		RelayCallListener listener = new RelayCallListener(exchange, response, this.pool.eventLoop(), this.control);
 		CallHandle[] handle = new CallHandle[1];
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -72,9 +72,11 @@
 	 * if the response is not a stream
 	 * @param fingerprint fingerprint of the request
 	 * @param quarantine knows the requests that must not be sent
+	 * @param crashWatch is told of connections that are lost
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
-			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine) {
+			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine,
+			CrashWatch crashWatch) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
@@ -84,7 +86,7 @@
 		this.tokensPerEvent = tokensPerEvent;
 		this.fingerprint = fingerprint;
 		this.quarantine = quarantine;
-		this.crashWatch = new CrashWatch(pool, quarantine, control);
+		this.crashWatch = crashWatch;
 	}
 
 	@Override
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -382,6 +382,20 @@
 			assertThat(exchange("/safe/a", KEY, "other body"), containsString("HTTP/1.1 200"));
 		}
 
+		// Guards against a request that is withheld because replicas that are alive break
+		// connections.
+		@Test
+		void reachReplicasThatOnlyBreakConnections() throws Exception {
+			startReplicas();
+			this.replicas.forEach((any) -> any.respondWith((request, output) -> request.isConnectionClosed = true));
+			for (int i = 0; i < MAX_CRASHES; i++) {
+				exchange("/safe/a", KEY, "broken off");
+				await(() -> dump().contains("quarantined=0/0"));
+			}
+			this.replicas.forEach((any) -> any.respondWith(ReplicaServer.fixedResponse(200, "", "answer")));
+			assertThat(exchange("/safe/a", KEY, "broken off"), containsString("HTTP/1.1 200"));
+		}
+
 		// Guards against a program that crashes replicas with each turn that it adds to
 		// its
 		// history.
