Show that streams go on at another software version

Three tests fail on this code: a stream that a client takes up at the same gateway, at another one after the first was killed, and after all replicas of its version have left.

--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -16,6 +16,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -507,6 +509,155 @@
 
 	}
 
+	@Nested
+	class StreamsOfSeveralSoftwareVersions {
+
+		private static final int STREAMS = 12;
+
+		private static final int EVENTS_BEFORE_BREAK = 2;
+
+		private static final String TURN_FIELDS = "Authorization: Bearer key-1\r\nProgram-Id: p\r\n"
+				+ "Token-Budget: 100000\r\nToken-Usage: 100,36\r\n";
+
+		private final Map<String, ReplicaServer> replicas = new TreeMap<>();
+
+		private GatewayNode second;
+
+		private void start(String... versions) throws Exception {
+			deleteServer("r-1");
+			await(() -> dump().contains("replicas=0 "));
+			for (int i = 0; i < versions.length; i++) {
+				ReplicaServer added = new ReplicaServer();
+				added.respondWith(this::breakOrComplete);
+				this.replicas.put(versions[i] + "/" + i, added);
+				put("servers", "s-" + i, """
+						{"Service":"s","Addr":"%s:%d","Zone":"a","Version":"%s","Slots":4,"State":"ready","Seq":1}"""
+					.formatted(HOST, added.port(), versions[i]));
+			}
+			await(() -> dump().contains("replicas=" + versions.length));
+		}
+
+		private void deleteServer(String name) throws Exception {
+			URI uri = URI.create("http://" + HOST + ":" + GatewayTests.this.platform.address().getPort()
+					+ "/objects/servers/" + name);
+			HttpRequest request = HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(LIMIT_MS)).DELETE().build();
+			assertThat(GatewayTests.this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(),
+					is(200));
+		}
+
+		// Breaks off new streams after some events and completes those that are taken up.
+		private void breakOrComplete(ReplicaServer.Request request, OutputStream output) throws IOException {
+			boolean isResumed = request.fields.containsKey("last-event-id");
+			ReplicaServer.write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+					+ "\r\nTransfer-Encoding: chunked\r\n\r\n");
+			for (int i = 1; i <= EVENTS_BEFORE_BREAK; i++) {
+				ReplicaServer.write(output, "f\r\nid: " + i + "\ndata: a\n\n\r\n");
+			}
+			if (isResumed) {
+				ReplicaServer.write(output, "0\r\n\r\n");
+			}
+			else {
+				request.isConnectionClosed = true;
+			}
+		}
+
+		private String versionThatServed(String attempt) {
+			return this.replicas.entrySet()
+				.stream()
+				.filter((replica) -> replica.getValue().hasRequest(attempt))
+				.map((replica) -> replica.getKey().substring(0, replica.getKey().indexOf('/')))
+				.findFirst()
+				.orElse("none");
+		}
+
+		private String beginStream() throws Exception {
+			String attempt = "a-" + GatewayTests.this.nextAttempt;
+			assertThat(exchange("/turn/a", TURN_FIELDS, ""), containsString("data: a"));
+			return attempt;
+		}
+
+		private String resumeStream(String attempt) throws Exception {
+			String resumed = "a-" + GatewayTests.this.nextAttempt;
+			String response = exchange("/turn/a",
+					TURN_FIELDS + "Last-Event-Id: " + EVENTS_BEFORE_BREAK + "\r\nResumes: " + attempt + "\r\n", "");
+			return response.contains("HTTP/1.1 200") ? versionThatServed(resumed) : "none";
+		}
+
+		private void startSecondGateway() throws Exception {
+			GatewayTests.this.clientPort = freePort();
+			GatewayTests.this.readinessPort = freePort();
+			this.second = new GatewayNode(settings("i-2", freePort(), freePort(),
+					List.of(new InetSocketAddress(HOST, GatewayTests.this.controlPort))), 0, EventLog.NONE);
+			this.second.start();
+			await(() -> readiness() == 200 && dump().contains("replicas=" + this.replicas.size()));
+		}
+
+		@AfterEach
+		void stopReplicas() throws IOException {
+			if (this.second != null) {
+				this.second.stop();
+			}
+			for (ReplicaServer added : this.replicas.values()) {
+				added.close();
+			}
+		}
+
+		// Guards against a stream that a client takes up at the same gateway and that
+		// goes
+		// on at another software version.
+		@Test
+		void goOnAtVersionThatBeganThem() throws Exception {
+			start("v1", "v1", "v2", "v2");
+			for (int i = 0; i < STREAMS; i++) {
+				String attempt = beginStream();
+				assertThat(resumeStream(attempt), is(versionThatServed(attempt)));
+			}
+		}
+
+		// Guards against a stream that goes on at another software version because the
+		// gateway that began it has been killed.
+		@Test
+		void goOnAtVersionThatBeganThemAfterLossOfGateway() throws Exception {
+			start("v1", "v1", "v2", "v2");
+			int firstClientPort = GatewayTests.this.clientPort;
+			startSecondGateway();
+			int secondClientPort = GatewayTests.this.clientPort;
+			GatewayTests.this.clientPort = firstClientPort;
+			List<String> attempts = new ArrayList<>();
+			for (int i = 0; i < STREAMS; i++) {
+				attempts.add(beginStream());
+			}
+			GatewayTests.this.gateway.stop();
+			GatewayTests.this.clientPort = secondClientPort;
+			for (String attempt : attempts) {
+				assertThat(resumeStream(attempt), is(versionThatServed(attempt)));
+			}
+		}
+
+		// Guards against a stream that goes on at another software version because no
+		// replica of its own serves any more, and against a client that waits for one.
+		@Test
+		void areRefusedWhenNoReplicaOfTheirVersionServes() throws Exception {
+			start("v1", "v1");
+			String attempt = beginStream();
+			ReplicaServer added = new ReplicaServer();
+			added.respondWith(this::breakOrComplete);
+			this.replicas.put("v2/2", added);
+			put("servers", "s-2", """
+					{"Service":"s","Addr":"%s:%d","Zone":"a","Version":"v2","Slots":4,"State":"ready","Seq":1}"""
+				.formatted(HOST, added.port()));
+			deleteServer("s-0");
+			deleteServer("s-1");
+			await(() -> dump().contains("replicas=1 "));
+			String response = exchange("/turn/a",
+					TURN_FIELDS + "Last-Event-Id: " + EVENTS_BEFORE_BREAK + "\r\nResumes: " + attempt + "\r\n", "");
+			assertThat(response, containsString("HTTP/1.1 503"));
+			assertThat(added.requestCount(), is(0));
+			assertThat(exchange("/turn/a", TURN_FIELDS, ""), containsString("data: a"));
+		}
+
+	}
+
 	@Nested
 	class Shutdown {
 
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/ReplicaServer.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/ReplicaServer.java
@@ -137,6 +137,18 @@
 		return this.server.isClosed();
 	}
 
+	int requestCount() {
+		synchronized (this.requests) {
+			return this.requests.size();
+		}
+	}
+
+	boolean hasRequest(String attempt) {
+		synchronized (this.requests) {
+			return this.requests.stream().anyMatch((request) -> attempt.equals(request.fields.get("attempt-id")));
+		}
+	}
+
 	boolean isServing(Request request) {
 		synchronized (this.requests) {
 			return this.requests.contains(request);
