Count crashes only once they are confirmed

Three connections that replicas broke within the 50 ms of the check withheld a request, and the caller was told to come back after ten minutes although the replicas were alive (seen as 503 "quarantined" in a test of broken streams). A crash now counts when the replica has no other connection left and accepts no new one. The dump has the number of crashes.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/RequestQuarantine.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/RequestQuarantine.java
@@ -22,12 +22,6 @@
  */
 public final class RequestQuarantine {
 
-	/**
-	 * Time in milliseconds for which a crash is provisional and not told to others: the
-	 * replica may turn out to be alive.
-	 */
-	public static final long CONFIRMATION_MS = 100;
-
 	/** Crashes that can have no other common cause than the request. */
 	private static final int CRASH_LIMIT = 3;
 
@@ -67,6 +61,8 @@
 
 	private long fullShareMs;
 
+	private long crashCount;
+
 	/**
 	 * Creates a quarantine without requests.
 	 * @param timer clock
@@ -79,13 +75,14 @@
 	}
 
 	/**
-	 * Records that a replica seems to have crashed while it had a request.
+	 * Records that a replica crashed while it had a request.
 	 * @param fingerprint fingerprint of the request
 	 * @param replica the replica
 	 * @param sentMs time at which the request was sent to it in milliseconds
 	 * @param crashedMs time of the crash in milliseconds
 	 */
 	public void crashed(RequestFingerprint fingerprint, UpstreamId replica, long sentMs, long crashedMs) {
+		this.crashCount++;
 		for (long key : fingerprint.keys()) {
 			CrashHistory history = this.histories.computeIfAbsent(key, (added) -> new CrashHistory());
 			if (history.add(replica, sentMs, crashedMs)) {
@@ -96,24 +93,6 @@
 		limitHistories();
 	}
 
-	/**
-	 * Takes back a crash: the replica is alive, only the connection has failed.
-	 * @param fingerprint fingerprint of the request
-	 * @param replica the replica
-	 * @param crashedMs time of the supposed crash in milliseconds
-	 */
-	public void survived(RequestFingerprint fingerprint, UpstreamId replica, long crashedMs) {
-		for (long key : fingerprint.keys()) {
-			CrashHistory history = this.histories.get(key);
-			if (history != null) {
-				history.remove(replica, crashedMs);
-				if (history.isEmpty()) {
-					this.histories.remove(key);
-				}
-			}
-		}
-	}
-
 	/**
 	 * Records that a replica has completed a request.
 	 * @param fingerprint fingerprint of the request
@@ -155,13 +134,10 @@
 			return all();
 		}
 		List<SuspectRequest> due = new ArrayList<>();
-		for (Iterator<Long> iterator = this.unshared.iterator(); iterator.hasNext() && due.size() < MAX_SHARED;) {
-			Long key = iterator.next();
+		for (Iterator<Long> keys = this.unshared.iterator(); keys.hasNext() && due.size() < MAX_SHARED;) {
+			Long key = keys.next();
+			keys.remove();
 			CrashHistory history = this.histories.get(key);
-			if (history != null && nowMs - history.changedMs() < CONFIRMATION_MS) {
-				continue;
-			}
-			iterator.remove();
 			if (history != null) {
 				due.add(history.toSuspect(key, nowMs));
 			}
@@ -178,11 +154,10 @@
 		List<SuspectRequest> quarantined = new ArrayList<>();
 		List<SuspectRequest> recent = new ArrayList<>();
 		this.histories.forEach((key, history) -> {
-			long ageMs = nowMs - history.changedMs();
-			if (ageMs >= CONFIRMATION_MS && isQuarantined(history)) {
+			if (isQuarantined(history)) {
 				quarantined.add(history.toSuspect(key, nowMs));
 			}
-			else if (ageMs >= CONFIRMATION_MS && ageMs < RESHARE_MS) {
+			else if (nowMs - history.changedMs() < RESHARE_MS) {
 				recent.add(history.toSuspect(key, nowMs));
 			}
 		});
@@ -209,11 +184,13 @@
 	}
 
 	/**
-	 * Returns the number of requests for diagnostics.
-	 * @return number of withheld requests and of all that replicas had when they crashed
+	 * Returns figures for diagnostics.
+	 * @return number of withheld contents and objects, of all that replicas had when they
+	 * crashed, and of the requests of this instance that replicas had then
 	 */
 	public String dump() {
-		return this.histories.values().stream().filter(this::isQuarantined).count() + "/" + this.histories.size();
+		return this.histories.values().stream().filter(this::isQuarantined).count() + "/" + this.histories.size()
+				+ " crashes=" + this.crashCount;
 	}
 
 	private void recordCrash(long key, CrashHistory history, String source) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
@@ -21,10 +21,9 @@
 
 	/**
 	 * Time in milliseconds in which the other connections of a crashed replica are closed
-	 * as well; several times the delay between zones. The remainder of the confirmation
-	 * time is left for a new connection.
+	 * as well; several times the delay between zones.
 	 */
-	private static final long CHECK_DELAY_MS = RequestQuarantine.CONFIRMATION_MS / 2;
+	private static final long CHECK_DELAY_MS = 50;
 
 	private final UpstreamPool pool;
 
@@ -57,15 +56,14 @@
 	void connectionLost(RequestFingerprint fingerprint, Upstream upstream, long sentMs) {
 		long lostNs = System.nanoTime();
 		long lostMs = this.control.timers().nowMs();
-		this.control.execute(() -> this.quarantine.crashed(fingerprint, upstream.id(), sentMs, lostMs));
-		Runnable survived = () -> this.control
-			.execute(() -> this.quarantine.survived(fingerprint, upstream.id(), lostMs));
+		Runnable crashed = () -> this.control
+			.execute(() -> this.quarantine.crashed(fingerprint, upstream.id(), sentMs, lostMs));
 		List<Runnable> pending = this.pendingChecks.get(upstream.id());
 		if (pending != null) {
-			pending.add(survived);
+			pending.add(crashed);
 			return;
 		}
-		this.pendingChecks.put(upstream.id(), new ArrayList<>(List.of(survived)));
+		this.pendingChecks.put(upstream.id(), new ArrayList<>(List.of(crashed)));
 		this.pool.eventLoop().schedule(() -> check(upstream, lostNs), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -82,7 +80,7 @@
 
 	private void end(Upstream upstream, boolean isAlive) {
 		List<Runnable> pending = this.pendingChecks.remove(upstream.id());
-		if (pending != null && isAlive) {
+		if (pending != null && !isAlive) {
 			pending.forEach(Runnable::run);
 		}
 	}
