Let streams go on only at the software version that began them

Cause: the gateways did not know versions. Neither the version in a replica's entry nor the attempt that a client names was decoded, so a stream that was taken up went to any replica of the service.

StreamOrigins remembers the version of each stream and, while several versions serve, tells three gateways that a hash of the attempt chooses, before the first event; the gateway at which the client takes the stream up asks them. The pool of a service is divided by version. A stream whose version is unknown or has left is refused at once as not run.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayedCall.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayedCall.java
@@ -13,6 +13,8 @@
  * relay transfers the bytes.
  *
  * @param service service whose replicas can run the request
+ * @param softwareVersion software version of the only replicas that can run the request,
+ * or {@code null} if all of the service can
  * @param repeatability whether the request may run more than once
  * @param isInterruptible whether the request may be aborted at the replica when the
  * caller disconnects
@@ -31,10 +33,10 @@
  * @param minServiceMs minimum time that a replica needs for the request in milliseconds
  * @param relay sends the request
  */
-public record RelayedCall(String service, Repeatability repeatability, boolean isInterruptible, int maxReplicas,
-		List<PromptPart> prompt, int maxAnswerTokens, int expectedAnswerTokens, boolean isOpening,
-		@Nullable String account, @Nullable Long finishMs, int priority, double minServiceMs,
-		@JsonIgnore Relay relay) implements CallPayload {
+public record RelayedCall(String service, @Nullable String softwareVersion, Repeatability repeatability,
+		boolean isInterruptible, int maxReplicas, List<PromptPart> prompt, int maxAnswerTokens,
+		int expectedAnswerTokens, boolean isOpening, @Nullable String account, @Nullable Long finishMs, int priority,
+		double minServiceMs, @JsonIgnore Relay relay) implements CallPayload {
 
 	public RelayedCall {
 		prompt = List.copyOf(prompt);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -133,7 +133,10 @@
 				continue;
 			}
 			for (String name : state.upstream().serves()) {
-				this.replicasByPool.computeIfAbsent(poolOf(state.upstream().kind(), name), (key) -> new ArrayList<>())
+				String pool = poolOf(state.upstream().kind(), name);
+				this.replicasByPool.computeIfAbsent(pool, (key) -> new ArrayList<>()).add(state);
+				this.replicasByPool
+					.computeIfAbsent(poolOf(pool, state.upstream().softwareVersion()), (key) -> new ArrayList<>())
 					.add(state);
 			}
 		}
@@ -149,6 +152,17 @@
 		return ((kind == UpstreamKind.MODEL_ENGINE) ? "model:" : "service:") + name;
 	}
 
+	/**
+	 * Returns the name of the part of a pool that consists of the replicas of one
+	 * software version.
+	 * @param pool name of the pool
+	 * @param softwareVersion version, or {@code null} for replicas that state none
+	 * @return the name of the pool with the version
+	 */
+	public static String poolOf(String pool, @Nullable String softwareVersion) {
+		return pool + "@" + ((softwareVersion != null) ? softwareVersion : "");
+	}
+
 	public void setInstances(int instances) {
 		this.instances = Math.max(1, instances);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/CallCosts.java
@@ -69,7 +69,8 @@
 			return ReplicaIndex.poolOf(UpstreamKind.MODEL_ENGINE, model.model());
 		}
 		if (request.payload() instanceof RelayedCall relayed) {
-			return ReplicaIndex.poolOf(UpstreamKind.SERVICE, relayed.service());
+			String pool = ReplicaIndex.poolOf(UpstreamKind.SERVICE, relayed.service());
+			return (relayed.softwareVersion() != null) ? ReplicaIndex.poolOf(pool, relayed.softwareVersion()) : pool;
 		}
 		ServiceCall serviceCall = (ServiceCall) request.payload();
 		return ReplicaIndex.poolOf(UpstreamKind.SERVICE, serviceCall.service());
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueueInput.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/QueueInput.java
@@ -9,6 +9,8 @@
  * Inputs of the decision whether a call is queued or rejected.
  *
  * @param hasPool whether any replica serves the pool
+ * @param isResumed whether only replicas of the software version that began a stream can
+ * run the call
  * @param queuedCalls calls of the workspace that are already queued
  * @param maxQueuedCalls maximum number of queued calls of a workspace
  * @param expectedWaitMs expected time until the call is dispatched in milliseconds
@@ -19,7 +21,7 @@
  * in concurrent calls
  * @param maxLoad value of {@code leastLoad} above which the call is rejected
  */
-public record QueueInput(boolean hasPool, int queuedCalls, int maxQueuedCalls, double expectedWaitMs,
+public record QueueInput(boolean hasPool, boolean isResumed, int queuedCalls, int maxQueuedCalls, double expectedWaitMs,
 		double expectedServiceMs, long timeLeftMs, double leastLoad, double maxLoad) {
 
 	/** A pool without replicas rarely recovers in less time. */
@@ -34,6 +36,10 @@
 	 * @return the refusal, or {@code null} if the call may be queued
 	 */
 	public @Nullable Refusal decide() {
+		if (!this.hasPool && this.isResumed) {
+			return Refusal.notRun(RefusalReason.NOT_RESUMABLE,
+					"no replica of the software version that began the stream serves", 0);
+		}
 		if (!this.hasPool) {
 			return Refusal.notRun(RefusalReason.NO_UPSTREAM, "no replica serves this model or service",
 					NO_POOL_RETRY_MS);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -119,8 +119,8 @@
 		String pool = CallCosts.poolOf(request);
 		FairQueue queue = this.queuesByPool.computeIfAbsent(pool,
 				(name) -> new FairQueue(this.settings.firstDispatchGapMs()));
-		QueueInput input = new QueueInput(this.index.hasPool(pool), queue.queuedCalls(request.workspace()),
-				this.settings.maxQueuedPerWorkspace(),
+		QueueInput input = new QueueInput(this.index.hasPool(pool), isResumed(request),
+				queue.queuedCalls(request.workspace()), this.settings.maxQueuedPerWorkspace(),
 				Math.max(queue.expectedWaitMs(request.workspace()), this.index.rateWaitMs(pool)),
 				this.callCosts.minServiceMs(request), request.timeoutMs(), this.index.leastLoad(pool),
 				maxLoad(request));
@@ -256,6 +256,10 @@
 		return this.retryBudget.tryAcquire() ? this.dispatcher.reserveForHedge(call) : null;
 	}
 
+	private static boolean isResumed(CallRequest request) {
+		return request.payload() instanceof RelayedCall relayed && relayed.softwareVersion() != null;
+	}
+
 	private double maxLoad(CallRequest request) {
 		boolean isOpening = request.payload() instanceof RelayedCall relayed && relayed.isOpening();
 		return isOpening ? this.settings.maxOpeningLoad() : Double.MAX_VALUE;
@@ -269,8 +273,10 @@
 	private void sweep() {
 		long nowMs = this.timer.nowMs();
 		this.queuesByPool.forEach((pool, queue) -> {
-			for (QueuedCall call : queue.callsMissingDeadline((queued) -> this.callCosts.minServiceMs(queued.request),
-					nowMs)) {
+			// The replicas of an old software version leave for good.
+			boolean isUnservable = !this.index.hasPool(pool);
+			for (QueuedCall call : queue.callsMissingDeadline((queued) -> (isUnservable && isResumed(queued.request))
+					? Double.MAX_VALUE : this.callCosts.minServiceMs(queued.request), nowMs)) {
 				queue.remove(call);
 				refuse(call,
 						new Refusal(RefusalReason.DEADLINE_EXCEEDED,
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/StreamOrigins.java
@@ -0,0 +1,196 @@
+package dev.nutmegdoor.core.stream;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import net.openhft.hashing.LongHashFunction;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.configuration.Configuration;
+import dev.nutmegdoor.core.configuration.ConfigurationView;
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Finds the software version that began a stream. While replicas of several versions
+ * serve, each instance tells two or three others of each stream that it sends to a
+ * replica, before the first event arrives. Rendezvous hashing chooses them by the
+ * client's attempt, so every instance knows whom to ask, also when the one that began the
+ * stream has been killed. Runs on the control thread.
+ */
+public final class StreamOrigins {
+
+	/** Instances that remember a stream; one of them may be the one that began it. */
+	private static final int HOLDERS = 3;
+
+	/**
+	 * Time in milliseconds for which a stream is remembered. A client takes up a stream
+	 * within the deadline of its request.
+	 */
+	private static final long MEMORY_MS = 30_000;
+
+	/**
+	 * Time in milliseconds within which a holder answers; several round trips between
+	 * zones.
+	 */
+	private static final long QUERY_TIMEOUT_MS = 150;
+
+	private static final int MAX_REMEMBERED = 50_000;
+
+	private final PeerTransport transport;
+
+	private final Supplier<? extends Collection<InstanceId>> otherInstances;
+
+	private final TimerService timer;
+
+	private final EventLog events;
+
+	private final ServiceVersions versions;
+
+	private final Map<Long, Entry> remembered = new LinkedHashMap<>();
+
+	/**
+	 * Creates an instance, subscribes it to the list of replicas and to messages of other
+	 * instances.
+	 * @param transport sends messages to other instances
+	 * @param otherInstances returns the other instances
+	 * @param configuration list of replicas
+	 * @param timer clock
+	 * @param events log of streams whose origin is not known here
+	 */
+	public StreamOrigins(PeerTransport transport, Supplier<? extends Collection<InstanceId>> otherInstances,
+			ConfigurationView configuration, TimerService timer, EventLog events) {
+		this.transport = transport;
+		this.otherInstances = otherInstances;
+		this.timer = timer;
+		this.events = events;
+		this.versions = new ServiceVersions(timer, MEMORY_MS);
+		apply(configuration.current());
+		configuration.subscribe(this::apply);
+		transport.subscribe(StreamBegun.class, (from, begun) -> {
+			remember(begun.attempt(), begun.origin(), false);
+			return null;
+		});
+		transport.subscribe(StreamOriginQuery.class, (from, query) -> CompletableFuture
+			.completedFuture(new StreamOriginAnswer(lookUp(query.attempt(), query.services()))));
+	}
+
+	private void apply(Configuration current) {
+		Set<String> mixedServices = this.versions.apply(current.upstreams().values());
+		if (mixedServices.isEmpty()) {
+			return;
+		}
+		this.events.record("service.versions-mixed", "services", mixedServices);
+		// Streams that run now may be taken up elsewhere while both versions serve.
+		this.remembered.forEach((attempt, entry) -> {
+			if (entry.isOwn && mixedServices.contains(entry.origin.service())) {
+				tellHolders(attempt, entry.origin);
+			}
+		});
+	}
+
+	/**
+	 * Records that a stream is sent to a replica. The last call for an attempt counts: an
+	 * attempt is sent again only if no event has arrived.
+	 * @param attemptId identifier of the client's attempt
+	 * @param service service of the stream
+	 * @param replica the replica
+	 */
+	public void began(String attemptId, String service, Upstream replica) {
+		long attempt = keyOf(attemptId);
+		StreamOrigin origin = new StreamOrigin(service, ServiceVersions.versionOf(replica));
+		remember(attempt, origin, true);
+		if (!this.versions.isSingleVersion(service)) {
+			tellHolders(attempt, origin);
+		}
+	}
+
+	/**
+	 * Finds out where a stream may go on.
+	 * @param attemptId identifier of the attempt that brought its first event, or
+	 * {@code null} if the client does not name it
+	 * @param services services that may have begun it
+	 * @return the target; completes on the control thread and never fails
+	 */
+	public CompletableFuture<ResumeTarget> find(@Nullable String attemptId, List<String> services) {
+		long attempt = (attemptId != null) ? keyOf(attemptId) : 0;
+		ResumeTarget known = lookUp(attempt, services);
+		if (known.isKnown() || attemptId == null) {
+			return CompletableFuture.completedFuture(known);
+		}
+		CompletableFuture<ResumeTarget> result = new CompletableFuture<>();
+		List<CompletableFuture<?>> handledAnswers = new ArrayList<>();
+		for (InstanceId holder : holdersOf(attempt)) {
+			handledAnswers.add(this.transport
+				.request(holder, new StreamOriginQuery(attempt, services), StreamOriginAnswer.class, QUERY_TIMEOUT_MS)
+				.thenAccept((answer) -> {
+					if (answer.target().isKnown()) {
+						result.complete(answer.target());
+					}
+				}));
+		}
+		CompletableFuture.allOf(handledAnswers.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
+			if (result.complete(ResumeTarget.UNKNOWN)) {
+				this.events.record("stream.origin-unknown", "attempt", attemptId, "services", services, "asked",
+						handledAnswers.size(), "error", String.valueOf(error));
+			}
+		});
+		return result;
+	}
+
+	private ResumeTarget lookUp(long attempt, List<String> services) {
+		Entry entry = this.remembered.get(attempt);
+		if (entry != null) {
+			return ResumeTarget.of(entry.origin);
+		}
+		return services.stream().allMatch(this.versions::isSingleVersion) ? ResumeTarget.ANY : ResumeTarget.UNKNOWN;
+	}
+
+	private void remember(long attempt, StreamOrigin origin, boolean isOwn) {
+		this.remembered.remove(attempt);
+		this.remembered.put(attempt, new Entry(origin, isOwn, this.timer.nowMs()));
+		long oldestMs = this.timer.nowMs() - MEMORY_MS;
+		Iterator<Entry> eldest = this.remembered.values().iterator();
+		while (eldest.hasNext()) {
+			if (eldest.next().rememberedMs >= oldestMs && this.remembered.size() <= MAX_REMEMBERED) {
+				break;
+			}
+			eldest.remove();
+		}
+	}
+
+	private void tellHolders(long attempt, StreamOrigin origin) {
+		this.transport.sendAll(holdersOf(attempt), new StreamBegun(attempt, origin));
+	}
+
+	// This instance is ranked as well, so that all instances arrive at the same holders.
+	private List<InstanceId> holdersOf(long attempt) {
+		InstanceId self = this.transport.self();
+		List<InstanceId> ranked = new ArrayList<>(this.otherInstances.get());
+		ranked.add(self);
+		ranked.sort(Comparator.comparingLong((id) -> LongHashFunction.xx(attempt).hashChars(id.value())));
+		List<InstanceId> holders = new ArrayList<>(ranked.subList(0, Math.min(HOLDERS, ranked.size())));
+		holders.remove(self);
+		return holders;
+	}
+
+	private static long keyOf(String attemptId) {
+		return LongHashFunction.xx().hashChars(attemptId);
+	}
+
+	private record Entry(StreamOrigin origin, boolean isOwn, long rememberedMs) {
+
+	}
+
+}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
@@ -157,8 +157,9 @@
 			dueMs += 1_000 / callsPerSecond;
 			this.timer.advance(Math.max(0, (long) dueMs - this.timer.nowMs()));
 			int instance = this.random.nextInt(this.runners.size());
-			RelayedCall call = new RelayedCall("s", Repeatability.REPEATABLE, true, 1, List.of(), 10, 10, isOpening,
-					null, null, 0, 1, (upstream, remainingMs, listener) -> send(instance, upstream, listener));
+			RelayedCall call = new RelayedCall("s", null, Repeatability.REPEATABLE, true, 1, List.of(), 10, 10,
+					isOpening, null, null, 0, 1,
+					(upstream, remainingMs, listener) -> send(instance, upstream, listener));
 			this.runners.get(instance)
 				.run(new CallRequest(new DecisionId("d:" + this.callCount++), new WorkspaceId("w"), new KeyId("k"),
 						null, 0, "", call, 3_000), new OutcomeCounter());
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -16,6 +16,7 @@
 import dev.nutmegdoor.core.call.CallRequest;
 import dev.nutmegdoor.core.call.CallResult;
 import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.RelayEnd;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayOutcome;
@@ -101,7 +102,7 @@
 
 	private CallHandle run(Repeatability repeatability, boolean isInterruptible, int maxReplicas,
 			List<PromptPart> prompt, boolean isOpening) {
-		RelayedCall call = new RelayedCall("s", repeatability, isInterruptible, maxReplicas, prompt,
+		RelayedCall call = new RelayedCall("s", null, repeatability, isInterruptible, maxReplicas, prompt,
 				prompt.isEmpty() ? 0 : 10, 10, isOpening, null, null, 0, 1, this::send);
 		return this.runner.run(new CallRequest(new DecisionId("d:" + this.callCount++), new WorkspaceId("w"),
 				new KeyId("k"), null, 0, "", call, 3_000), new OutcomeRecorder());
@@ -313,6 +314,78 @@
 
 	}
 
+	@Nested
+	class ResumedStreams {
+
+		private static final int OLD_REPLICAS = 2;
+
+		private static final int NEW_REPLICAS = 40;
+
+		private static final int MAX_CALLS_PER_REPLICA = 4;
+
+		private void serve(int oldReplicas) {
+			Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
+			for (int i = 0; i < oldReplicas + NEW_REPLICAS; i++) {
+				boolean isOld = i < oldReplicas;
+				UpstreamId id = new UpstreamId((isOld ? "old-" : "new-") + i);
+				upstreams.put(id, new Upstream(id, UpstreamKind.SERVICE, new AvailabilityZone("a"), "127.0.0.1", 1,
+						List.of("s"), MAX_CALLS_PER_REPLICA, false, false, isOld ? "v1" : "v2"));
+			}
+			RelayedCallTests.this.configuration
+				.set(new Configuration(1, Map.of(), Map.of(), Map.of(), Map.of(), upstreams));
+		}
+
+		private void resume(String softwareVersion) {
+			RelayedCall call = new RelayedCall("s", softwareVersion, Repeatability.REPEATABLE, true, 1, List.of(), 10,
+					10, false, null, null, 0, 1, RelayedCallTests.this::send);
+			RelayedCallTests.this.runner.run(new CallRequest(new DecisionId("d:" + RelayedCallTests.this.callCount++),
+					new WorkspaceId("w"), new KeyId("k"), null, 0, "", call, 3_000), new OutcomeRecorder());
+		}
+
+		// Guards against a stream that goes on at another software version, also in a
+		// pool
+		// of which only a sample is considered.
+		@Test
+		void areSentOnlyToReplicasOfTheirVersion() {
+			serve(OLD_REPLICAS);
+			for (int i = 0; i < OLD_REPLICAS * MAX_CALLS_PER_REPLICA; i++) {
+				resume("v1");
+			}
+			assertThat(RelayedCallTests.this.sends, hasSize(OLD_REPLICAS * MAX_CALLS_PER_REPLICA));
+			RelayedCallTests.this.sends
+				.forEach((send) -> assertThat(send.replica.value().startsWith("old-"), is(true)));
+		}
+
+		// Guards against a client that waits until its deadline for a version that has
+		// left.
+		@Test
+		void areRefusedAtOnceWhenTheirVersionHasLeft() {
+			serve(0);
+			resume("v1");
+			assertThat(RelayedCallTests.this.refusals, hasSize(1));
+			assertThat(RelayedCallTests.this.refusals.get(0).reason(), is(RefusalReason.NOT_RESUMABLE));
+			assertThat(RelayedCallTests.this.refusals.get(0).run(), is(RunState.NOT_RUN));
+			assertThat(RelayedCallTests.this.refusals.get(0).retryAfterMs(), is(0L));
+		}
+
+		// Guards against a queued client that waits until its deadline for a version that
+		// leaves meanwhile.
+		@Test
+		void areRefusedWhenTheirVersionLeavesWhileTheyWait() {
+			serve(OLD_REPLICAS);
+			int sendable = OLD_REPLICAS * MAX_CALLS_PER_REPLICA;
+			for (int i = 0; i < sendable * 3; i++) {
+				resume("v1");
+			}
+			int sent = RelayedCallTests.this.sends.size();
+			serve(0);
+			RelayedCallTests.this.timer.advance(200);
+			assertThat(RelayedCallTests.this.refusals, hasSize(sendable * 3 - sent));
+			RelayedCallTests.this.refusals.forEach((refusal) -> assertThat(refusal.run(), is(RunState.NOT_RUN)));
+		}
+
+	}
+
 	@Nested
 	class WhenAllReplicasAreBusy {
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -45,6 +45,10 @@
 import dev.nutmegdoor.core.store.ListWatcher;
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoreHealth;
+import dev.nutmegdoor.core.stream.StreamBegun;
+import dev.nutmegdoor.core.stream.StreamOriginAnswer;
+import dev.nutmegdoor.core.stream.StreamOriginQuery;
+import dev.nutmegdoor.core.stream.StreamOrigins;
 import dev.nutmegdoor.core.usage.LocalUsageEndpoint;
 import dev.nutmegdoor.core.usage.UsageDigest;
 import dev.nutmegdoor.core.usage.UsageLimiter;
@@ -208,7 +212,8 @@
 		ControlBridge controlBridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
-				events, this.quarantine);
+				events, this.quarantine,
+				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.control, events));
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
@@ -323,7 +328,8 @@
 
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
-		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class));
+		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class,
+				StreamBegun.class, StreamOriginQuery.class, StreamOriginAnswer.class));
 		return types;
 	}
 
@@ -332,11 +338,11 @@
 	}
 
 	private Mono<String> dump() {
-		return Mono.fromFuture(this.control
-			.call(() -> "instance=" + this.settings.instance() + " leaving=" + this.isDraining + " configuration="
-					+ this.deployment.current().version() + " replicas=" + this.deployment.current().upstreams().size()
-					+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
-					+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
+				+ this.isDraining + " configuration=" + this.deployment.current().version() + " replicas="
+				+ this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
+				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
+				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
 	}
 
 	/**
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -4,13 +4,16 @@
 import java.util.List;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 
 import dev.nutmegdoor.core.call.CallHandle;
+import dev.nutmegdoor.core.call.CallListener;
 import dev.nutmegdoor.core.call.CallRequest;
 import dev.nutmegdoor.core.call.CallRunner;
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.Relay;
 import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.KeyId;
@@ -19,8 +22,13 @@
 import dev.nutmegdoor.core.quarantine.RequestFingerprint;
 import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.route.RequestMetadata;
+import dev.nutmegdoor.core.route.RouteKind;
 import dev.nutmegdoor.core.route.RoutedService;
 import dev.nutmegdoor.core.route.ServiceRoute;
+import dev.nutmegdoor.core.route.ServiceShare;
+import dev.nutmegdoor.core.stream.ResumeTarget;
+import dev.nutmegdoor.core.stream.StreamOrigin;
+import dev.nutmegdoor.core.stream.StreamOrigins;
 import dev.nutmegdoor.node.entry.BodyReader;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
@@ -61,6 +69,8 @@
 
 	private final CrashWatch crashWatch;
 
+	private final StreamOrigins origins;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -71,9 +81,10 @@
 	 * @param events receives an event for each send
 	 * @param quarantine knows the requests that must not be sent; used on the control
 	 * thread
+	 * @param origins knows where streams began; used on the control thread
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
-			EventLog events, RequestQuarantine quarantine) {
+			EventLog events, RequestQuarantine quarantine, StreamOrigins origins) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
@@ -81,6 +92,7 @@
 		this.events = events;
 		this.quarantine = quarantine;
 		this.crashWatch = new CrashWatch(pool, quarantine, control);
+		this.origins = origins;
 	}
 
 	@Override
@@ -97,33 +109,14 @@
 	}
 
 	private Mono<Void> relay(Exchange exchange, RoutedRequest routed, byte[] body) {
-		ServiceRoute route = routed.route();
-		String serviceName = route.selectService(this.random.nextDouble());
-		RoutedService service = routed.table().service(serviceName);
-		int tokensPerEvent = (service != null && route.kind().isStream()) ? service.tokensPerEvent() : 0;
 		RelayResponse response = new RelayResponse(exchange);
-		RequestFingerprint fingerprint = RequestFingerprint.of(exchange.method(), exchange.path(),
-				exchange.request().uri(), exchange.workspaceOrNull(), body);
-		RelayTransfer transfer = new RelayTransfer(exchange, body, response, this.pool, this.control, this.events,
-				tokensPerEvent, fingerprint, this.quarantine, this.crashWatch);
-		CallRequest request = callRequest(exchange, routed, serviceName, transfer);
-		RelayCallListener listener = new RelayCallListener(exchange, response, this.pool.eventLoop(), this.control);
-		CallHandle[] handle = new CallHandle[1];
+		RelayStart start = new RelayStart(exchange, body, routed.route().selectService(this.random.nextDouble()),
+				RequestFingerprint.of(exchange.method(), exchange.path(), exchange.request().uri(),
+						exchange.workspaceOrNull(), body),
+				response, new RelayCallListener(exchange, response, this.pool.eventLoop(), this.control));
 		exchange.relayed();
-		this.control.execute(() -> {
-			long withheldMs = this.quarantine.withheldMs(fingerprint);
-			if (withheldMs > 0) {
-				listener.refused(Refusal.notRun(RefusalReason.QUARANTINED,
-						"replicas crashed while they had this request", withheldMs));
-				return;
-			}
-			handle[0] = this.runner.run(request, listener);
-		});
-		return response.respond().doOnCancel(() -> this.control.execute(() -> {
-			if (handle[0] != null) {
-				handle[0].cancel();
-			}
-		}));
+		this.control.execute(start::run);
+		return response.respond().doOnCancel(() -> this.control.execute(start::cancel));
 	}
 
 	private static int expectedTokens(RequestMetadata metadata) {
@@ -132,20 +125,136 @@
 		return Math.max(1, Math.min(expected, metadata.maxAnswerTokens()));
 	}
 
-	private static CallRequest callRequest(Exchange exchange, RoutedRequest routed, String service,
-			RelayTransfer transfer) {
-		ServiceRoute route = routed.route();
-		RequestMetadata metadata = routed.facts();
-		WorkspaceId workspace = exchange.workspaceOrNull();
-		boolean isEngine = route.kind().isStream();
-		RelayedCall call = new RelayedCall(service, route.kind().repeatability(), route.kind().isInterruptible(),
-				route.maxReplicas(), isEngine ? metadata.prompt() : List.of(),
-				isEngine ? metadata.maxAnswerTokens() : 0, isEngine ? expectedTokens(metadata) : 0,
-				exchange.reservation().stage() == RequestStage.OPENING, exchange.programOrNull(), metadata.finishMs(),
-				routed.table().priorityOf(route, workspace), isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, transfer);
-		long timeLeftMs = Math.max(1, routed.timeoutMs() - exchange.elapsedMs());
-		return new CallRequest(exchange.decision(), (workspace != null) ? workspace : PUBLIC_WORKSPACE,
-				(workspace != null) ? exchange.key() : NO_KEY, null, 0, route.name(), call, timeLeftMs);
+	/**
+	 * Submits one request to the scheduler. Runs on the control thread.
+	 */
+	private final class RelayStart {
+
+		private final Exchange exchange;
+
+		private final byte[] body;
+
+		private final String selectedService;
+
+		private final RequestFingerprint fingerprint;
+
+		private final RelayResponse response;
+
+		private final CallListener listener;
+
+		private @Nullable CallHandle handle;
+
+		private boolean isEnded;
+
+		private RelayStart(Exchange exchange, byte[] body, String selectedService, RequestFingerprint fingerprint,
+				RelayResponse response, CallListener listener) {
+			this.exchange = exchange;
+			this.body = body;
+			this.selectedService = selectedService;
+			this.fingerprint = fingerprint;
+			this.response = response;
+			this.listener = listener;
+		}
+
+		private RoutedRequest routed() {
+			return this.exchange.routed();
+		}
+
+		private void run() {
+			long withheldMs = RelayRoute.this.quarantine.withheldMs(this.fingerprint);
+			if (withheldMs > 0) {
+				refuse(RefusalReason.QUARANTINED, "replicas crashed while they had this request", withheldMs);
+			}
+			else if (isResumed()) {
+				List<String> services = routed().route().shares().stream().map(ServiceShare::service).toList();
+				RelayRoute.this.origins.find(routed().facts().resumedAttemptId(), services).thenAccept(this::resume);
+			}
+			else {
+				submit(this.selectedService, null);
+			}
+		}
+
+		private boolean isResumed() {
+			return routed().route().kind() == RouteKind.RESUMABLE_STREAM && routed().facts().resumeAfterEvent() > 0;
+		}
+
+		private void resume(ResumeTarget target) {
+			StreamOrigin origin = target.origin();
+			if (!target.isKnown()) {
+				refuse(RefusalReason.NOT_RESUMABLE, "the software version that began the stream is not known", 0);
+			}
+			else if (origin == null) {
+				submit(this.selectedService, null);
+			}
+			else if (routed().route()
+				.shares()
+				.stream()
+				.noneMatch((share) -> share.service().equals(origin.service()))) {
+				refuse(RefusalReason.NOT_RESUMABLE, "the service that began the stream no longer serves the route", 0);
+			}
+			else {
+				submit(origin.service(), origin.softwareVersion());
+			}
+		}
+
+		private void submit(String service, @Nullable String softwareVersion) {
+			if (!this.isEnded) {
+				this.handle = RelayRoute.this.runner.run(callRequest(service, softwareVersion), this.listener);
+			}
+		}
+
+		private void refuse(RefusalReason reason, String detail, long retryAfterMs) {
+			if (!this.isEnded) {
+				this.isEnded = true;
+				this.listener.refused(Refusal.notRun(reason, detail, retryAfterMs));
+			}
+		}
+
+		private void cancel() {
+			if (this.handle != null) {
+				this.handle.cancel();
+			}
+			else {
+				refuse(RefusalReason.CANCELLED, "the caller cancelled", 0);
+			}
+		}
+
+		private CallRequest callRequest(String service, @Nullable String softwareVersion) {
+			ServiceRoute route = routed().route();
+			RequestMetadata metadata = routed().facts();
+			WorkspaceId workspace = this.exchange.workspaceOrNull();
+			boolean isEngine = route.kind().isStream();
+			RelayedCall call = new RelayedCall(service, softwareVersion, route.kind().repeatability(),
+					route.kind().isInterruptible(), route.maxReplicas(), isEngine ? metadata.prompt() : List.of(),
+					isEngine ? metadata.maxAnswerTokens() : 0, isEngine ? expectedTokens(metadata) : 0,
+					this.exchange.reservation().stage() == RequestStage.OPENING, this.exchange.programOrNull(),
+					metadata.finishMs(), routed().table().priorityOf(route, workspace),
+					isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, relay(service));
+			long timeLeftMs = Math.max(1, routed().timeoutMs() - this.exchange.elapsedMs());
+			return new CallRequest(this.exchange.decision(), (workspace != null) ? workspace : PUBLIC_WORKSPACE,
+					(workspace != null) ? this.exchange.key() : NO_KEY, null, 0, route.name(), call, timeLeftMs);
+		}
+
+		private Relay relay(String service) {
+			ServiceRoute route = routed().route();
+			RoutedService routedService = routed().table().service(service);
+			int tokensPerEvent = (routedService != null && route.kind().isStream()) ? routedService.tokensPerEvent()
+					: 0;
+			RelayTransfer transfer = new RelayTransfer(this.exchange, this.body, this.response, RelayRoute.this.pool,
+					RelayRoute.this.control, RelayRoute.this.events, tokensPerEvent, this.fingerprint,
+					RelayRoute.this.quarantine, RelayRoute.this.crashWatch);
+			String attemptId = routed().facts().attemptId();
+			if (route.kind() != RouteKind.RESUMABLE_STREAM || attemptId == null) {
+				return transfer;
+			}
+			return (upstream, timeLeftMs, relayListener) -> {
+				if (!isResumed()) {
+					RelayRoute.this.origins.began(attemptId, service, upstream);
+				}
+				return transfer.send(upstream, timeLeftMs, relayListener);
+			};
+		}
+
 	}
 
 }
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/cluster/DecisionFunctionsTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/cluster/DecisionFunctionsTests.java
@@ -127,9 +127,9 @@
 	}
 
 	private DecisionId queue() {
-		QueueInput inputs = new QueueInput(this.random.nextInt(10) > 0, this.random.nextInt(500), 400,
-				this.random.nextDouble() * 5_000, this.random.nextDouble() * 500, this.random.nextLong(6_000),
-				this.random.nextDouble() * 2, 1 + this.random.nextDouble());
+		QueueInput inputs = new QueueInput(this.random.nextInt(10) > 0, this.random.nextInt(10) == 0,
+				this.random.nextInt(500), 400, this.random.nextDouble() * 5_000, this.random.nextDouble() * 500,
+				this.random.nextLong(6_000), this.random.nextDouble() * 2, 1 + this.random.nextDouble());
 		return record(DecisionKind.QUEUE, inputs, inputs.decide());
 	}
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/SimulatedProgram.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/SimulatedProgram.java
@@ -130,8 +130,8 @@
 	private void call(String service, List<PromptPart> prompt, int tokens, PeakDayWorkload.ToolCall tool,
 			boolean isOpening, ResponseListener responseListener) {
 		long remainingMs = Math.max(1, Math.round(this.program.objectiveMs() - elapsedMs()));
-		RelayedCall relayed = new RelayedCall(service, Repeatability.REPEATABLE, true, 1, prompt, tokens * 2, tokens,
-				isOpening, "p" + this.program.number(), remainingMs, this.program.kind(), 1,
+		RelayedCall relayed = new RelayedCall(service, null, Repeatability.REPEATABLE, true, 1, prompt, tokens * 2,
+				tokens, isOpening, "p" + this.program.number(), remainingMs, this.program.kind(), 1,
 				(upstream, timeLeftMs, listener) -> this.cluster.send(this.instance, upstream, prompt, tokens,
 						tool.workMs(), listener));
 		CallRequest request = new CallRequest(new DecisionId("d"), WORKSPACE, KEY, null, 0, "", relayed,
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -626,9 +626,12 @@
 		void goOnAtVersionThatBeganThemAfterLossOfGateway() throws Exception {
 			start("v1", "v1", "v2", "v2");
 			int firstClientPort = GatewayTests.this.clientPort;
+			int firstReadinessPort = GatewayTests.this.readinessPort;
 			startSecondGateway();
 			int secondClientPort = GatewayTests.this.clientPort;
 			GatewayTests.this.clientPort = firstClientPort;
+			GatewayTests.this.readinessPort = firstReadinessPort;
+			await(() -> dump().contains("gateways=2"));
 			List<String> attempts = new ArrayList<>();
 			for (int i = 0; i < STREAMS; i++) {
 				attempts.add(beginStream());
