Choose ports in GatewayTests that no outgoing connection takes

isNotReadyBeforeItKnowsTheLedger failed once with "Failed to bind on [127.0.0.1:40441]": freePort() returned a port of the range from which the system gives ports to outgoing connections (32768 to 60999), and one of the test's many connections had it when the gateway bound it.

--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,6 +20,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -60,6 +62,12 @@
 
 	private static final long LIMIT_MS = 20_000;
 
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int LAST_PORT = 32_000;
+
+	private static final int MAX_PORT_TRIES = 100;
+
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	@TempDir
@@ -128,10 +136,19 @@
 		this.replica.close();
 	}
 
+	// Below the ports that the system gives to outgoing connections, which could take a
+	// port between this check and its use.
 	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
+		for (int i = 0; i < MAX_PORT_TRIES; i++) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				return socket.getLocalPort();
+			}
+			catch (BindException ex) {
+				continue;
+			}
 		}
+		throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
 	}
 
 	private void put(String kind, String name, String spec) throws Exception {
