Keep connections that have not been used yet in the pool

A connection counted as idle since the origin of the clock until its first answer, so the pool closed one that was released unused, such as one opened to check whether a replica is alive, or for a caller that had gone meanwhile.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -74,7 +74,7 @@
 
 	private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
 
-	private long idleSinceNs;
+	private long idleSinceNs = System.nanoTime();
 
 	UpstreamConnection(Channel channel, RequestTranslator translator, UpstreamPool pool, Upstream upstream) {
 		this.channel = channel;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -135,6 +135,17 @@
 
 	}
 
+	@Nested
+	class UnusedConnections {
+
+		// Guards against connections that are opened and closed without use.
+		@Test
+		void areUsable() {
+			assertThat(UpstreamConnectionTests.this.connection.isUsable(), is(true));
+		}
+
+	}
+
 	@Nested
 	class UnexpectedBytes {
 
