Renew the quarantine of a request also after its eighth crash

A history took no crash after the eighth, so a request that crashed one replica after each quarantine was sent again for good. The oldest crash is dropped instead. renewsQuarantineWithSingleCrash now plays 20 quarantines; it failed before.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/CrashHistory.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/CrashHistory.java
@@ -28,7 +28,7 @@
 
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
-	/** More crashes are not kept, since they decide nothing. */
+	/** Older crashes are not kept, since the newest decide. */
 	private static final int MAX_CRASHES = 8;
 
 	private final List<Crash> crashes = new ArrayList<>();
@@ -43,7 +43,7 @@
 	 * @return whether the crash is new
 	 */
 	boolean add(UpstreamId replica, long sentMs, long crashedMs) {
-		if (crashedMs <= this.completedMs || this.crashes.size() >= MAX_CRASHES) {
+		if (crashedMs <= this.completedMs) {
 			return false;
 		}
 		for (Crash crash : this.crashes) {
@@ -51,9 +51,10 @@
 				return false;
 			}
 		}
-		this.crashes.add(new Crash(replica, sentMs, crashedMs));
+		Crash added = new Crash(replica, sentMs, crashedMs);
+		this.crashes.add(added);
 		this.crashes.sort(Comparator.comparingLong(Crash::crashedMs));
-		return true;
+		return this.crashes.size() <= MAX_CRASHES || !this.crashes.remove(0).equals(added);
 	}
 
 	/**
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/quarantine/RequestQuarantineTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/quarantine/RequestQuarantineTests.java
@@ -112,18 +112,20 @@
 			assertThat(isWithheld(), is(false));
 		}
 
-		// Guards against a request that crashes three replicas a minute for ever.
+		// Guards against a request that is sent again for good after its quarantine.
 		@Test
 		void renewsQuarantineWithSingleCrash() {
 			for (int i = 0; i < 3; i++) {
 				crashOne(RequestQuarantineTests.this.quarantine);
 			}
-			long withheldMs = RequestQuarantineTests.this.quarantine.withheldMs(REQUEST);
-			RequestQuarantineTests.this.timer.advance(withheldMs);
-			RequestQuarantineTests.this.quarantine.takeDue();
-			assertThat(isWithheld(), is(false));
-			crashOne(RequestQuarantineTests.this.quarantine);
-			assertThat(isWithheld(), is(true));
+			for (int i = 0; i < 20; i++) {
+				long withheldMs = RequestQuarantineTests.this.quarantine.withheldMs(REQUEST);
+				RequestQuarantineTests.this.timer.advance(withheldMs);
+				RequestQuarantineTests.this.quarantine.takeDue();
+				assertThat(isWithheld(), is(false));
+				crashOne(RequestQuarantineTests.this.quarantine);
+				assertThat(isWithheld(), is(true));
+			}
 		}
 
 	}
@@ -177,6 +179,19 @@
 			assertThat(isWithheld(), is(false));
 		}
 
+		// Guards against messages for each request for an object that a crash once hit.
+		@Test
+		void forgetsObjectThatServesOtherRequests() {
+			crashOne(RequestQuarantineTests.this.quarantine);
+			for (int i = 0; i < 100; i++) {
+				RequestQuarantineTests.this.quarantine.completed(SIBLING);
+				RequestQuarantineTests.this.timer.advance(1_000);
+				RequestQuarantineTests.this.quarantine.takeDue();
+			}
+			assertThat(RequestQuarantineTests.this.quarantine.all(), is(empty()));
+			assertThat(RequestQuarantineTests.this.quarantine.dump(), startsWith("0/0 "));
+		}
+
 		// Guards against memory and messages that grow with the requests that ran beside
 		// those that crash replicas.
 		@Test
