--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/CrashHistory.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/quarantine/CrashHistory.java
@@ -64,6 +64,9 @@
 	 * @return whether there were earlier crashes
 	 */
 	boolean complete(long nowMs) {
+		if (this.crashes.isEmpty()) {
+			return false;
+		}
 		this.completedMs = Math.max(this.completedMs, nowMs);
 		return this.crashes.removeIf((crash) -> crash.crashedMs <= nowMs);
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/quarantine/RequestQuarantineTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/quarantine/RequestQuarantineTests.java
@@ -10,6 +10,7 @@
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
