Ask other gateways for the version of a stream also when one version seems to serve

And a stream that was taken up while one version served was not bound to it, so it could wait until a second one appeared and be sent there.

A gateway now always asks the holders of a stream that it has not sent itself.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/ResumeTarget.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/ResumeTarget.java
@@ -1,22 +1,35 @@
 package dev.nutmegdoor.core.stream;
 
+import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 /**
- * Where a stream that a client takes up may go on.
+ * The replicas at which a stream that a client takes up may go on.
  *
- * @param isKnown whether it is known; if not, the stream must not go on anywhere
- * @param origin the only replicas at which the stream may go on, or {@code null} if it
- * may go on at any
+ * @param origins where the stream can have begun: one for each service that may have
+ * begun it, or none if that is not known and the stream must not go on anywhere
  */
-public record ResumeTarget(boolean isKnown, @Nullable StreamOrigin origin) {
+public record ResumeTarget(List<StreamOrigin> origins) {
 
-	static final ResumeTarget ANY = new ResumeTarget(true, null);
+	static final ResumeTarget UNKNOWN = new ResumeTarget(List.of());
 
-	static final ResumeTarget UNKNOWN = new ResumeTarget(false, null);
+	public ResumeTarget {
+		origins = List.copyOf(origins);
+	}
 
-	static ResumeTarget of(StreamOrigin origin) {
-		return new ResumeTarget(true, origin);
+	/**
+	 * Selects the replicas of one service.
+	 * @param preferredService service to select if the stream can have begun there
+	 * @return service and version, or {@code null} if they are not known
+	 */
+	public @Nullable StreamOrigin select(String preferredService) {
+		for (StreamOrigin origin : this.origins) {
+			if (origin.service().equals(preferredService)) {
+				return origin;
+			}
+		}
+		return this.origins.isEmpty() ? null : this.origins.get(0);
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/ServiceVersions.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/ServiceVersions.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.jspecify.annotations.Nullable;
-
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.time.TimerService;
 
@@ -41,7 +39,7 @@
 	/**
 	 * Applies the list of replicas.
 	 * @param upstreams all replicas that are ready or leaving
-	 * @return services in which another version has appeared beside a single one
+	 * @return services in which another version has appeared
 	 */
 	Set<String> apply(Collection<Upstream> upstreams) {
 		Map<String, Set<String>> versions = new HashMap<>();
@@ -50,44 +48,63 @@
 				versions.computeIfAbsent(service, (name) -> new HashSet<>()).add(versionOf(upstream));
 			}
 		}
-		Set<String> mixedServices = new HashSet<>();
+		Set<String> changedServices = new HashSet<>();
 		versions.forEach((name, current) -> {
-			Service service = this.services.computeIfAbsent(name, (added) -> new Service());
+			Service service = this.services.computeIfAbsent(name, (added) -> new Service(this.timer.nowMs()));
 			if (service.update(current, this.timer.nowMs())) {
-				mixedServices.add(name);
+				changedServices.add(name);
 			}
 		});
-		return mixedServices;
+		return changedServices;
+	}
+
+	VersionHistory history(String name) {
+		Service service = this.services.get(name);
+		if (service == null) {
+			return VersionHistory.UNKNOWN;
+		}
+		long nowMs = this.timer.nowMs();
+		if (service.severalUntilMs > nowMs - this.streamMemoryMs || service.versions.size() > 1) {
+			return VersionHistory.SEVERAL;
+		}
+		return (service.knownSinceMs > nowMs - this.streamMemoryMs) ? VersionHistory.UNKNOWN : VersionHistory.SINGLE;
 	}
 
 	/**
-	 * Returns whether all streams of a service that may still be taken up were begun by
-	 * the version that serves now.
-	 * @param name name of the service
-	 * @return {@code false} also for a service that has not been known for long enough
+	 * Returns the version of a service with a single one.
+	 * @param name name of a service whose history is {@link VersionHistory#SINGLE}
+	 * @return service and version
 	 */
-	boolean isSingleVersion(String name) {
+	StreamOrigin onlyVersion(String name) {
 		Service service = this.services.get(name);
-		return service != null && service.singleVersion != null
-				&& this.timer.nowMs() - service.singleSinceMs >= this.streamMemoryMs;
+		if (service == null || service.versions.size() != 1) {
+			throw new IllegalArgumentException("service " + name + " does not have exactly one version");
+		}
+		return new StreamOrigin(name, service.versions.iterator().next());
 	}
 
 	private static final class Service {
 
-		private @Nullable String singleVersion;
+		private final long knownSinceMs;
+
+		private Set<String> versions = Set.of();
 
-		private long singleSinceMs;
+		/** Last time at which there were several versions, or one replaced another. */
+		private long severalUntilMs = Long.MIN_VALUE / 2;
+
+		private Service(long knownSinceMs) {
+			this.knownSinceMs = knownSinceMs;
+		}
 
-		// A service whose replicas have all left keeps its version: the next ones may
+		// A service whose replicas have all left keeps its versions: the next ones may
 		// have another.
-		private boolean update(Set<String> versions, long nowMs) {
-			String onlyVersion = (versions.size() == 1) ? versions.iterator().next() : null;
-			boolean isNewlyMixed = onlyVersion == null && this.singleVersion != null;
-			if (onlyVersion == null || !onlyVersion.equals(this.singleVersion)) {
-				this.singleVersion = onlyVersion;
-				this.singleSinceMs = nowMs;
+		private boolean update(Set<String> current, long nowMs) {
+			boolean isNew = !this.versions.isEmpty() && !this.versions.containsAll(current);
+			if (isNew || current.size() > 1 || this.versions.size() > 1) {
+				this.severalUntilMs = nowMs;
 			}
-			return isNewlyMixed;
+			this.versions = Set.copyOf(current);
+			return isNew;
 		}
 
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/StreamOrigins.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/StreamOrigins.java
@@ -82,19 +82,19 @@
 			remember(begun.attempt(), begun.origin(), false);
 			return null;
 		});
-		transport.subscribe(StreamOriginQuery.class, (from, query) -> CompletableFuture
-			.completedFuture(new StreamOriginAnswer(lookUp(query.attempt(), query.services()))));
+		transport.subscribe(StreamOriginQuery.class,
+				(from, query) -> CompletableFuture.completedFuture(answer(query.attempt(), query.services())));
 	}
 
 	private void apply(Configuration current) {
-		Set<String> mixedServices = this.versions.apply(current.upstreams().values());
-		if (mixedServices.isEmpty()) {
+		Set<String> changedServices = this.versions.apply(current.upstreams().values());
+		if (changedServices.isEmpty()) {
 			return;
 		}
-		this.events.record("service.versions-mixed", "services", mixedServices);
+		this.events.record("service.versions-mixed", "services", changedServices);
 		// Streams that run now may be taken up elsewhere while both versions serve.
 		this.remembered.forEach((attempt, entry) -> {
-			if (entry.isOwn && mixedServices.contains(entry.origin.service())) {
+			if (entry.isOwn && changedServices.contains(entry.origin.service())) {
 				tellHolders(attempt, entry.origin);
 			}
 		});
@@ -111,13 +111,14 @@
 		long attempt = keyOf(attemptId);
 		StreamOrigin origin = new StreamOrigin(service, ServiceVersions.versionOf(replica));
 		remember(attempt, origin, true);
-		if (!this.versions.isSingleVersion(service)) {
+		if (this.versions.history(service) != VersionHistory.SINGLE) {
 			tellHolders(attempt, origin);
 		}
 	}
 
 	/**
-	 * Finds out where a stream may go on.
+	 * Finds out where a stream may go on. Other instances are asked also if one version
+	 * serves as far as this instance knows: its list of replicas may be behind.
 	 * @param attemptId identifier of the attempt that brought its first event, or
 	 * {@code null} if the client does not name it
 	 * @param services services that may have begun it
@@ -125,36 +126,55 @@
 	 */
 	public CompletableFuture<ResumeTarget> find(@Nullable String attemptId, List<String> services) {
 		long attempt = (attemptId != null) ? keyOf(attemptId) : 0;
-		ResumeTarget known = lookUp(attempt, services);
-		if (known.isKnown() || attemptId == null) {
-			return CompletableFuture.completedFuture(known);
+		List<StreamOriginAnswer> answers = new ArrayList<>();
+		answers.add(answer(attempt, services));
+		StreamOrigin remembered = answers.get(0).remembered();
+		if (remembered != null) {
+			return CompletableFuture.completedFuture(new ResumeTarget(List.of(remembered)));
 		}
 		CompletableFuture<ResumeTarget> result = new CompletableFuture<>();
 		List<CompletableFuture<?>> handledAnswers = new ArrayList<>();
 		for (InstanceId holder : holdersOf(attempt)) {
 			handledAnswers.add(this.transport
 				.request(holder, new StreamOriginQuery(attempt, services), StreamOriginAnswer.class, QUERY_TIMEOUT_MS)
-				.thenAccept((answer) -> {
-					if (answer.target().isKnown()) {
-						result.complete(answer.target());
+				.thenAccept((received) -> {
+					answers.add(received);
+					StreamOrigin told = received.remembered();
+					if (told != null) {
+						result.complete(new ResumeTarget(List.of(told)));
 					}
 				}));
 		}
 		CompletableFuture.allOf(handledAnswers.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
-			if (result.complete(ResumeTarget.UNKNOWN)) {
-				this.events.record("stream.origin-unknown", "attempt", attemptId, "services", services, "asked",
-						handledAnswers.size(), "error", String.valueOf(error));
+			ResumeTarget target = conclude(answers);
+			if (result.complete(target) && target.origins().isEmpty()) {
+				this.events.record("stream.origin-unknown", "attempt", String.valueOf(attemptId), "services", services,
+						"asked", handledAnswers.size(), "answers", answers.size() - 1, "error", String.valueOf(error));
 			}
 		});
 		return result;
 	}
 
-	private ResumeTarget lookUp(long attempt, List<String> services) {
-		Entry entry = this.remembered.get(attempt);
-		if (entry != null) {
-			return ResumeTarget.of(entry.origin);
+	// Nobody remembers the stream. It can go on only if all who answer agree that one
+	// version has served all the time.
+	private static ResumeTarget conclude(List<StreamOriginAnswer> answers) {
+		if (answers.stream().anyMatch(StreamOriginAnswer::isAmbiguous)) {
+			return ResumeTarget.UNKNOWN;
 		}
-		return services.stream().allMatch(this.versions::isSingleVersion) ? ResumeTarget.ANY : ResumeTarget.UNKNOWN;
+		List<List<StreamOrigin>> opinions = answers.stream()
+			.map(StreamOriginAnswer::onlyVersions)
+			.filter((onlyVersions) -> !onlyVersions.isEmpty())
+			.distinct()
+			.toList();
+		return (opinions.size() == 1) ? new ResumeTarget(opinions.get(0)) : ResumeTarget.UNKNOWN;
+	}
+
+	private StreamOriginAnswer answer(long attempt, List<String> services) {
+		Entry entry = this.remembered.get(attempt);
+		List<VersionHistory> histories = services.stream().map(this.versions::history).toList();
+		boolean isSingle = histories.stream().allMatch((history) -> history == VersionHistory.SINGLE);
+		return new StreamOriginAnswer((entry != null) ? entry.origin : null, histories.contains(VersionHistory.SEVERAL),
+				isSingle ? services.stream().map(this.versions::onlyVersion).toList() : List.of());
 	}
 
 	private void remember(long attempt, StreamOrigin origin, boolean isOwn) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/stream/StreamOriginsTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/stream/StreamOriginsTests.java
@@ -29,7 +29,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.nullValue;
 
 class StreamOriginsTests {
 
@@ -120,8 +119,9 @@
 		int found = 0;
 		for (int i = 0; i < STREAMS; i++) {
 			assertThat(targets.get(i).isDone(), is(true));
-			if (targets.get(i).join().isKnown()) {
-				assertThat(targets.get(i).join().origin(), is(new StreamOrigin(SERVICE, versionOf(i))));
+			StreamOrigin origin = targets.get(i).join().select(SERVICE);
+			if (origin != null) {
+				assertThat(origin, is(new StreamOrigin(SERVICE, versionOf(i))));
 				found++;
 			}
 		}
@@ -174,8 +174,8 @@
 			start(9);
 			StreamOriginsTests.this.timer.advance(SETTLED_MS);
 			StreamOriginsTests.this.configuration.set(replicas("v1", "v2"));
-			assertThat(find(3, "never-seen").isKnown(), is(false));
-			assertThat(find(3, null).isKnown(), is(false));
+			assertThat(find(3, "never-seen"), is(ResumeTarget.UNKNOWN));
+			assertThat(find(3, null), is(ResumeTarget.UNKNOWN));
 		}
 
 		// Guards against streams whose instance did not tell others of them, because only
@@ -188,7 +188,7 @@
 			StreamOriginsTests.this.configuration.set(replicas("v1", "v2"));
 			StreamOriginsTests.this.timer.advance(FIRST_EVENT_MS);
 			StreamOriginsTests.this.hosts.get(0).crash();
-			assertThat(find(5, "attempt-0").origin(), is(new StreamOrigin(SERVICE, "v1")));
+			assertThat(find(5, "attempt-0").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
 		}
 
 		// Guards against a stream that goes on at the only version that is left, although
@@ -200,7 +200,7 @@
 			beginStreams(0);
 			StreamOriginsTests.this.configuration.set(replicas("v2"));
 			assertThat(countFound(4), is(STREAMS));
-			assertThat(find(4, "never-seen").isKnown(), is(false));
+			assertThat(find(4, "never-seen"), is(ResumeTarget.UNKNOWN));
 		}
 
 		// Guards against a restarted instance that takes the versions it sees for those
@@ -214,7 +214,7 @@
 			StreamOriginsTests.this.hosts.get(7).crash();
 			startInstance(7);
 			assertThat(countFound(7), is(STREAMS));
-			assertThat(find(7, "never-seen").isKnown(), is(false));
+			assertThat(find(7, "never-seen"), is(ResumeTarget.UNKNOWN));
 		}
 
 	}
@@ -222,20 +222,72 @@
 	@Nested
 	class WhileOneVersionServes {
 
-		// Guards against messages for each stream, and streams that can't go on, in a
-		// deployment that runs one version.
+		// Guards against messages for each stream in a deployment that runs one version.
 		@Test
-		void letsStreamsGoOnAnywhereWithoutMessages() {
+		void sendsNoMessageForStreamThatBegins() {
 			start(9);
 			StreamOriginsTests.this.timer.advance(SETTLED_MS);
 			long before = StreamOriginsTests.this.network.sentMessages();
 			beginStreams(0);
-			ResumeTarget target = find(4, "attempt-0");
-			assertThat(target.isKnown(), is(true));
-			assertThat(target.origin(), is(nullValue()));
 			assertThat(StreamOriginsTests.this.network.sentMessages() - before, is(0L));
 		}
 
+		// Guards against streams that can't go on although only one version can have
+		// begun
+		// them, also at an instance that has just started.
+		@Test
+		void letsStreamsOfKilledInstancesGoOn() {
+			start(9);
+			StreamOriginsTests.this.timer.advance(SETTLED_MS);
+			StreamOriginsTests.this.hosts.get(0).crash();
+			startInstance(0);
+			assertThat(find(0, "began-before").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
+			assertThat(find(4, "began-before").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
+		}
+
+		// Guards against a zone in which no stream can go on while it is cut off.
+		@Test
+		void letsStreamsGoOnWhileOthersAreOutOfReach() {
+			start(3);
+			StreamOriginsTests.this.timer.advance(SETTLED_MS);
+			for (int i = 1; i < 3; i++) {
+				StreamOriginsTests.this.hosts.get(i).crash();
+			}
+			assertThat(find(0, "began-before").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
+		}
+
+	}
+
+	@Nested
+	class WhileListOfInstanceIsBehind {
+
+		// Guards against a stream that goes on at the old version because the gateway at
+		// which the client takes it up has not heard of the new one.
+		@Test
+		void asksInstancesThatKnowSecondVersion() {
+			StreamOriginsTests.this.ids.addAll(List.of(new InstanceId("i-0"), new InstanceId("i-1")));
+			for (int i = 0; i < 2; i++) {
+				StreamOriginsTests.this.hosts.add(null);
+				StreamOriginsTests.this.instances.add(null);
+				startInstance(i);
+			}
+			FakeConfigurationView ownList = new FakeConfigurationView(replicas("v1"));
+			InstanceId self = new InstanceId("i-2");
+			StreamOriginsTests.this.ids.add(self);
+			FakeHost host = new FakeHost(StreamOriginsTests.this.timer, self, new AvailabilityZone("z2"), 0);
+			StreamOrigins behind = new StreamOrigins(StreamOriginsTests.this.network.join(host),
+					() -> StreamOriginsTests.this.ids.subList(0, 2), ownList, host, EventLog.NONE);
+			StreamOriginsTests.this.timer.advance(SETTLED_MS);
+			StreamOriginsTests.this.configuration.set(replicas("v1", "v2"));
+			StreamOriginsTests.this.instances.get(0).began("attempt-1", SERVICE, replica("v2"));
+			StreamOriginsTests.this.timer.advance(FIRST_EVENT_MS);
+			CompletableFuture<ResumeTarget> known = behind.find("attempt-1", List.of(SERVICE));
+			CompletableFuture<ResumeTarget> unknown = behind.find("never-seen", List.of(SERVICE));
+			StreamOriginsTests.this.timer.advance(FIND_MS);
+			assertThat(known.join().select(SERVICE), is(new StreamOrigin(SERVICE, "v2")));
+			assertThat(unknown.join(), is(ResumeTarget.UNKNOWN));
+		}
+
 	}
 
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -166,8 +166,7 @@
 				refuse(RefusalReason.QUARANTINED, "replicas crashed while they had this request", withheldMs);
 			}
 			else if (isResumed()) {
-				List<String> services = routed().route().shares().stream().map(ServiceShare::service).toList();
-				RelayRoute.this.origins.find(routed().facts().resumedAttemptId(), services).thenAccept(this::resume);
+				RelayRoute.this.origins.find(routed().facts().resumedAttemptId(), services()).thenAccept(this::resume);
 			}
 			else {
 				submit(this.selectedService, null);
@@ -179,17 +178,11 @@
 		}
 
 		private void resume(ResumeTarget target) {
-			StreamOrigin origin = target.origin();
-			if (!target.isKnown()) {
+			StreamOrigin origin = target.select(this.selectedService);
+			if (origin == null) {
 				refuse(RefusalReason.NOT_RESUMABLE, "the software version that began the stream is not known", 0);
 			}
-			else if (origin == null) {
-				submit(this.selectedService, null);
-			}
-			else if (routed().route()
-				.shares()
-				.stream()
-				.noneMatch((share) -> share.service().equals(origin.service()))) {
+			else if (!services().contains(origin.service())) {
 				refuse(RefusalReason.NOT_RESUMABLE, "the service that began the stream no longer serves the route", 0);
 			}
 			else {
@@ -197,6 +190,10 @@
 			}
 		}
 
+		private List<String> services() {
+			return routed().route().shares().stream().map(ServiceShare::service).toList();
+		}
+
 		private void submit(String service, @Nullable String softwareVersion) {
 			if (!this.isEnded) {
 				this.handle = RelayRoute.this.runner.run(callRequest(service, softwareVersion), this.listener);
