--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -34,7 +34,10 @@
 
 	static final String HOST = "desk.example";
 
-	static final String KEY = "3fexd9dnn2ctnfzs989a";
+	static final String KEY = keyOf(0);
+
+	/** Number of tenants, as on the sheet of the small deployment. */
+	static final int TENANTS = 8;
 
 	static final int STRIDE = 6;
 
@@ -126,6 +129,10 @@
 		}
 	}
 
+	static String keyOf(int tenant) {
+		return "3fexd9dnn2ctnfzs989" + (char) ('a' + tenant);
+	}
+
 	InetAddress address(int host) {
 		return address(this.subnet, host);
 	}
@@ -154,19 +161,23 @@
 		app.put("Name", "app");
 		app.put("HealthPath", "/healthz");
 		app.put("MaxConns", 110);
-		Map<String, Object> tenant = new LinkedHashMap<>();
-		tenant.put("Name", "hule930");
-		tenant.put("ApiKeys", List.of(KEY));
-		tenant.put("Priority", 1);
-		tenant.put("RatePerS", 131);
-		tenant.put("Burst", 131);
+		List<Map<String, Object>> tenants = new ArrayList<>();
+		for (int i = 0; i < TENANTS; i++) {
+			Map<String, Object> tenant = new LinkedHashMap<>();
+			tenant.put("Name", "hule93" + i);
+			tenant.put("ApiKeys", List.of(keyOf(i)));
+			tenant.put("Priority", 1);
+			tenant.put("RatePerS", 131);
+			tenant.put("Burst", 131);
+			tenants.add(tenant);
+		}
 		Map<String, Object> configuration = new LinkedHashMap<>();
 		configuration.put("Version", version);
 		configuration.put("Routes", routes);
 		configuration.put("Services", List.of(llm, app));
 		configuration.put("Limits", Map.of("MaxHeaderBytes", 16384, "MaxBodyBytes", 4194304, "HeaderTimeoutMs", 3000,
 				"IdleTimeoutMs", 15000));
-		configuration.put("Tenants", List.of(tenant));
+		configuration.put("Tenants", tenants);
 		this.store.put("config", "main", configuration);
 	}
 
@@ -190,6 +201,12 @@
 		return route;
 	}
 
+	static Map<String, Object> safeRoute(String name, int timeoutMs, int attempts) {
+		Map<String, Object> route = unsafeRoute(name, timeoutMs, attempts);
+		route.put("Kind", "safe");
+		return route;
+	}
+
 	static Map<String, Object> unsafeRoute(String name, int timeoutMs, int attempts) {
 		Map<String, Object> route = new LinkedHashMap<>();
 		route.put("Name", "r-" + name);
--- a/review/standins/ReplicaStandin.java
+++ b/review/standins/ReplicaStandin.java
@@ -8,7 +8,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,6 +49,15 @@
 	/** Work of a request in milliseconds; a request may state its own in X-Work-Ms. */
 	volatile long workMs;
 
+	/** Size of the body of an answer to a plain request. */
+	volatile int answerBytes = 800;
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+	private volatile String state = "ready";
+
+	private volatile boolean isStopped;
+
 	/** Breaks off one of so many streams in the middle, or none if 0. */
 	volatile int breakOneOf;
 
@@ -74,15 +86,34 @@
 		beat();
 	}
 
+	/** Reports that this replica drains; it goes on serving until it is stopped. */
+	void drain() {
+		this.state = "draining";
+		beat();
+	}
+
+	/** Ends the replica: its entry is removed and its address no longer answers. */
+	void stop() throws IOException {
+		this.isStopped = true;
+		this.lab.store.remove("servers", this.id);
+		this.server.close();
+		for (Socket socket : List.copyOf(this.sockets)) {
+			socket.close();
+		}
+	}
+
 	/** Writes the entry of this replica to the store. */
-	void beat() {
+	synchronized void beat() {
+		if (this.isStopped) {
+			return;
+		}
 		Map<String, Object> entry = new LinkedHashMap<>();
 		entry.put("Service", this.service);
 		entry.put("Addr", this.address.getHostAddress() + ":" + this.server.getLocalPort());
 		entry.put("Zone", this.zone);
 		entry.put("Version", "v1");
 		entry.put("Slots", this.slots);
-		entry.put("State", "ready");
+		entry.put("State", this.state);
 		entry.put("ColdLeftMs", 0);
 		entry.put("Seq", this.sequence.incrementAndGet());
 		entry.put("born", this.bornMs);
@@ -94,6 +125,7 @@
 			try {
 				Socket socket = this.server.accept();
 				socket.setTcpNoDelay(true);
+				this.sockets.add(socket);
 				this.lab.daemon("replica-connection", () -> serve(socket));
 			}
 			catch (IOException ex) {
@@ -118,6 +150,9 @@
 		catch (IOException ex) {
 			// The caller closed the connection, or this replica breaks off.
 		}
+		finally {
+			this.sockets.remove(socket);
+		}
 	}
 
 	private void answer(Message request, Socket socket, OutputStream output) throws IOException {
@@ -170,7 +205,8 @@
 		long ms = (own != null) ? Long.parseLong(own) : this.workMs;
 		Lab.sleep(Math.min(ms, Math.max(1, leftMs)));
 		boolean isLate = ms > leftMs;
-		String body = "{\"replica\":\"" + this.id + "\",\"attempt\":\"" + attempt + "\"}";
+		String head = "{\"replica\":\"" + this.id + "\",\"attempt\":\"" + attempt + "\",\"text\":\"";
+		String body = head + "x".repeat(Math.max(0, this.answerBytes - head.length() - 2)) + "\"}";
 		write(output,
 				(isLate ? "HTTP/1.1 504 Gateway Timeout" : "HTTP/1.1 200 OK") + "\r\nAttempt-Id: " + attempt
 						+ "\r\nServer-Seal: " + seal(attempt) + "\r\nServer-Load: " + this.active.get() + ","
@@ -184,7 +220,7 @@
 		int first = Integer.parseInt(request.headers.getOrDefault("Last-Event-Id", "0")) + 1;
 		int events = most / this.stride;
 		int period = this.breakOneOf;
-				boolean isBroken = period > 0 && this.streams.incrementAndGet() % period == 0;
+		boolean isBroken = period > 0 && this.streams.incrementAndGet() % period == 0;
 		boolean isUnframedStream = isBroken && this.isUnframed;
 		Lab.sleep(this.workMs);
 		write(output,
