--- a/review/standins/BrokenStream.java
+++ b/review/standins/BrokenStream.java
@@ -82,8 +82,9 @@
 			}
 			else {
 				mixed.incrementAndGet();
-				lab.record("client got a success attempt=" + attempt + " through " + gateway + " that ended in order after event "
-						+ events + " of " + EVENTS + "; head: " + answer.head().firstLine + " " + answer.head().headers);
+				lab.record("client got a success attempt=" + attempt + " through " + gateway
+						+ " that ended in order after event " + events + " of " + EVENTS + "; head: "
+						+ answer.head().firstLine + " " + answer.head().headers);
 			}
 		}
 		catch (IOException ex) {
--- a/review/standins/Program.java
+++ b/review/standins/Program.java
@@ -69,7 +69,8 @@
 			}
 			this.lastStatus = answer.status();
 			this.lab.record("client got " + answer.status() + " attempt=" + attempt + " events=" + events
-					+ " tokens of the program=" + this.tokens + (events > 0 ? "" : " head=" + answer.head().headers + " body=" + answer.body()));
+					+ " tokens of the program=" + this.tokens
+					+ (events > 0 ? "" : " head=" + answer.head().headers + " body=" + answer.body()));
 			return answer.status();
 		}
 		catch (IOException ex) {
