--- a/review/standins/BudgetAfterReturn.java
+++ b/review/standins/BudgetAfterReturn.java
@@ -14,6 +14,7 @@
 		List<String> zones = List.of("nbo-a", "nbo-b", "nbo-c");
 		for (int i = 0; i < 3; i++) {
 			lab.addReplica("i-llm" + i, "llm", zones.get(i), 16, Lab.STRIDE, 20);
+			lab.replicas.get(i).eventsOfAStream = Program.EVENTS_OF_A_TURN;
 			lab.addSeed(11 + i);
 		}
 		lab.configure(7, List.of(Lab.streamRoute()));
@@ -25,16 +26,17 @@
 		lab.awaitReady(gateways, 25_000);
 		Lab.sleep(3_000);
 		Program program = new Program(lab, "3fa81c");
-		long startMs = lab.nowMs();
-		program.turns(gateways.get(0), 4);
-		lab.sleepUntil(startMs + 25_000);
-		program.turns(lab.isTroubled ? gateways.get(1) : gateways.get(0), 8);
+		program.turns(gateways.get(0), 19);
+		long movedMs = lab.nowMs();
+		program.turns(lab.isTroubled ? gateways.get(1) : gateways.get(0), 60);
+		long stoppedMs = lab.nowMs();
 		lab.record("stopped with " + program.lastStatus + " after " + program.tokens + " of " + Program.BUDGET);
-		if (program.lastStatus != 402) {
+		lab.sleepUntil(movedMs + 66_000);
+		lab.record("returns " + (lab.nowMs() - stoppedMs) + " ms after it was stopped");
+		if (program.lastStatus != 402 || lab.nowMs() - stoppedMs > Program.RETENTION_MS) {
 			return Lab.NOT_RUN;
 		}
-		lab.sleepUntil(startMs + 72_000);
-		program.turns(gateways.get(0), 8);
+		program.turns(gateways.get(0), 60);
 		for (String gateway : gateways) {
 			lab.recordLog(gateway, "budget.refused", "ledger.");
 		}
--- a/review/standins/Program.java
+++ b/review/standins/Program.java
@@ -7,6 +7,17 @@
 
 	static final int MOST_OF_A_TURN = 132;
 
+	/** RetainS of the small deployment. */
+	static final int RETENTION_MS = 60_000;
+
+	/** Pause between two turns in milliseconds; the sheet allows 600. */
+	static final int PAUSE_MS = 600;
+
+	/** Events of each turn; 5.67 in the mean on the sheet. */
+	static final int EVENTS_OF_A_TURN = 4;
+
+	private static final int TIME_OBJECTIVE_MS = 100_000;
+
 	static final int BUDGET = 8 * MOST_OF_A_TURN;
 
 	private final Lab lab;
@@ -17,9 +28,12 @@
 
 	int lastStatus;
 
+	private final long begunMs;
+
 	Program(Lab lab, String id) {
 		this.lab = lab;
 		this.id = id;
+		this.begunMs = lab.nowMs();
 	}
 
 	/** Sends turns through one gateway; returns how many were served. */
@@ -30,6 +44,7 @@
 				break;
 			}
 			served++;
+			Lab.sleep(PAUSE_MS);
 		}
 		return served;
 	}
@@ -52,7 +67,8 @@
 		headers.put("Attempt-Id", attempt);
 		headers.put("Program-Id", this.id);
 		headers.put("Session-Id", "s" + this.id);
-		headers.put("Program-Deadline-Ms", "90000");
+		headers.put("Program-Deadline-Ms",
+				Long.toString(TIME_OBJECTIVE_MS - (this.lab.nowMs() - this.begunMs)));
 		headers.put("Token-Budget", Integer.toString(BUDGET));
 		headers.put("Token-Usage", "1460," + MOST_OF_A_TURN);
 		headers.put("Model", "m");
