--- a/review/standins/BudgetAfterRestart.java
+++ b/review/standins/BudgetAfterRestart.java
@@ -14,6 +14,7 @@
 		List<String> zones = List.of("nbo-a", "nbo-b", "nbo-c");
 		for (int i = 0; i < 3; i++) {
 			lab.addReplica("i-llm" + i, "llm", zones.get(i), 16, Lab.STRIDE, 20);
+			lab.replicas.get(i).eventsOfAStream = Program.EVENTS_OF_A_TURN;
 			lab.addSeed(11 + i);
 		}
 		lab.configure(7, List.of(Lab.streamRoute()));
@@ -25,15 +26,15 @@
 		lab.awaitReady(gateways, 25_000);
 		Lab.sleep(3_000);
 		Program program = new Program(lab, "3fa81c");
-		long startMs = lab.nowMs();
-		program.turns(gateways.get(0), 4);
-		lab.sleepUntil(startMs + 30_000);
-		program.turns(gateways.get(1), 8);
+		program.turns(gateways.get(0), 14);
+		long movedMs = lab.nowMs();
+		program.turns(gateways.get(1), 60);
+		long stoppedMs = lab.nowMs();
 		lab.record("stopped with " + program.lastStatus + " after " + program.tokens + " of " + Program.BUDGET);
 		if (program.lastStatus != 402) {
 			return Lab.NOT_RUN;
 		}
-		lab.sleepUntil(startMs + 73_000);
+		lab.sleepUntil(movedMs + 71_000);
 		if (lab.isTroubled) {
 			for (String zone : zones) {
 				lab.kill("storage-" + zone + "-1");
@@ -43,8 +44,12 @@
 				lab.startLedger("storage-" + zones.get(i) + "-1", zones.get(i), 21 + i, false);
 			}
 		}
-		lab.sleepUntil(startMs + 80_000);
-		program.turns(gateways.get(2), 8);
+		lab.sleepUntil(movedMs + 74_000);
+		lab.record("returns " + (lab.nowMs() - stoppedMs) + " ms after it was stopped");
+		if (lab.nowMs() - stoppedMs > Program.RETENTION_MS) {
+			return Lab.NOT_RUN;
+		}
+		program.turns(gateways.get(2), 60);
 		for (String zone : zones) {
 			lab.recordLog("storage-" + zone + "-1", "ledger.started", "ledger.serving");
 		}
