--- a/review/standins/DrainCut.java
+++ b/review/standins/DrainCut.java
@@ -33,7 +33,8 @@
 		lab.configure(7, List.of(Lab.unsafeRoute("order", 6000, 1)));
 		lab.startGateway("edge-nbo-a-1", "nbo-a", 11, true);
 		lab.startGateway("edge-nbo-a-2", "nbo-a", 12, true);
-		lab.awaitReady(List.of("edge-nbo-a-1", "edge-nbo-a-2"), 25_000);
+		lab.startGateway("edge-nbo-a-3", "nbo-a", 13, true);
+		lab.awaitReady(List.of("edge-nbo-a-1", "edge-nbo-a-2", "edge-nbo-a-3"), 25_000);
 		Lab.sleep(1_000);
 		entry = "edge-nbo-a-1";
 		for (int i = 0; i < CONNECTIONS; i++) {
