--- a/review/standins/GivenUpRequests.java
+++ b/review/standins/GivenUpRequests.java
@@ -7,20 +7,32 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Half of the clients of orders leave early; others wait, some of them on kept connections. */
+/**
+ * Half of the clients that send one dispatch note each leave early; the others wait, some of
+ * them on kept connections.
+ */
 final class GivenUpRequests {
 
 	private static final int TRAFFIC_MS = 85_000;
 
 	private static final int PATIENT_CLIENTS = 40;
 
-	private static final int OTHERS_PER_S = 250;
+	private static final int OTHERS_PER_S = 500;
 
-	/** The sheet allows answers of 4,800 bytes. */
-	private static final int ANSWER_BYTES = 4_700;
+	/** Sizes of answers in bytes as on the sheet: 800 in the mean, 4,800 at most. */
+	private static final int MEDIAN_BYTES = 706;
+
+	private static final double SPREAD = 0.5;
+
+	private static final int MOST_BYTES = 4_800;
+
+	private static final int WORK_MS = 208;
+
+	private static final int TIMEOUT_MS = 4_000;
 
 	private static final AtomicInteger answered = new AtomicInteger();
 
@@ -40,11 +52,11 @@
 	private static int run(Lab lab) throws Exception {
 		List<String> zones = List.of("nbo-a", "nbo-b", "nbo-c");
 		for (int i = 0; i < 23; i++) {
-			lab.addReplica("i-app" + i, "app", zones.get(i % 3), 6, 0, 300);
-			lab.replicas.get(i).answerBytes = ANSWER_BYTES;
+			lab.addReplica("i-app" + i, "app", zones.get(i % 3), 6, 0, WORK_MS);
+			lab.replicas.get(i).answerBytes = GivenUpRequests::answerBytes;
 		}
 		lab.addSeed(11);
-		lab.configure(7, List.of(Lab.unsafeRoute("order", 6000, 1)));
+		lab.configure(7, List.of(Lab.unsafeRoute("note", TIMEOUT_MS, 1)));
 		lab.startGateway("edge-nbo-a-1", "nbo-a", 11, true);
 		lab.awaitReady(List.of("edge-nbo-a-1"), 25_000);
 		Lab.sleep(1_000);
@@ -52,7 +64,7 @@
 			int tenant = i % Lab.TENANTS;
 			lab.daemon("patient", () -> patient(lab, tenant));
 		}
-		ExecutorService others = Executors.newFixedThreadPool(300);
+		ExecutorService others = Executors.newFixedThreadPool(400);
 		Random random = new Random(1);
 		long endMs = lab.nowMs() + TRAFFIC_MS;
 		for (int i = 0; lab.nowMs() < endMs; i++) {
@@ -60,7 +72,7 @@
 			long leavesAfterMs = (lab.isTroubled && i % 2 == 0) ? 50 + random.nextInt(200) : 0;
 			others.execute(() -> other(lab, tenant, leavesAfterMs));
 			Lab.sleep(1_000 / OTHERS_PER_S);
-			if (i % 1_000 == 0) {
+			if (i % 2_500 == 0) {
 				lab.record("so far answered=" + answered + " left=" + left + " refused=" + refused + " unanswered="
 						+ unanswered.size() + " ready=" + lab.isReady("edge-nbo-a-1") + " alive="
 						+ lab.process("edge-nbo-a-1").isAlive());
@@ -89,10 +101,15 @@
 		return (lost > 3) ? Lab.BROKEN : Lab.HELD;
 	}
 
+	private static int answerBytes() {
+		double bytes = MEDIAN_BYTES * Math.exp(SPREAD * ThreadLocalRandom.current().nextGaussian());
+		return (int) Math.min(MOST_BYTES, bytes);
+	}
+
 	private static Map<String, String> headers(String attempt, int tenant) {
 		Map<String, String> headers = new LinkedHashMap<>();
 		headers.put("Attempt-Id", attempt);
-		headers.put("Deadline-Ms", "6000");
+		headers.put("Deadline-Ms", Integer.toString(TIMEOUT_MS));
 		headers.put("Authorization", "Bearer " + Lab.keyOf(tenant));
 		return headers;
 	}
@@ -104,7 +121,7 @@
 				boolean isKept = true;
 				while (isKept && !isOver) {
 					attempt = lab.nextAttempt();
-					client.send("POST", Lab.HOST, "/order/book", headers(attempt, tenant), new byte[600]);
+					client.send("POST", Lab.HOST, "/note/1", headers(attempt, tenant), new byte[600]);
 					Client.Answer answer = client.receive(8_000);
 					(answer.isSealed() ? answered : refused).incrementAndGet();
 					attempt = null;
@@ -124,7 +141,7 @@
 
 	private static void other(Lab lab, int tenant, long leavesAfterMs) {
 		try (Client client = new Client(lab.front("edge-nbo-a-1"))) {
-			client.send("POST", Lab.HOST, "/order/book", headers(lab.nextAttempt(), tenant), new byte[600]);
+			client.send("POST", Lab.HOST, "/note/1", headers(lab.nextAttempt(), tenant), new byte[600]);
 			if (leavesAfterMs > 0) {
 				Lab.sleep(leavesAfterMs);
 				left.incrementAndGet();
--- a/review/standins/ReplicaStandin.java
+++ b/review/standins/ReplicaStandin.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
 
 /** A sound replica: answers each request after its work, a stream event by event. */
 final class ReplicaStandin {
@@ -50,7 +51,7 @@
 	volatile long workMs;
 
 	/** Size of the body of an answer to a plain request. */
-	volatile int answerBytes = 800;
+	volatile IntSupplier answerBytes = () -> 800;
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
@@ -206,7 +207,7 @@
 		Lab.sleep(Math.min(ms, Math.max(1, leftMs)));
 		boolean isLate = ms > leftMs;
 		String head = "{\"replica\":\"" + this.id + "\",\"attempt\":\"" + attempt + "\",\"text\":\"";
-		String body = head + "x".repeat(Math.max(0, this.answerBytes - head.length() - 2)) + "\"}";
+		String body = head + "x".repeat(Math.max(0, this.answerBytes.getAsInt() - head.length() - 2)) + "\"}";
 		write(output,
 				(isLate ? "HTTP/1.1 504 Gateway Timeout" : "HTTP/1.1 200 OK") + "\r\nAttempt-Id: " + attempt
 						+ "\r\nServer-Seal: " + seal(attempt) + "\r\nServer-Load: " + this.active.get() + ","
