--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ClientConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ClientConnection.java
@@ -27,7 +27,7 @@
 
 	private final LongSupplier clockNs;
 
-	private @Nullable ChannelHandlerContext context;
+	private volatile @Nullable ChannelHandlerContext context;
 
 	private @Nullable ScheduledFuture<?> expiryCheck;
 
@@ -86,6 +86,21 @@
 		}
 	}
 
+	/**
+	 * Closes the connection unless a request is being received or handled. May be called
+	 * from any thread.
+	 */
+	void closeIfIdle() {
+		ChannelHandlerContext handlerContext = this.context;
+		if (handlerContext != null) {
+			handlerContext.executor().execute(() -> {
+				if (this.phase == Phase.IDLE) {
+					handlerContext.close();
+				}
+			});
+		}
+	}
+
 	private void enterPhase(Phase next) {
 		this.phase = next;
 		this.phaseStartedNs = this.clockNs.getAsLong();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -147,7 +147,7 @@
 
 	private final List<ObservationServer> observationServers;
 
-	private volatile boolean isDraining;
+	private final DrainDeadline drainDeadline = new DrainDeadline(System::nanoTime);
 
 	/**
 	 * Creates an instance; {@link #start} binds its servers.
@@ -213,7 +213,8 @@
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
 				events, this.quarantine,
-				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.control, events));
+				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.control, events),
+				this.drainDeadline);
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
@@ -221,7 +222,7 @@
 		ErrorResponses errorResponses = new ErrorResponses(
 				new HttpResponses(this.deployment, RetryAfterStyle.FRACTIONS), entryDecisions, this.metrics, events);
 		this.server = new GatewayServer(clientAddress, this.loops, filterChain, errorResponses, decisionIds,
-				controlBridge, this.metrics, this.deployment::limits);
+				controlBridge, this.metrics, this.deployment::limits, this.drainDeadline);
 		List<InetSocketAddress> observationAddresses = (metricsPort > 0)
 				? List.of(readinessAddress, new InetSocketAddress(settings.host(), metricsPort))
 				: List.of(readinessAddress);
@@ -251,31 +252,38 @@
 	}
 
 	/**
-	 * Stops gracefully: reports not ready, closes each connection after its next
-	 * response, and waits for running requests. Blocks until they have ended or the grace
-	 * period of the settings, less a margin for the exit of the process, has elapsed.
+	 * Stops gracefully. Reports not ready and closes each connection after its next
+	 * response. Once the platform has noticed, closes idle connections and rejects
+	 * requests that may not end in time. Blocks until all requests have ended or been
+	 * interrupted, which is before the end of the grace period of the settings.
 	 * @return {@code true} if no request was interrupted
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public boolean drain() throws InterruptedException {
-		long startedNs = System.nanoTime();
-		this.isDraining = true;
-		this.server.startDraining();
+		this.drainDeadline.start(this.settings.graceMs());
 		this.events.record("gateway.draining", "instance", this.settings.instance(), "running",
 				this.server.runningRequests());
-		Thread.sleep(GatewaySettings.DRAIN_NOTICE_MS);
-		this.server.stopAccepting();
-		long deadlineNs = startedNs
-				+ Duration.ofMillis(this.settings.graceMs() - GatewaySettings.GRACE_MARGIN_MS).toNanos();
-		while (this.server.runningRequests() > 0 && System.nanoTime() < deadlineNs) {
+		Thread.sleep(Math.min(GatewaySettings.DRAIN_NOTICE_MS, this.drainDeadline.remainingMs()));
+		this.server.refuseConnections();
+		while (this.server.openConnections() > 0 && this.drainDeadline.remainingMs() > 0) {
 			Thread.sleep(DRAIN_POLL_MS);
 		}
 		int interruptedRequests = this.server.runningRequests();
-		this.events.record("gateway.stopped", "instance", this.settings.instance(), "interrupted", interruptedRequests);
+		this.events.record("gateway.stopped", "instance", this.settings.instance(), "interrupted", interruptedRequests,
+				"connections", this.server.openConnections());
+		interruptRequests();
 		stop();
 		return interruptedRequests == 0;
 	}
 
+	private void interruptRequests() throws InterruptedException {
+		this.server.interruptRequests();
+		long deadlineNs = System.nanoTime() + Duration.ofMillis(GatewaySettings.ANSWER_MARGIN_MS).toNanos();
+		while (this.server.runningRequests() > 0 && System.nanoTime() < deadlineNs) {
+			Thread.sleep(DRAIN_POLL_MS);
+		}
+	}
+
 	/**
 	 * Stops immediately and closes all connections.
 	 */
@@ -334,13 +342,13 @@
 	}
 
 	private boolean isReady() {
-		return !this.isDraining && this.deploymentExchange.isComplete();
+		return !this.drainDeadline.isStarted() && this.deploymentExchange.isComplete();
 	}
 
 	private Mono<String> dump() {
 		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
-				+ this.isDraining + " configuration=" + this.deployment.current().version() + " replicas="
-				+ this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
+				+ this.drainDeadline.isStarted() + " configuration=" + this.deployment.current().version()
+				+ " replicas=" + this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
 				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
 				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -20,12 +21,16 @@
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
 
+import dev.nutmegdoor.core.call.Refusal;
+import dev.nutmegdoor.core.call.RefusalReason;
+import dev.nutmegdoor.core.call.RunState;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.route.RequestLimits;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.ErrorResponses;
 import dev.nutmegdoor.node.entry.Exchange;
 import dev.nutmegdoor.node.entry.FilterChain;
+import dev.nutmegdoor.node.entry.RefusalException;
 
 /**
  * HTTP server for the clients of the platform. All requests pass one filter chain.
@@ -61,12 +66,15 @@
 
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
-	private volatile boolean isDraining;
+	private final DrainDeadline drainDeadline;
+
+	private final Sinks.Empty<Void> interruption = Sinks.empty();
 
 	private @Nullable DisposableServer server;
 
 	GatewayServer(InetSocketAddress address, LoopResources loops, FilterChain chain, ErrorResponses errorResponses,
-			DecisionIds decisionIds, ControlBridge control, MetricRegistry metrics, Supplier<RequestLimits> limits) {
+			DecisionIds decisionIds, ControlBridge control, MetricRegistry metrics, Supplier<RequestLimits> limits,
+			DrainDeadline drainDeadline) {
 		this.address = address;
 		this.loops = loops;
 		this.chain = chain;
@@ -75,6 +83,7 @@
 		this.control = control;
 		this.metrics = metrics;
 		this.limits = limits;
+		this.drainDeadline = drainDeadline;
 		metrics.gauge("gateway.requests.running", () -> this.runningRequests::get);
 		metrics.gauge("gateway.connections", () -> this.connections::size);
 	}
@@ -98,18 +107,36 @@
 		return this.runningRequests.get();
 	}
 
+	int openConnections() {
+		return this.connections.size();
+	}
+
 	/**
-	 * Closes each connection after its next response from now on, so that clients
-	 * reconnect to other instances.
+	 * Stops accepting connections and closes those on which no request is under way, so
+	 * that their clients send the next one to another instance.
 	 */
-	void startDraining() {
-		this.isDraining = true;
+	void refuseConnections() {
+		stopAccepting();
+		for (Channel connection : this.connections) {
+			ClientConnection client = connection.pipeline().get(ClientConnection.class);
+			if (client != null) {
+				client.closeIfIdle();
+			}
+		}
+	}
+
+	/**
+	 * Answers the requests whose response has not begun and breaks off the other
+	 * responses.
+	 */
+	void interruptRequests() {
+		this.interruption.tryEmitEmpty();
 	}
 
 	/**
 	 * Stops accepting connections; existing ones stay open.
 	 */
-	void stopAccepting() {
+	private void stopAccepting() {
 		if (this.server != null) {
 			this.server.channel().close().syncUninterruptibly();
 		}
@@ -127,13 +154,14 @@
 		Channel[] channel = new Channel[1];
 		request.withConnection((Connection connection) -> channel[0] = connection.channel());
 		Exchange exchange = new Exchange(request, response, channel[0], this.decisionIds.next());
-		if (this.isDraining) {
+		// The client is to send its next request to another instance.
+		if (this.drainDeadline.isStarted()) {
 			response.keepAlive(false);
 		}
 		ClientConnection client = channel[0].pipeline().get(ClientConnection.class);
 		client.requestStarted();
 		this.runningRequests.incrementAndGet();
-		return this.chain.run(exchange)
+		return Mono.firstWithSignal(this.chain.run(exchange), interruptionOf(exchange))
 			.onErrorResume((error) -> this.errorResponses.respond(exchange, error))
 			.doFinally((signal) -> {
 				this.runningRequests.decrementAndGet();
@@ -145,4 +173,13 @@
 			});
 	}
 
+	private Mono<Void> interruptionOf(Exchange exchange) {
+		return this.interruption.asMono().then(Mono.defer(() -> {
+			String detail = "the instance stops";
+			return Mono.error(new RefusalException(
+					exchange.isRelayed() ? new Refusal(RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN, detail, 0)
+							: Refusal.notRun(RefusalReason.DRAINING, detail, RelayCallListener.RETRY_AFTER_MS)));
+		}));
+	}
+
 }
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewaySettings.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewaySettings.java
@@ -35,6 +35,11 @@
 	/** Time reserved for the exit of the process in milliseconds. */
 	static final long GRACE_MARGIN_MS = 500;
 
+	/**
+	 * Time before the exit in milliseconds in which interrupted requests are answered.
+	 */
+	static final long ANSWER_MARGIN_MS = 250;
+
 	private GatewaySettings() {
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayCallListener.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayCallListener.java
@@ -20,7 +20,7 @@
 	 * Time in milliseconds after which a client may retry a request that was not run.
 	 * Another instance or replica can usually serve it immediately.
 	 */
-	private static final long RETRY_AFTER_MS = 100;
+	static final long RETRY_AFTER_MS = 100;
 
 	private final Exchange exchange;
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.netty.http.server.HttpServerResponse;
 
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.node.entry.Exchange;
@@ -51,9 +52,11 @@
 			if (!this.exchange.beginResponse()) {
 				return Mono.empty();
 			}
-			this.exchange.response().status(received.status()).headers(received.headers());
+			HttpServerResponse response = this.exchange.response().status(received.status()).chunkedTransfer(false);
+			// Fields that are set already concern the connection to the client and stay.
+			received.headers().forEach((field) -> response.addHeader(field.getKey(), field.getValue()));
 			// Each chunk is flushed immediately: clients wait for individual events.
-			return this.exchange.response().send(this.body.asFlux().doOnNext(this::chunkTaken), (chunk) -> true).then();
+			return response.send(this.body.asFlux().doOnNext(this::chunkTaken), (chunk) -> true).then();
 		});
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -71,6 +71,8 @@
 
 	private final StreamOrigins origins;
 
+	private final DrainDeadline drainDeadline;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -82,9 +84,10 @@
 	 * @param quarantine knows the requests that must not be sent; used on the control
 	 * thread
 	 * @param origins knows where streams began; used on the control thread
+	 * @param drainDeadline limits the time of requests while the instance stops
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
-			EventLog events, RequestQuarantine quarantine, StreamOrigins origins) {
+			EventLog events, RequestQuarantine quarantine, StreamOrigins origins, DrainDeadline drainDeadline) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
@@ -93,6 +96,7 @@
 		this.quarantine = quarantine;
 		this.crashWatch = new CrashWatch(pool, quarantine, control);
 		this.origins = origins;
+		this.drainDeadline = drainDeadline;
 	}
 
 	@Override
@@ -165,6 +169,10 @@
 			if (withheldMs > 0) {
 				refuse(RefusalReason.QUARANTINED, "replicas crashed while they had this request", withheldMs);
 			}
+			else if (RelayRoute.this.drainDeadline.isTooLate(timeLeftMs())) {
+				refuse(RefusalReason.DRAINING, "the instance stops before the request must have ended",
+						RelayCallListener.RETRY_AFTER_MS);
+			}
 			else if (isResumed()) {
 				RelayRoute.this.origins.find(routed().facts().resumedAttemptId(), services()).thenAccept(this::resume);
 			}
@@ -227,11 +235,15 @@
 					this.exchange.reservation().stage() == RequestStage.OPENING, this.exchange.programOrNull(),
 					metadata.finishMs(), routed().table().priorityOf(route, workspace),
 					isEngine ? MIN_ENGINE_MS : MIN_SERVICE_MS, relay(service));
-			long timeLeftMs = Math.max(1, routed().timeoutMs() - this.exchange.elapsedMs());
+			long timeLeftMs = Math.max(1, Math.min(timeLeftMs(), RelayRoute.this.drainDeadline.remainingMs()));
 			return new CallRequest(this.exchange.decision(), (workspace != null) ? workspace : PUBLIC_WORKSPACE,
 					(workspace != null) ? this.exchange.key() : NO_KEY, null, 0, route.name(), call, timeLeftMs);
 		}
 
+		private long timeLeftMs() {
+			return routed().timeoutMs() - this.exchange.elapsedMs();
+		}
+
 		private Relay relay(String service) {
 			ServiceRoute route = routed().route();
 			RoutedService routedService = routed().table().service(service);
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -92,6 +93,8 @@
 
 	private int nextAttempt;
 
+	private long graceMs = 8_000;
+
 	@BeforeEach
 	void start() throws Exception {
 		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
@@ -117,6 +120,7 @@
 						{"Version":1,"Routes":[
 						{"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"s"},
 						{"Name":"open","Host":"h.example","Prefix":"/open/","Kind":"safe","TimeoutMs":2000,"Service":"s","Public":true},
+						{"Name":"slow","Host":"h.example","Prefix":"/slow/","Kind":"safe","TimeoutMs":9000,"Service":"s"},
 						{"Name":"once","Host":"h.example","Prefix":"/once/","Kind":"unsafe","TimeoutMs":2000,"Service":"s"},
 						{"Name":"turn","Host":"h.example","Prefix":"/turn/","Kind":"stream","Resumable":true,"TimeoutMs":3000,
 						"RetainS":60,"Service":"s"}],
@@ -128,7 +132,7 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, 8_000, 2_000);
+				5_000, this.folder, 256, this.graceMs, 2_000);
 	}
 
 	@AfterEach
@@ -690,20 +694,31 @@
 	@Nested
 	class Shutdown {
 
+		private static final String KEY = "Authorization: Bearer key-1\r\n";
+
+		/** Grace period that leaves less than the timeout of a route after the notice. */
+		private static final long LATE_GRACE_MS = 5_000;
+
+		/** Grace period that ends before a stream must. */
+		private static final long SHORT_GRACE_MS = 3_000;
+
+		private final CompletableFuture<Void> responseReleased = new CompletableFuture<>();
+
+		@AfterEach
+		void releaseResponse() {
+			this.responseReleased.complete(null);
+		}
+
 		// Guards against requests that a graceful shutdown aborts, and against an
 		// instance that is reported ready while it shuts down.
 		@Test
 		void completesRunningRequest() throws Exception {
-			CompletableFuture<Void> responseReleased = new CompletableFuture<>();
-			GatewayTests.this.replica.respondWith((request, output) -> {
-				responseReleased.orTimeout(LIMIT_MS, TimeUnit.MILLISECONDS).join();
-				ReplicaServer.fixedResponse(200, "", "late").respond(request, output);
-			});
-			Socket socket = send("/safe/a", "Authorization: Bearer key-1\r\n", "");
+			GatewayTests.this.replica.respondWith(this::awaitRelease);
+			Socket socket = send("/safe/a", KEY, "");
 			await(() -> !GatewayTests.this.replica.requests.isEmpty());
 			CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
 			await(() -> readiness() == 503);
-			responseReleased.complete(null);
+			this.responseReleased.complete(null);
 			StringBuilder response = new StringBuilder();
 			long deadlineNs = deadlineNs();
 			while (response.length() < 20 && receive(socket, response, deadlineNs)) {
@@ -716,6 +731,115 @@
 			await(() -> !isAccepting());
 		}
 
+		// Guards against clients that stay on the connections of an instance that stops,
+		// because the fields of the replica's response replace those of the instance.
+		@Test
+		void endsConnectionAfterRelayedResponse() throws Exception {
+			GatewayTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "", "answer"));
+			CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+			await(() -> readiness() == 503);
+			try (Socket socket = send("/safe/a", KEY, "")) {
+				StringBuilder response = new StringBuilder();
+				receiveUntil(socket, response, "answer");
+				assertThat(response.toString().toLowerCase(Locale.ROOT), containsString("connection: close"));
+				assertThat(receive(socket, response, deadlineNs()), is(false));
+			}
+			assertThat(drained.get(LIMIT_MS, TimeUnit.MILLISECONDS), is(true));
+		}
+
+		// Guards against requests that clients send late on connections that were idle
+		// and that the instance can't answer any more.
+		@Test
+		void closesIdleConnectionsWhileRequestsRun() throws Exception {
+			GatewayTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "", "answer"));
+			try (Socket idle = send("/open/a", "", "")) {
+				receiveUntil(idle, new StringBuilder(), "answer");
+				GatewayTests.this.replica.respondWith(this::awaitRelease);
+				try (Socket running = send("/slow/a", KEY, "")) {
+					await(() -> GatewayTests.this.replica.requestCount() == 2);
+					CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+					assertThat(receive(idle, new StringBuilder(), deadlineNs()), is(false));
+					this.responseReleased.complete(null);
+					receiveUntil(running, new StringBuilder(), "late");
+					assertThat(drained.get(LIMIT_MS, TimeUnit.MILLISECONDS), is(true));
+				}
+			}
+		}
+
+		// Guards against work that is taken on although it may not end before the
+		// instance does.
+		@Test
+		void rejectsLateRequestThatMayNotEndInTime() throws Exception {
+			restartGateway(LATE_GRACE_MS);
+			try (Socket late = new Socket(HOST, GatewayTests.this.clientPort);
+					Socket idle = new Socket(HOST, GatewayTests.this.clientPort)) {
+				write(late, "POST /once/a HTTP/1.1\r\n");
+				CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+				assertThat(receive(idle, new StringBuilder(), deadlineNs()), is(false));
+				write(late, "Host: h.example\r\nAttempt-Id: late\r\n" + KEY + "\r\n");
+				StringBuilder response = new StringBuilder();
+				receiveUntil(late, response, "\"run\":\"not_run\"");
+				assertThat(response.toString(), containsString("HTTP/1.1 503"));
+				assertThat(response.toString(), containsString("problem:draining"));
+				assertThat(drained.get(LIMIT_MS, TimeUnit.MILLISECONDS), is(true));
+			}
+			assertThat(GatewayTests.this.replica.requestCount(), is(0));
+		}
+
+		// Guards against requests that are cut without a response at the end of the grace
+		// period, although the replica could have been told how much time there is.
+		@Test
+		void limitsTimeOfRequestToGracePeriod() throws Exception {
+			restartGateway(SHORT_GRACE_MS);
+			CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+			await(() -> readiness() == 503);
+			try (Socket socket = send("/slow/a", KEY, "")) {
+				StringBuilder response = new StringBuilder();
+				receiveUntil(socket, response, "\"run\":");
+				assertThat(response.toString(), containsString("HTTP/1.1 504"));
+			}
+			drained.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+			String deadlineMs = GatewayTests.this.replica.requests.get(0).fields.get("deadline-ms");
+			assertThat(Long.parseLong(deadlineMs), lessThan(SHORT_GRACE_MS));
+		}
+
+		// Guards against a client that gets no response to a request that still runs at
+		// the end of the grace period.
+		@Test
+		void answersRequestThatItInterrupts() throws Exception {
+			restartGateway(SHORT_GRACE_MS);
+			try (Socket socket = send("/slow/a", KEY, "")) {
+				await(() -> GatewayTests.this.replica.requestCount() == 1);
+				CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+				StringBuilder response = new StringBuilder();
+				receiveUntil(socket, response, "\"run\":\"unknown\"");
+				assertThat(response.toString(), containsString("HTTP/1.1 502"));
+				assertThat(drained.get(LIMIT_MS, TimeUnit.MILLISECONDS), is(false));
+			}
+		}
+
+		private void restartGateway(long graceMs) throws Exception {
+			GatewayTests.this.gateway.stop();
+			GatewayTests.this.graceMs = graceMs;
+			GatewayTests.this.clientPort = freePort();
+			GatewayTests.this.readinessPort = freePort();
+			GatewayTests.this.gateway = new GatewayNode(settings("i-2", freePort(), freePort(), List.of()), 0,
+					EventLog.NONE);
+			GatewayTests.this.gateway.start();
+			await(() -> readiness() == 200);
+			GatewayTests.this.replica.respondWith(this::awaitRelease);
+		}
+
+		private void awaitRelease(ReplicaServer.Request request, OutputStream output) throws IOException {
+			this.responseReleased.orTimeout(LIMIT_MS, TimeUnit.MILLISECONDS).join();
+			ReplicaServer.fixedResponse(200, "", "late").respond(request, output);
+		}
+
+		private static void write(Socket socket, String text) throws IOException {
+			socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+			socket.getOutputStream().flush();
+		}
+
 		private boolean isAccepting() {
 			try (Socket socket = new Socket(HOST, GatewayTests.this.clientPort)) {
 				return socket.isConnected();
