--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
@@ -1,8 +1,11 @@
 package dev.nutmegdoor.node.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -26,6 +29,11 @@
 
 	private static final long LOW_WATER_BYTES = 64 * 1024;
 
+	/** Value of {@code SO_LINGER} with which closing a socket resets its connection. */
+	private static final int RESET_ON_CLOSE = 0;
+
+	private static final int LINGER_DISABLED = -1;
+
 	private final Exchange exchange;
 
 	private final Sinks.One<Head> head = Sinks.one();
@@ -38,6 +46,8 @@
 
 	private boolean isEnded;
 
+	private boolean isEndedByClose;
+
 	RelayResponse(Exchange exchange) {
 		this.exchange = exchange;
 	}
@@ -52,14 +62,39 @@
 			if (!this.exchange.beginResponse()) {
 				return Mono.empty();
 			}
-			HttpServerResponse response = this.exchange.response().status(received.status()).chunkedTransfer(false);
+			HttpServerResponse response = this.exchange.response().status(received.status());
+			delimit(response, received.headers().contains(HttpHeaderNames.CONTENT_LENGTH));
 			// Fields that are set already concern the connection to the client and stay.
 			received.headers().forEach((field) -> response.addHeader(field.getKey(), field.getValue()));
 			// Each chunk is flushed immediately: clients wait for individual events.
-			return response.send(this.body.asFlux().doOnNext(this::chunkTaken), (chunk) -> true).then();
+			return response.send(this.body.asFlux().doOnNext(this::chunkTaken), (chunk) -> true)
+				.then()
+				.doOnSuccess((written) -> written());
 		});
 	}
 
+	// A client recognizes a partial response by a missing last chunk or by its length.
+	// Without either, the end of the connection ends the response, so the connection of
+	// a partial one must be reset, also if this process is killed.
+	private void delimit(HttpServerResponse response, boolean hasLength) {
+		boolean supportsChunks = this.exchange.request().version().equals(HttpVersion.HTTP_1_1);
+		response.chunkedTransfer(!hasLength && supportsChunks);
+		if (!hasLength && !supportsChunks) {
+			this.isEndedByClose = true;
+			setLinger(RESET_ON_CLOSE);
+		}
+	}
+
+	private void written() {
+		if (this.isEndedByClose) {
+			setLinger(LINGER_DISABLED);
+		}
+	}
+
+	private void setLinger(int value) {
+		this.exchange.channel().config().setOption(ChannelOption.SO_LINGER, value);
+	}
+
 	void start(HttpResponseStatus status, HttpHeaders headers) {
 		this.head.tryEmitValue(new Head(status, headers));
 	}
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -53,6 +53,7 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
  * Tests a gateway and a ledger replica, started as on the platform, with an upstream
@@ -443,6 +444,72 @@
 
 	}
 
+	@Nested
+	class ResponsesWithoutLength {
+
+		private static final String KEY = "Authorization: Bearer key-1\r\n";
+
+		private static final String EVENT = "id: 1\ndata: a\n\n";
+
+		private void respondWithChunk(String afterChunk, boolean isConnectionClosed) {
+			GatewayTests.this.replica.respondWith((request, output) -> {
+				ReplicaServer.write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+						+ "\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + EVENT + "\r\n" + afterChunk);
+				request.isConnectionClosed = isConnectionClosed;
+			});
+		}
+
+		private Socket sendWithVersion(String version) throws IOException {
+			Socket socket = new Socket(HOST, GatewayTests.this.clientPort);
+			socket.getOutputStream()
+				.write(("POST /turn/a HTTP/" + version + "\r\nHost: h.example\r\nAttempt-Id: a-1\r\n" + KEY + "\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+			return socket;
+		}
+
+		// Guards against a stream that a replica broke off and that looks complete,
+		// because the end of the connection ends a response without length and chunks.
+		@Test
+		void haveNoLastChunkWhenReplicaBreaksOff() throws Exception {
+			respondWithChunk("", true);
+			String response = exchange("/turn/a", KEY, "");
+			assertThat(response.toLowerCase(Locale.ROOT), containsString("transfer-encoding: chunked"));
+			assertThat(response, containsString("data: a"));
+			assertThat(response, not(containsString("\r\n0\r\n")));
+		}
+
+		// Guards against the same in a response to a client that doesn't know chunks.
+		@Test
+		void endWithResetForOldClientsWhenReplicaBreaksOff() throws Exception {
+			respondWithChunk("", true);
+			try (Socket socket = sendWithVersion("1.0")) {
+				StringBuilder response = new StringBuilder();
+				AssertionError error = assertThrows(AssertionError.class,
+						() -> receiveUntil(socket, response, "text after the break"));
+				assertThat(error.getMessage(), containsString("reset"));
+			}
+		}
+
+		// Guards against a complete response that looks broken off, and against one that
+		// costs the client its connection.
+		@Test
+		void endAsReplicaEndsThem() throws Exception {
+			respondWithChunk("0\r\n\r\n", false);
+			try (Socket socket = sendWithVersion("1.1")) {
+				receiveUntil(socket, new StringBuilder(), "\r\n0\r\n\r\n");
+				socket.getOutputStream().write("GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n".getBytes());
+				receiveUntil(socket, new StringBuilder(), "HTTP/1.1 404");
+			}
+			try (Socket socket = sendWithVersion("1.0")) {
+				StringBuilder response = new StringBuilder();
+				receiveUntil(socket, response, EVENT);
+				assertThat(receive(socket, response, deadlineNs()), is(false));
+				assertThat(response.toString().toLowerCase(Locale.ROOT), not(containsString("transfer-encoding")));
+			}
+		}
+
+	}
+
 	@Nested
 	class EndlessResponses {
 
