--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -23,7 +23,7 @@
 
 	private final LedgerDependencies dependencies;
 
-	private final String holder;
+	private final String instanceHolder;
 
 	private final LedgerTable table = new LedgerTable();
 
@@ -31,6 +31,11 @@
 
 	private final Set<String> releasedPrograms = new LinkedHashSet<>();
 
+	/** Holder of new entries. */
+	private String holder;
+
+	private long generation;
+
 	/**
 	 * Creates the budgets, subscribes to messages to be forwarded and starts the periodic
 	 * updates.
@@ -39,6 +44,7 @@
 	 */
 	public TokenBudgets(LedgerDependencies dependencies, String holder) {
 		this.dependencies = dependencies;
+		this.instanceHolder = holder;
 		this.holder = holder;
 		PeerTransport transport = dependencies.transport();
 		TimerService timer = dependencies.timer();
@@ -101,7 +107,7 @@
 	private LedgerEntry charge(String program, long reservedTokens, long releasedTokens, long retentionMs) {
 		LedgerEntry current = this.ownEntries.getOrDefault(program,
 				new LedgerEntry(program, this.holder, 0, 0, retentionMs));
-		LedgerEntry entry = new LedgerEntry(program, this.holder, current.reservedTokens() + reservedTokens,
+		LedgerEntry entry = new LedgerEntry(program, current.holder(), current.reservedTokens() + reservedTokens,
 				current.releasedTokens() + releasedTokens, Math.max(retentionMs, current.retentionMs()));
 		this.ownEntries.put(program, entry);
 		this.table.merge(entry, this.dependencies.timer().nowMs());
@@ -134,7 +140,13 @@
 
 	private void expire() {
 		this.table.expire(this.dependencies.timer().nowMs());
-		this.ownEntries.keySet().removeIf((program) -> this.table.entries(program).isEmpty());
+		boolean isAnyDropped = this.ownEntries.keySet().removeIf((program) -> this.table.entries(program).isEmpty());
+		// Turns through other instances may have kept the dropped entry alive at the
+		// replicas. Counts that start at 0 again must not be merged with it.
+		if (isAnyDropped) {
+			this.generation++;
+			this.holder = this.instanceHolder + "#" + this.generation;
+		}
 	}
 
 	// The member lists of replicas may differ, especially after a restart. A replica is
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerTests.java
@@ -48,6 +48,23 @@
 			assertThat(LedgerTests.this.fleet.reserve("g-b", "p", TURN, BUDGET).rule(), is(LedgerRule.GRANTED));
 		}
 
+		// Guards against a budget that is spent twice because an instance forgets what it
+		// has charged while turns through another one keep the program alive.
+		@Test
+		void limitsTokensOfProgramThatReturnsToInstance() {
+			long budget = 10 * TURN;
+			long granted = 0;
+			for (int i = 0; i < 5; i++) {
+				granted += LedgerTests.this.fleet.reserve("g-a", "p", TURN, budget).tokens();
+			}
+			for (int i = 0; i < 4; i++) {
+				LedgerTests.this.fleet.timer.advance(LedgerFleet.RETENTION_MS / 3);
+				granted += LedgerTests.this.fleet.reserve("g-b", "p", TURN, budget).tokens();
+			}
+			granted += LedgerTests.this.fleet.spendAll("g-a", "p", TURN, budget);
+			assertThat(granted, is(budget));
+		}
+
 		// Guards against a running program that is treated as a new one, and a new
 		// program that is treated as running.
 		@Test
