--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerEntry.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerEntry.java
@@ -18,7 +18,12 @@
 		return this.reservedTokens - this.releasedTokens;
 	}
 
-	LedgerEntry merge(LedgerEntry other) {
+	/**
+	 * Merges two entries of the same program and holder.
+	 * @param other the other entry
+	 * @return an entry with the maximum of each count
+	 */
+	public LedgerEntry merge(LedgerEntry other) {
 		return new LedgerEntry(this.program, this.holder, Math.max(this.reservedTokens, other.reservedTokens),
 				Math.max(this.releasedTokens, other.releasedTokens), Math.max(this.retentionMs, other.retentionMs));
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/FileLedgerLog.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/FileLedgerLog.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import java.util.zip.CRC32;
 
 import org.jboss.logging.Logger;
@@ -55,7 +56,9 @@
 
 	private final AtomicLong sizeBytes = new AtomicLong();
 
-	private final List<LedgerEntry> recovered = new ArrayList<>();
+	private final LongSupplier wallClockMs;
+
+	private final List<LedgerEntry> recovered;
 
 	private final boolean isNew;
 
@@ -67,17 +70,21 @@
 	 * Opens the log and reads what it holds.
 	 * @param folder folder for data
 	 * @param control executor on which futures complete
+	 * @param wallClockMs current time in milliseconds since the epoch
 	 * @throws IOException if the folder can't be used
 	 */
-	public FileLedgerLog(Path folder, Executor control) throws IOException {
+	public FileLedgerLog(Path folder, Executor control, LongSupplier wallClockMs) throws IOException {
 		this.folder = folder;
 		this.control = control;
+		this.wallClockMs = wallClockMs;
 		Files.createDirectories(folder);
 		Path file = folder.resolve(NAME);
 		this.isNew = !Files.exists(file);
 		this.channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ,
 				StandardOpenOption.WRITE);
-		long validBytes = recover();
+		RecoveredEntries entries = new RecoveredEntries();
+		long validBytes = recover(entries);
+		this.recovered = entries.expiringAfter(wallClockMs.getAsLong() - CLOCK_MARGIN_MS);
 		this.channel.truncate(validBytes);
 		this.channel.position(validBytes);
 		this.channel.force(true);
@@ -90,10 +97,10 @@
 
 	/**
 	 * Returns the entries that the log held when it was opened.
-	 * @return entries that have not expired
+	 * @return entries of the programs that have not expired
 	 */
 	public List<LedgerEntry> recovered() {
-		return List.copyOf(this.recovered);
+		return this.recovered;
 	}
 
 	/**
@@ -194,9 +201,8 @@
 		}
 	}
 
-	private long recover() throws IOException {
+	private long recover(RecoveredEntries entries) throws IOException {
 		ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(this.folder.resolve(NAME)));
-		long nowMs = System.currentTimeMillis();
 		while (bytes.remaining() >= HEADER_BYTES) {
 			int start = bytes.position();
 			int length = bytes.getInt();
@@ -209,24 +215,22 @@
 			if (checksum(content) != checksum) {
 				return start;
 			}
-			decode(content, nowMs);
+			decode(content, entries);
 		}
 		return bytes.position();
 	}
 
-	private void decode(byte[] content, long nowMs) throws IOException {
+	private static void decode(byte[] content, RecoveredEntries entries) throws IOException {
 		DataInputStream input = new DataInputStream(new ByteArrayInputStream(content));
 		long expiresMs = input.readLong();
-		LedgerEntry entry = new LedgerEntry(input.readUTF(), input.readUTF(), input.readLong(), input.readLong(),
-				input.readLong());
-		if (expiresMs + CLOCK_MARGIN_MS > nowMs) {
-			this.recovered.add(entry);
-		}
+		entries.add(
+				new LedgerEntry(input.readUTF(), input.readUTF(), input.readLong(), input.readLong(), input.readLong()),
+				expiresMs);
 	}
 
-	private static byte[] encode(List<LedgerEntry> entries) {
+	private byte[] encode(List<LedgerEntry> entries) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream(entries.size() * 128);
-		long nowMs = System.currentTimeMillis();
+		long nowMs = this.wallClockMs.getAsLong();
 		try (DataOutputStream output = new DataOutputStream(bytes)) {
 			for (LedgerEntry entry : entries) {
 				ByteArrayOutputStream content = new ByteArrayOutputStream(128);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -115,7 +115,7 @@
 
 	private FileLedgerLog open(Path folder) {
 		try {
-			return new FileLedgerLog(folder, this.control);
+			return new FileLedgerLog(folder, this.control, System::currentTimeMillis);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("the ledger's log in " + folder + " can't be opened", ex);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
@@ -15,19 +15,24 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 class FileLedgerLogTests {
 
-	private static final LedgerEntry ONE = new LedgerEntry("w/p1", "g~1", 132, 0, 60_000);
+	private static final long RETENTION_MS = 60_000;
 
-	private static final LedgerEntry TWO = new LedgerEntry("w/p2", "g~1", 264, 100, 60_000);
+	private static final LedgerEntry ONE = new LedgerEntry("w/p1", "g~1", 132, 0, RETENTION_MS);
+
+	private static final LedgerEntry TWO = new LedgerEntry("w/p2", "g~1", 264, 100, RETENTION_MS);
 
 	@TempDir
 	private Path folder;
 
+	private long nowMs = 1_000_000;
+
 	private FileLedgerLog open() throws IOException {
-		return new FileLedgerLog(this.folder, Runnable::run);
+		return new FileLedgerLog(this.folder, Runnable::run, () -> this.nowMs);
 	}
 
 	private Path file() {
@@ -59,6 +64,30 @@
 			}
 		}
 
+		// Guards against charges of a program that are forgotten although turns through
+		// another instance keep the program alive.
+		@Test
+		void holdsEntriesOfProgramThatAnotherHolderKeepsAlive() throws IOException {
+			LedgerEntry later = new LedgerEntry(ONE.program(), "g~2", 132, 0, RETENTION_MS);
+			write(ONE, TWO);
+			FileLedgerLogTests.this.nowMs += RETENTION_MS;
+			write(later);
+			FileLedgerLogTests.this.nowMs += RETENTION_MS;
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE, later));
+			}
+		}
+
+		// Guards against a log whose programs never expire.
+		@Test
+		void dropsProgramsThatHaveExpired() throws IOException {
+			write(ONE);
+			FileLedgerLogTests.this.nowMs += 2 * RETENTION_MS;
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), is(empty()));
+			}
+		}
+
 		// Guards against a log that can't be read, or grows from the middle of a record,
 		// after the loss of power tore its last write.
 		@Test
