Accept both truthful answers at the end of the grace period in GatewayTests

Both say that the request may have run. The check of Deadline-Ms at the replica, and that there is an answer at all, stay.

--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -46,6 +46,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.either;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -863,7 +864,9 @@
 			try (Socket socket = send("/slow/a", KEY, "")) {
 				StringBuilder response = new StringBuilder();
 				receiveUntil(socket, response, "\"run\":");
-				assertThat(response.toString(), containsString("HTTP/1.1 504"));
+				// Its time ends just when the remaining requests are interrupted.
+				assertThat(response.toString(),
+						either(containsString("HTTP/1.1 504")).or(containsString("HTTP/1.1 502")));
 			}
 			drained.get(LIMIT_MS, TimeUnit.MILLISECONDS);
 			String deadlineMs = GatewayTests.this.replica.requests.get(0).fields.get("deadline-ms");
