Treat a stream that ends inside an event as broken off

Cause: the end of a response was taken from its framing only, so a stream that was cut in the middle of an event was passed on as whole, with the last chunk, when its replica closed the connection or ended its chunks in order.

Change: a successful event stream whose last event has no end is handled like a broken connection: no last chunk, outcome TRUNCATED. A response that ends with its connection was right already, also if it is reset; both have tests now.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -38,6 +38,9 @@
 
 	private static final int LEAST_URGENT = 9;
 
+	/** Media type of streams; replicas may leave it out. */
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	private final Exchange exchange;
 
 	private final byte[] body;
@@ -267,7 +270,7 @@
 				return;
 			}
 			forwardHead();
-			if (RelayTransfer.this.tokensPerEvent > 0) {
+			if (routed().route().kind().isStream()) {
 				this.eventCounter.add(chunk);
 			}
 			RelayTransfer.this.response.writeChunk(chunk);
@@ -299,6 +302,10 @@
 			if (this.isEnded) {
 				return;
 			}
+			if (isStreamBrokenOff()) {
+				failed("the stream ended inside an event", false);
+				return;
+			}
 			if (this.outcome == RelayOutcome.ANSWERED) {
 				forwardHead();
 				RelayTransfer.this.response.complete();
@@ -330,6 +337,18 @@
 			end(this.isHeadForwarded ? RelayOutcome.TRUNCATED : RelayOutcome.BROKEN, reason);
 		}
 
+		// A stream without length and chunks ends with its connection, however it ends.
+		private boolean isStreamBrokenOff() {
+			return this.outcome == RelayOutcome.ANSWERED && this.status != null
+					&& this.status.codeClass() == HttpStatusClass.SUCCESS && isEventStream()
+					&& this.eventCounter.isInEvent();
+		}
+
+		private boolean isEventStream() {
+			String contentType = this.headers.get(HttpHeaderNames.CONTENT_TYPE);
+			return contentType == null || contentType.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+		}
+
 		private static boolean isServerError(@Nullable HttpResponseStatus receivedStatus) {
 			return receivedStatus == null || receivedStatus.codeClass() == HttpStatusClass.SERVER_ERROR;
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ServerSentEventCounter.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ServerSentEventCounter.java
@@ -34,6 +34,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the last event is incomplete. A stream that ends there has been
+	 * broken off.
+	 * @return {@code false} before the first event and after the empty line of each one
+	 */
+	boolean isInEvent() {
+		return this.isInEvent;
+	}
+
 	/**
 	 * Returns the number of events so far.
 	 * @return number of events, including one that has not ended yet
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -33,6 +33,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
@@ -47,6 +49,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.either;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -491,6 +494,59 @@
 			}
 		}
 
+		private void respondUndelimited(String body) {
+			GatewayTests.this.replica.respondWith((request, output) -> {
+				writeUndelimited(request, output, body);
+				request.isConnectionClosed = true;
+			});
+		}
+
+		private void writeUndelimited(ReplicaServer.Request request, OutputStream output, String body)
+				throws IOException {
+			ReplicaServer.write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+					+ "\r\nContent-Type: text/event-stream\r\n\r\n" + body);
+		}
+
+		// Guards against a response that looks broken off although its replica ended it,
+		// with neither a length nor chunks.
+		@Test
+		void areCompleteWhenReplicaEndsConnection() throws Exception {
+			respondUndelimited(EVENT);
+			assertThat(exchange("/turn/a", KEY, ""), endsWith("\r\n0\r\n\r\n"));
+			assertThat(exchange("/safe/a", KEY, ""), endsWith("\r\n0\r\n\r\n"));
+		}
+
+		// Guards against a response that looks complete although it was reset on the way.
+		@Test
+		void haveNoLastChunkWhenReplicaResetsConnection() throws Exception {
+			CompletableFuture<Void> eventReceived = new CompletableFuture<>();
+			GatewayTests.this.replica.respondWith((request, output) -> {
+				writeUndelimited(request, output, EVENT);
+				eventReceived.orTimeout(LIMIT_MS, TimeUnit.MILLISECONDS).join();
+				request.isConnectionReset = true;
+			});
+			try (Socket socket = send("/turn/a", KEY, "")) {
+				StringBuilder response = new StringBuilder();
+				receiveUntil(socket, response, "data: a");
+				eventReceived.complete(null);
+				while (receive(socket, response, deadlineNs())) {
+					continue;
+				}
+				assertThat(response.toString(), not(containsString("\r\n0\r\n")));
+			}
+		}
+
+		// Guards against a stream that looks complete although it ended in the middle of
+		// an event.
+		@ParameterizedTest
+		@ValueSource(strings = { "id: 2", "id: 2\n", "id: 2\ndata: b\n" })
+		void haveNoLastChunkWhenStreamEndsInsideEvent(String part) throws Exception {
+			respondUndelimited(EVENT + part);
+			assertThat(exchange("/turn/a", KEY, ""), not(containsString("\r\n0\r\n")));
+			respondWithChunk(Integer.toHexString(part.length()) + "\r\n" + part + "\r\n0\r\n\r\n", false);
+			assertThat(exchange("/turn/a", KEY, ""), not(containsString("\r\n0\r\n")));
+		}
+
 		// Guards against a complete response that looks broken off, and against one that
 		// costs the client its connection.
 		@Test
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/ReplicaServer.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/ReplicaServer.java
@@ -84,6 +84,10 @@
 					this.requests.add(request);
 				}
 				this.responder.respond(request, socket.getOutputStream());
+				if (request.isConnectionReset) {
+					socket.setSoLinger(true, 0);
+					return;
+				}
 				if (request.isConnectionClosed) {
 					return;
 				}
@@ -179,6 +183,9 @@
 		/** Whether the replica closes the connection after the response. */
 		boolean isConnectionClosed;
 
+		/** Whether the replica resets the connection after the response. */
+		boolean isConnectionReset;
+
 		/** Whether the replica waits for the peer to close the connection. */
 		boolean isCloseAwaited;
 
