Send nothing more to a replica that states in a response that it leaves (DRAIN)

Cause: the field was not read. A gateway that the store doesn't reach went on sending to such a replica.

Change: the statement counts like the notice in the replica's entry, for this incarnation of the replica, whatever its entry says later. A response of a predecessor under the same identifier doesn't count.

Evidence: GatewayTests sendsNoFurtherRequestToReplicaThatStatesLeaving fails without the change (200 instead of 503); ReplicaListTests has the cases of older entries and restarts.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/Upstream.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/configuration/Upstream.java
@@ -35,4 +35,13 @@
 		this(id, kind, availabilityZone, host, port, serves, maxConcurrentCalls, isFencingChecked, isLeaving, null);
 	}
 
+	/**
+	 * Returns the replica as one that is leaving.
+	 * @return a copy that receives no new work
+	 */
+	public Upstream asLeaving() {
+		return new Upstream(this.id, this.kind, this.availabilityZone, this.host, this.port, this.serves,
+				this.maxConcurrentCalls, this.isFencingChecked, true, this.softwareVersion);
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -49,12 +49,12 @@
 	private static final long REPETITION_MS = 250;
 
 	/**
-	 * Maximum number of replicas whose start time is tracked. Replicas that are not
+	 * Maximum number of replicas whose incarnation is tracked. Replicas that are not
 	 * listed are included, because a crashed replica is removed from the list before it
 	 * restarts. Twice the size of the largest planned deployment, which leaves room for
 	 * identifiers that are used only once.
 	 */
-	private static final int MAX_TRACKED_START_TIMES = 2_000;
+	private static final int MAX_TRACKED_INCARNATIONS = 2_000;
 
 	private final Deployment deployment;
 
@@ -70,13 +70,13 @@
 
 	private final Map<UpstreamId, Upstream> replicas = new HashMap<>();
 
-	private final Map<UpstreamId, Long> startTimesMs = new LinkedHashMap<>() {
+	private final Map<UpstreamId, Incarnation> incarnations = new LinkedHashMap<>() {
 
 		private static final long serialVersionUID = 1L;
 
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<UpstreamId, Long> eldest) {
-			return size() > MAX_TRACKED_START_TIMES;
+		protected boolean removeEldestEntry(Map.Entry<UpstreamId, Incarnation> eldest) {
+			return size() > MAX_TRACKED_INCARNATIONS;
 		}
 
 	};
@@ -151,13 +151,31 @@
 		this.deployment.accept(this.replicas);
 	}
 
-	private void update(ListedReplica listed) {
-		Upstream replica = listed.upstream();
-		Long previousStartedMs = this.startTimesMs.put(replica.id(), listed.startedMs());
-		if (previousStartedMs != null && previousStartedMs != listed.startedMs()) {
-			this.events.record("replica.restarted", "replica", replica.id(), "startedMs", listed.startedMs());
-			this.restartListener.accept(replica.id());
+	/**
+	 * Applies that a replica has stated in a response that it leaves. Its entry in the
+	 * store says so earlier or later, or never.
+	 * @param id the replica; ignored if it isn't listed
+	 * @param sentMs time at which the request was sent in milliseconds; ignored if the
+	 * replica has restarted since
+	 */
+	public void statedLeaving(UpstreamId id, long sentMs) {
+		Upstream replica = this.replicas.get(id);
+		Incarnation incarnation = this.incarnations.get(id);
+		if (replica == null || incarnation == null || incarnation.isLeaving() || sentMs < incarnation.noticedMs()) {
+			return;
+		}
+		this.incarnations.put(id, incarnation.asLeaving());
+		if (!replica.isLeaving()) {
+			this.replicas.put(id, replica.asLeaving());
+			this.events.record("replica.stated-leaving", "replica", id, "service", replica.serves());
+			this.deployment.accept(this.replicas);
 		}
+	}
+
+	private void update(ListedReplica listed) {
+		Incarnation incarnation = updateIncarnation(listed);
+		// An entry that was written before the replica's statement may arrive after it.
+		Upstream replica = incarnation.isLeaving() ? listed.upstream().asLeaving() : listed.upstream();
 		this.missing.remove(replica.id());
 		Upstream previous = this.replicas.put(replica.id(), replica);
 		if (!replica.equals(previous)) {
@@ -168,6 +186,21 @@
 		}
 	}
 
+	private Incarnation updateIncarnation(ListedReplica listed) {
+		UpstreamId id = listed.upstream().id();
+		Incarnation previous = this.incarnations.get(id);
+		if (previous != null && previous.startedMs() == listed.startedMs()) {
+			return previous;
+		}
+		Incarnation current = new Incarnation(listed.startedMs(), this.timer.nowMs(), false);
+		this.incarnations.put(id, current);
+		if (previous != null) {
+			this.events.record("replica.restarted", "replica", id, "startedMs", listed.startedMs());
+			this.restartListener.accept(id);
+		}
+		return current;
+	}
+
 	private void handleMissing(UpstreamId id) {
 		if (remainingGraceMs() <= 0) {
 			remove(id, "removed from the list");
@@ -206,4 +239,19 @@
 		}
 	}
 
+	/**
+	 * One run of a replica.
+	 *
+	 * @param startedMs time of its start as the replica states it
+	 * @param noticedMs time at which this instance first saw it
+	 * @param isLeaving whether it has stated in a response that it leaves
+	 */
+	private record Incarnation(long startedMs, long noticedMs, boolean isLeaving) {
+
+		private Incarnation asLeaving() {
+			return new Incarnation(this.startedMs, this.noticedMs, true);
+		}
+
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ResponseMetadata.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ResponseMetadata.java
@@ -15,8 +15,9 @@
  * @param load load of the replica, or {@code null} if it reported none
  * @param requestsPerSecond rate of requests that the replica accepts from all instances
  * together, 0 if it declared none
+ * @param isLeaving whether the replica states that it is about to leave
  */
 public record ResponseMetadata(@Nullable String attemptId, boolean isDeclined, boolean isMisdirected,
-		RelayEnd.@Nullable ReportedLoad load, double requestsPerSecond) {
+		RelayEnd.@Nullable ReportedLoad load, double requestsPerSecond, boolean isLeaving) {
 
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -83,6 +83,63 @@
 
 	}
 
+	@Nested
+	class WhenReplicaStatesThatItLeaves {
+
+		private boolean isLeaving(String name) {
+			return ReplicaListTests.this.deployment.current().upstreams().get(new UpstreamId(name)).isLeaving();
+		}
+
+		private void stateLeaving(String name, long sentMs) {
+			ReplicaListTests.this.replicaList.statedLeaving(new UpstreamId(name), sentMs);
+		}
+
+		// Guards against requests that are sent to a replica until the store says what
+		// the replica has said itself.
+		@Test
+		void marksItImmediately() {
+			stateLeaving("r-1", ReplicaListTests.this.timer.nowMs());
+			assertThat(isLeaving("r-1"), is(true));
+			assertThat(isLeaving("r-2"), is(false));
+		}
+
+		// Guards against an older entry that puts a leaving replica into use again.
+		@Test
+		void keepsMarkWhenOlderEntryArrives() {
+			stateLeaving("r-1", ReplicaListTests.this.timer.nowMs());
+			ReplicaListTests.this.replicaList.changed(List.of(event("r-1", null), event("r-1", "ready")));
+			assertThat(isLeaving("r-1"), is(true));
+		}
+
+		// Guards against a restarted replica that is never used again.
+		@Test
+		void dropsMarkAfterRestart() {
+			stateLeaving("r-1", ReplicaListTests.this.timer.nowMs());
+			ReplicaListTests.this.replicaList.changed(List.of(event("r-1", "started again")));
+			assertThat(isLeaving("r-1"), is(false));
+		}
+
+		// Guards against a restarted replica that is taken out of use by a response of
+		// its predecessor.
+		@Test
+		void ignoresResponseOfPredecessor() {
+			long sentMs = ReplicaListTests.this.timer.nowMs();
+			ReplicaListTests.this.timer.advance(100);
+			ReplicaListTests.this.replicaList.changed(List.of(event("r-1", "started again")));
+			stateLeaving("r-1", sentMs);
+			assertThat(isLeaving("r-1"), is(false));
+		}
+
+		// Guards against a statement about a replica that is not listed any more.
+		@Test
+		void ignoresUnlistedReplica() {
+			ReplicaListTests.this.replicaList.changed(List.of(event("r-1", null)));
+			stateLeaving("r-1", ReplicaListTests.this.timer.nowMs());
+			assertThat(isListed("r-1"), is(false));
+		}
+
+	}
+
 	@Nested
 	class ReplicaRestarts {
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -178,11 +178,11 @@
 		this.peers = new UsagePeers(settings.instance());
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
 				random, events, new RateShares(settings.instance(), this.peers::instanceIds));
+		ReplicaList replicas = new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode,
+				health, index::resetReplica);
 		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
 				settings.storeWaitMaxMs(),
-				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS),
-				new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode, health,
-						index::resetReplica));
+				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS), replicas);
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_LOG_BYTES);
 		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
@@ -214,7 +214,7 @@
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
 				events, this.quarantine,
 				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.control, events),
-				this.drainDeadline);
+				this.drainDeadline, replicas);
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -21,6 +21,7 @@
 import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.quarantine.RequestFingerprint;
 import dev.nutmegdoor.core.quarantine.RequestQuarantine;
+import dev.nutmegdoor.core.route.ReplicaList;
 import dev.nutmegdoor.core.route.RequestMetadata;
 import dev.nutmegdoor.core.route.RouteKind;
 import dev.nutmegdoor.core.route.RoutedService;
@@ -73,6 +74,8 @@
 
 	private final DrainDeadline drainDeadline;
 
+	private final ReplicaList replicas;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -85,9 +88,11 @@
 	 * thread
 	 * @param origins knows where streams began; used on the control thread
 	 * @param drainDeadline limits the time of requests while the instance stops
+	 * @param replicas is told of replicas that leave; used on the control thread
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
-			EventLog events, RequestQuarantine quarantine, StreamOrigins origins, DrainDeadline drainDeadline) {
+			EventLog events, RequestQuarantine quarantine, StreamOrigins origins, DrainDeadline drainDeadline,
+			ReplicaList replicas) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
@@ -97,6 +102,7 @@
 		this.crashWatch = new CrashWatch(pool, quarantine, control);
 		this.origins = origins;
 		this.drainDeadline = drainDeadline;
+		this.replicas = replicas;
 	}
 
 	@Override
@@ -251,7 +257,7 @@
 					: 0;
 			RelayTransfer transfer = new RelayTransfer(this.exchange, this.body, this.response, RelayRoute.this.pool,
 					RelayRoute.this.control, RelayRoute.this.events, tokensPerEvent, this.fingerprint,
-					RelayRoute.this.quarantine, RelayRoute.this.crashWatch);
+					RelayRoute.this.quarantine, RelayRoute.this.crashWatch, RelayRoute.this.replicas);
 			String attemptId = routed().facts().attemptId();
 			if (route.kind() != RouteKind.RESUMABLE_STREAM || attemptId == null) {
 				return transfer;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -22,6 +22,7 @@
 import dev.nutmegdoor.core.limit.RequestStage;
 import dev.nutmegdoor.core.quarantine.RequestFingerprint;
 import dev.nutmegdoor.core.quarantine.RequestQuarantine;
+import dev.nutmegdoor.core.route.ReplicaList;
 import dev.nutmegdoor.core.route.ResponseMetadata;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
@@ -61,6 +62,8 @@
 
 	private final CrashWatch crashWatch;
 
+	private final ReplicaList replicas;
+
 	private volatile long sentMs;
 
 	/**
@@ -76,10 +79,11 @@
 	 * @param fingerprint fingerprint of the request
 	 * @param quarantine knows the requests that must not be sent
 	 * @param crashWatch is told of connections that are lost
+	 * @param replicas is told of replicas that leave; used on the control thread
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
 			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine,
-			CrashWatch crashWatch) {
+			CrashWatch crashWatch, ReplicaList replicas) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
@@ -90,6 +94,7 @@
 		this.fingerprint = fingerprint;
 		this.quarantine = quarantine;
 		this.crashWatch = crashWatch;
+		this.replicas = replicas;
 	}
 
 	@Override
@@ -238,6 +243,10 @@
 			if (requestsPerSecond > 0 && !metadata.isMisdirected()) {
 				RelayTransfer.this.control.execute(() -> this.listener.rateDeclared(requestsPerSecond));
 			}
+			if (metadata.isLeaving() && !metadata.isMisdirected()) {
+				RelayTransfer.this.control
+					.execute(() -> RelayTransfer.this.replicas.statedLeaving(this.upstream.id(), this.startedMs));
+			}
 			if (metadata.isDeclined()) {
 				this.outcome = RelayOutcome.DECLINED;
 			}
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -335,6 +335,17 @@
 			assertThat(GatewayTests.this.replica.requests, hasSize(1));
 		}
 
+		// Guards against requests to a replica that has said in a response that it
+		// leaves,
+		// while the store doesn't say so.
+		@Test
+		void sendsNoFurtherRequestToReplicaThatStatesLeaving() throws Exception {
+			GatewayTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "Server-Leaving: 1\r\n", "answer"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("Server-Leaving: 1"));
+			assertThat(exchange("/safe/a", "Authorization: Bearer key-1\r\n", ""), containsString("HTTP/1.1 503"));
+			assertThat(GatewayTests.this.replica.requests, hasSize(1));
+		}
+
 		// Guards against a truncated response that looks complete to the client.
 		@Test
 		void closesConnectionWhenReplicaClosesDuringResponse() throws Exception {
