--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
@@ -130,7 +130,8 @@
 	 * responses.
 	 */
 	void interruptRequests() {
-		this.interruption.tryEmitEmpty();
+		// Responses are confined to the event loop of their connections.
+		this.loops.onServer(false).next().execute(() -> this.interruption.tryEmitEmpty());
 	}
 
 	/**
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
@@ -44,6 +44,9 @@
 
 	private @Nullable Runnable drainListener;
 
+	private boolean isBodySubscribed;
+
+	/** Whether further chunks are dropped. */
 	private boolean isEnded;
 
 	private boolean isEndedByClose;
@@ -66,11 +69,23 @@
 			delimit(response, received.headers().contains(HttpHeaderNames.CONTENT_LENGTH));
 			// Fields that are set already concern the connection to the client and stay.
 			received.headers().forEach((field) -> response.addHeader(field.getKey(), field.getValue()));
+			this.isBodySubscribed = true;
 			// Each chunk is flushed immediately: clients wait for individual events.
 			return response.send(this.body.asFlux().doOnNext(this::chunkTaken), (chunk) -> true)
 				.then()
 				.doOnSuccess((written) -> written());
-		});
+		}).doFinally((signal) -> discardRest());
+	}
+
+	// A request that may not be repeated goes on after its client has left, and its
+	// response is read to the end.
+	private void discardRest() {
+		this.isEnded = true;
+		if (!this.isBodySubscribed) {
+			this.body.asFlux().subscribe(ByteBuf::release);
+		}
+		this.bufferedBytes = 0;
+		notifyDrained();
 	}
 
 	// A client recognizes a partial response by a missing last chunk or by its length.
@@ -100,9 +115,13 @@
 	}
 
 	void writeChunk(ByteBuf chunk) {
+		if (this.isEnded) {
+			chunk.release();
+			return;
+		}
 		int bytes = chunk.readableBytes();
 		this.bufferedBytes += bytes;
-		if (this.isEnded || this.body.tryEmitNext(chunk).isFailure()) {
+		if (this.body.tryEmitNext(chunk).isFailure()) {
 			this.bufferedBytes -= bytes;
 			chunk.release();
 		}
@@ -110,6 +129,10 @@
 
 	private void chunkTaken(ByteBuf chunk) {
 		this.bufferedBytes -= chunk.readableBytes();
+		notifyDrained();
+	}
+
+	private void notifyDrained() {
 		Runnable listener = this.drainListener;
 		if (listener != null && this.bufferedBytes <= LOW_WATER_BYTES) {
 			this.drainListener = null;
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -620,6 +620,41 @@
 			assertThat(this.writtenBytes.get(), lessThan(MAX_BUFFERED_BYTES));
 		}
 
+		// Guards against a replica that is held back for good, and its bytes in memory,
+		// after the client of a request that may not be repeated has left.
+		@Test
+		void readsWholeResponseAfterClientLeft() throws Exception {
+			CompletableFuture<Void> clientLeft = new CompletableFuture<>();
+			CompletableFuture<Void> written = new CompletableFuture<>();
+			GatewayTests.this.replica.respondWith((request, output) -> {
+				clientLeft.orTimeout(LIMIT_MS, TimeUnit.MILLISECONDS).join();
+				ReplicaServer.write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+						+ "\r\nContent-Length: " + MAX_BUFFERED_BYTES + "\r\n\r\n");
+				try {
+					for (long i = 0; i < MAX_BUFFERED_BYTES; i += CHUNK_BYTES) {
+						output.write(new byte[CHUNK_BYTES]);
+					}
+					written.complete(null);
+				}
+				catch (IOException ex) {
+					written.completeExceptionally(ex);
+				}
+			});
+			send("/once/a", "Authorization: Bearer key-1\r\n", "").close();
+			await(() -> GatewayTests.this.replica.requestCount() == 1 && connections() == 0);
+			clientLeft.complete(null);
+			written.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+		}
+
+		private int connections() throws Exception {
+			return observe("/metrics").body()
+				.lines()
+				.filter((line) -> line.startsWith("nutmegdoor_gateway_connections "))
+				.mapToInt((line) -> (int) Double.parseDouble(line.substring(line.indexOf(' ') + 1)))
+				.findFirst()
+				.orElseThrow();
+		}
+
 		// Guards against a caller that waits for the end of a body although the head says
 		// that the request did not run.
 		@Test
