Take a stream up at its software version whatever its last event is called

Cause: only the number of the last event told a take-up from a new stream.

Change: a request that names the attempt that began its stream is a take-up.

Evidence: goOnAtVersionThatBeganThemWithAnyLastEvent failed in both its cases before.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -188,7 +188,9 @@
 		}
 
 		private boolean isResumed() {
-			return routed().route().kind() == RouteKind.RESUMABLE_STREAM && routed().facts().resumeAfterEvent() > 0;
+			RequestMetadata metadata = routed().facts();
+			return routed().route().kind() == RouteKind.RESUMABLE_STREAM
+					&& (metadata.resumeAfterEvent() > 0 || metadata.resumedAttemptId() != null);
 		}
 
 		private void resume(ResumeTarget target) {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -777,9 +777,13 @@
 		}
 
 		private String resumeStream(String attempt) throws Exception {
+			return resumeStream(attempt, Integer.toString(EVENTS_BEFORE_BREAK));
+		}
+
+		private String resumeStream(String attempt, String lastEvent) throws Exception {
 			String resumed = "a-" + GatewayTests.this.nextAttempt;
 			String response = exchange("/turn/a",
-					TURN_FIELDS + "Last-Event-Id: " + EVENTS_BEFORE_BREAK + "\r\nResumes: " + attempt + "\r\n", "");
+					TURN_FIELDS + "Last-Event-Id: " + lastEvent + "\r\nResumes: " + attempt + "\r\n", "");
 			return response.contains("HTTP/1.1 200") ? versionThatServed(resumed) : "none";
 		}
 
@@ -814,6 +818,19 @@
 			}
 		}
 
+		// Guards against a stream that passes for a new one, because the identifier of
+		// its
+		// last event is 0 or no number.
+		@ParameterizedTest
+		@ValueSource(strings = { "0", "first" })
+		void goOnAtVersionThatBeganThemWithAnyLastEvent(String lastEvent) throws Exception {
+			start("v1", "v1", "v2", "v2");
+			for (int i = 0; i < STREAMS; i++) {
+				String attempt = beginStream();
+				assertThat(resumeStream(attempt, lastEvent), is(versionThatServed(attempt)));
+			}
+		}
+
 		// Guards against a stream that goes on at another software version because the
 		// gateway that began it has been killed.
 		@Test
