Close connections whose response began before a stop

Its connection became idle after idle connections had been closed, so a client could go on using it, and the process waited for the end of the grace period.

Change: idle connections are closed as long as the instance drains, after what has been written to them.

Evidence: GatewayTests endsConnectionOfResponseThatBeganBefore timed out before.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ClientConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ClientConnection.java
@@ -87,15 +87,15 @@
 	}
 
 	/**
-	 * Closes the connection unless a request is being received or handled. May be called
-	 * from any thread.
+	 * Closes the connection unless a request is being received or handled, once all
+	 * responses have been written. May be called from any thread.
 	 */
 	void closeIfIdle() {
 		ChannelHandlerContext handlerContext = this.context;
 		if (handlerContext != null) {
 			handlerContext.executor().execute(() -> {
 				if (this.phase == Phase.IDLE) {
-					handlerContext.close();
+					handlerContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 				}
 			});
 		}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -264,8 +264,10 @@
 		this.events.record("gateway.draining", "instance", this.settings.instance(), "running",
 				this.server.runningRequests());
 		Thread.sleep(Math.min(GatewaySettings.DRAIN_NOTICE_MS, this.drainDeadline.remainingMs()));
-		this.server.refuseConnections();
+		this.server.stopAccepting();
 		while (this.server.openConnections() > 0 && this.drainDeadline.remainingMs() > 0) {
+			// Includes those of responses that began before the stop and end only now.
+			this.server.closeIdleConnections();
 			Thread.sleep(DRAIN_POLL_MS);
 		}
 		int interruptedRequests = this.server.runningRequests();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
@@ -112,11 +112,10 @@
 	}
 
 	/**
-	 * Stops accepting connections and closes those on which no request is under way, so
-	 * that their clients send the next one to another instance.
+	 * Closes the connections on which no request is under way, so that their clients send
+	 * the next one to another instance.
 	 */
-	void refuseConnections() {
-		stopAccepting();
+	void closeIdleConnections() {
 		for (Channel connection : this.connections) {
 			ClientConnection client = connection.pipeline().get(ClientConnection.class);
 			if (client != null) {
@@ -137,7 +136,7 @@
 	/**
 	 * Stops accepting connections; existing ones stay open.
 	 */
-	private void stopAccepting() {
+	void stopAccepting() {
 		if (this.server != null) {
 			this.server.channel().close().syncUninterruptibly();
 		}
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -122,7 +122,7 @@
 				this.replica.port()));
 		put("config", "main",
 				"""
-						{"Version":1,"Routes":[
+						{"Version":1,"Limits":{"IdleTimeoutMs":60000},"Routes":[
 						{"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"s"},
 						{"Name":"open","Host":"h.example","Prefix":"/open/","Kind":"safe","TimeoutMs":2000,"Service":"s","Public":true},
 						{"Name":"slow","Host":"h.example","Prefix":"/slow/","Kind":"safe","TimeoutMs":9000,"Service":"s"},
@@ -886,6 +886,9 @@
 		/** Grace period that leaves less than the timeout of a route after the notice. */
 		private static final long LATE_GRACE_MS = 5_000;
 
+		/** Grace period that a test does not wait for. */
+		private static final long LONG_GRACE_MS = 60_000;
+
 		/** Grace period that ends before a stream must. */
 		private static final long SHORT_GRACE_MS = 3_000;
 
@@ -953,6 +956,29 @@
 			}
 		}
 
+		// Guards against an instance that waits for the end of the grace period, because
+		// the client of a response that began before the stop keeps its connection.
+		@Test
+		void endsConnectionOfResponseThatBeganBefore() throws Exception {
+			restartGateway(LONG_GRACE_MS);
+			GatewayTests.this.replica.respondWith((request, output) -> {
+				ReplicaServer.write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.fields.get("attempt-id")
+						+ "\r\nContent-Length: 8\r\n\r\npart");
+				this.responseReleased.orTimeout(LIMIT_MS, TimeUnit.MILLISECONDS).join();
+				ReplicaServer.write(output, "rest");
+			});
+			try (Socket running = send("/slow/a", KEY, "");
+					Socket idle = new Socket(HOST, GatewayTests.this.clientPort)) {
+				StringBuilder response = new StringBuilder();
+				receiveUntil(running, response, "part");
+				CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drain);
+				assertThat(receive(idle, new StringBuilder(), deadlineNs()), is(false));
+				this.responseReleased.complete(null);
+				receiveUntil(running, response, "rest");
+				assertThat(drained.get(LIMIT_MS, TimeUnit.MILLISECONDS), is(true));
+			}
+		}
+
 		// Guards against work that is taken on although it may not end before the
 		// instance does.
 		@Test
