Keep watching after an entry that a listener can't handle

Cause: ReplicaList made an identifier of each name, which throws for such a name, inside the callback that opens the next watch.

Change: names of entries that describe no replica are only compared; an exception of a listener is recorded (store.listener-failed) and the watch goes on.

Evidence: ReplicaListTests ignoresEntriesWhoseNameIsNoIdentifier (2 cases) and ListWatcherTests goesOnAfterListenerFailed failed before.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -144,13 +144,22 @@
 			if (replica != null) {
 				update(replica);
 			}
-			else if (this.replicas.containsKey(new UpstreamId(change.name()))) {
-				handleMissing(new UpstreamId(change.name()));
+			else {
+				handleMissing(change.name());
 			}
 		}
 		this.deployment.accept(this.replicas);
 	}
 
+	// The name may be that of another writer's entry, which need not be an identifier.
+	private void handleMissing(String name) {
+		for (UpstreamId id : List.copyOf(this.replicas.keySet())) {
+			if (id.value().equals(name)) {
+				handleMissing(id);
+			}
+		}
+	}
+
 	/**
 	 * Applies that a replica has stated in a response that it leaves. Its entry in the
 	 * store says so earlier or later, or never.
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -108,7 +108,7 @@
 			this.isListed = true;
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
-			this.listener.listed(page.objects());
+			notifyListener(() -> this.listener.listed(page.objects()));
 			this.lastResponseMs = this.timer.nowMs();
 			watch();
 		});
@@ -135,7 +135,7 @@
 			if (!changes.isEmpty()) {
 				this.events.record("store.changed", "kind", this.kind, "revision", this.lastVersion, "changes",
 						changes.size(), "unwatchedMs", openedMs - this.lastResponseMs);
-				this.listener.changed(changes);
+				notifyListener(() -> this.listener.changed(changes));
 			}
 			this.lastResponseMs = this.timer.nowMs();
 			if (changes.isEmpty() || this.batchDelayMs == 0) {
@@ -147,6 +147,16 @@
 		});
 	}
 
+	// An object that the listener can't handle must not end the watch.
+	private void notifyListener(Runnable notification) {
+		try {
+			notification.run();
+		}
+		catch (RuntimeException ex) {
+			this.events.record("store.listener-failed", "kind", this.kind, "revision", this.lastVersion, "error", ex);
+		}
+	}
+
 	private void onSuccess() {
 		this.consecutiveFailures = 0;
 		this.health.recordSuccess();
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
@@ -81,6 +83,16 @@
 			assertThat(isListed("r-1"), is(false));
 		}
 
+		// Guards against an entry whose name is no identifier and that ends the watch, so
+		// that later changes are missed.
+		@ParameterizedTest
+		@ValueSource(strings = { "a name", "" })
+		void ignoresEntriesWhoseNameIsNoIdentifier(String name) {
+			ReplicaListTests.this.replicaList.changed(List.of(event(name, "other writer"), event("r-1", "leaving")));
+			assertThat(ReplicaListTests.this.deployment.current().upstreams().get(new UpstreamId("r-1")).isLeaving(),
+					is(true));
+		}
+
 	}
 
 	@Nested
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
@@ -34,6 +34,8 @@
 
 	private final List<String> observedValues = new ArrayList<>();
 
+	private String failingValue = "";
+
 	private int listCount;
 
 	private void start() {
@@ -54,7 +56,27 @@
 
 	@Override
 	public void changed(List<StoreEvent> changes) {
-		changes.forEach((change) -> this.observedValues.add(change.value()));
+		changes.forEach((change) -> {
+			if (this.failingValue.equals(change.value())) {
+				throw new IllegalArgumentException(this.failingValue);
+			}
+			this.observedValues.add(change.value());
+		});
+	}
+
+	// Guards against a watch that ends for good because of one object that its listener
+	// can't handle.
+	@Test
+	void goesOnAfterListenerFailed() {
+		this.client.create("k", "one", "first");
+		this.failingValue = "bad";
+		start();
+		this.timer.advance(1_000);
+		this.client.create("k", "two", "bad");
+		this.timer.advance(1_000);
+		this.client.create("k", "three", "last");
+		this.timer.advance(1_000);
+		assertThat(this.observedValues, is(List.of("first", "last")));
 	}
 
 	// Guards against a change that is received too late after an outage to be applied
