--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import dev.nutmegdoor.core.event.EventLog;
@@ -57,6 +58,7 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.startsWith;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
@@ -505,6 +507,31 @@
 			}
 		}
 
+		// Guards against bytes after a response that has no body by definition, which a
+		// client takes for its next response.
+		@ParameterizedTest
+		@CsvSource({ "POST, 204", "POST, 304", "HEAD, 200" })
+		void haveNoChunksIfTheyHaveNoBody(String method, int status) throws Exception {
+			GatewayTests.this.replica.respondWith((request, output) -> ReplicaServer.write(output,
+					"HTTP/1.1 " + status + " Status\r\nAttempt-Id: " + request.fields.get("attempt-id") + "\r\n\r\n"));
+			try (Socket socket = new Socket(HOST, GatewayTests.this.clientPort)) {
+				StringBuilder response = new StringBuilder();
+				for (int i = 1; i <= 2; i++) {
+					socket.getOutputStream()
+						.write((method + " /safe/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: b-" + i + "\r\n" + KEY
+								+ "\r\n")
+							.getBytes(StandardCharsets.US_ASCII));
+					receiveUntil(socket, response.delete(0, response.length()), "\r\n\r\n");
+					assertThat(response.toString(), startsWith("HTTP/1.1 " + status));
+					assertThat(response.toString(), containsString("Attempt-Id: b-" + i));
+				}
+				socket.getOutputStream().write("GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n".getBytes());
+				StringBuilder next = new StringBuilder();
+				receiveUntil(socket, next, "HTTP/1.1");
+				assertThat(next.toString(), is("HTTP/1.1"));
+			}
+		}
+
 		private void respondUndelimited(String body) {
 			GatewayTests.this.replica.respondWith((request, output) -> {
 				writeUndelimited(request, output, body);
