Let a client leave only after its request has reached the replica, in GatewayTests

Traced with 40 repetitions of it (trial): 9 failed, each with requests=0 and connections=0. The client had left before the gateway passed its request on, which the gateway then rightly doesn't do. The test now waits for the request at the replica first; its checks stay.

--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayTests.java
@@ -297,8 +297,10 @@
 					written.completeExceptionally(ex);
 				}
 			});
-			send("/once/a", KEY, "").close();
-			await(() -> GatewayTests.this.replica.requestCount() == 1 && connections() == 0);
+			try (Socket socket = send("/once/a", KEY, "")) {
+				await(() -> GatewayTests.this.replica.requestCount() == 1);
+			}
+			await(() -> connections() == 0);
 			clientLeft.complete(null);
 			written.get(LIMIT_MS, TimeUnit.MILLISECONDS);
 		}
