--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -207,7 +207,7 @@
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
 		EventLoop eventLoop = this.loops.onServer(false).next();
 		RequestTranslator translator = new RequestTranslator();
-		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics,
+		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics, events,
 				new IdleConnectionLimit(this.deployment, this.peers::instances)::limitFor);
 		ControlBridge controlBridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -377,9 +377,11 @@
 					String.valueOf(RelayTransfer.this.exchange.workspaceOrNull()), "route", routed().route().name(),
 					"version", routed().table().version(), "fingerprint", RelayTransfer.this.fingerprint, "replica",
 					this.upstream.id(), "softwareVersion", String.valueOf(this.upstream.softwareVersion()), "resumes",
-					String.valueOf(routed().facts().resumedAttemptId()), "sentMs", RelayTransfer.this.sentMs,
-					"timeLeftMs", this.timeLeftMs, "outcome", sendOutcome, "status", statusCode, "tokens",
-					end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(), "detail", detail);
+					String.valueOf(routed().facts().resumedAttemptId()), "connection",
+					(this.connection != null) ? this.connection.describeSend() : "-", "sentMs",
+					RelayTransfer.this.sentMs, "timeLeftMs", this.timeLeftMs, "outcome", sendOutcome, "status",
+					statusCode, "tokens", end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(),
+					"detail", detail);
 			RelayTransfer.this.control.execute(() -> this.listener.ended(end));
 		}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -72,6 +72,8 @@
 
 	private boolean isHeadReceived;
 
+	private int sends;
+
 	private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
 
 	private long idleSinceNs = System.nanoTime();
@@ -107,6 +109,7 @@
 
 	void send(UpstreamExchange next) {
 		this.exchange = next;
+		this.sends++;
 		this.isHeadReceived = false;
 		this.skippedResponses = 0;
 		this.skippedBytes = 0;
@@ -118,6 +121,14 @@
 		});
 	}
 
+	/**
+	 * Describes the last send for logs.
+	 * @return connection, number of the send on it, and skipped responses
+	 */
+	String describeSend() {
+		return this.channel.id().asShortText() + "/" + this.sends + "/" + this.skippedResponses;
+	}
+
 	/**
 	 * Aborts the request in progress by closing the connection, so that the replica stops
 	 * working on it.
@@ -150,6 +161,7 @@
 		UpstreamExchange current = this.exchange;
 		if (current == null) {
 			// A response without a request: no data on this connection can be trusted.
+			recordUnexpected("response without a request", response);
 			this.channel.close();
 			return;
 		}
@@ -160,6 +172,7 @@
 		ResponseMetadata metadata = this.translator.decodeAnswer(response.status().code(), response.headers());
 		String expected = current.attemptId();
 		if (metadata.attemptId() != null && expected != null && !metadata.attemptId().equals(expected)) {
+			recordUnexpected("response to another request", response);
 			skip(SkippedResponse.OTHER_REQUEST);
 			return;
 		}
@@ -174,6 +187,13 @@
 		current.responseStarted(response.status(), response.headers(), metadata);
 	}
 
+	private void recordUnexpected(String reason, HttpResponse response) {
+		UpstreamExchange current = this.exchange;
+		this.pool.recordUnexpected(reason, this, (current != null) ? current.attemptId() : null,
+				response.status().code(),
+				this.translator.decodeAnswer(response.status().code(), response.headers()).attemptId());
+	}
+
 	private void skip(SkippedResponse kind) {
 		this.skippedResponse = kind;
 		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -23,6 +23,7 @@
 import reactor.netty.tcp.TcpClient;
 
 import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.platform.RequestTranslator;
 
 /**
@@ -51,6 +52,8 @@
 
 	private final MetricRegistry metrics;
 
+	private final EventLog events;
+
 	private final ToIntFunction<Upstream> maxIdleConnections;
 
 	private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
@@ -62,16 +65,18 @@
 	 * @param loops event loops on which connections run
 	 * @param eventLoop event loop to which the pool is confined
 	 * @param translator translates header fields
-	 * @param metrics counts the opened connections
+	 * @param metrics counts the opened connections and the unexpected responses
+	 * @param events receives an event for each unexpected response
 	 * @param maxIdleConnections returns the maximum number of idle connections to a
 	 * replica
 	 */
 	UpstreamPool(LoopResources loops, EventLoop eventLoop, RequestTranslator translator, MetricRegistry metrics,
-			ToIntFunction<Upstream> maxIdleConnections) {
+			EventLog events, ToIntFunction<Upstream> maxIdleConnections) {
 		this.loops = loops;
 		this.eventLoop = eventLoop;
 		this.translator = translator;
 		this.metrics = metrics;
+		this.events = events;
 		this.maxIdleConnections = maxIdleConnections;
 	}
 
@@ -161,6 +166,22 @@
 		}
 	}
 
+	/**
+	 * Records bytes that are not the response to the request in progress.
+	 * @param reason what is unexpected
+	 * @param connection connection that received them
+	 * @param expectedAttempt identifier of the request in progress, if any
+	 * @param status status that was received, 0 if it isn't known
+	 * @param receivedAttempt identifier that was received, if any
+	 */
+	void recordUnexpected(String reason, UpstreamConnection connection, @Nullable String expectedAttempt, int status,
+			@Nullable String receivedAttempt) {
+		this.metrics.counter("upstream.responses.unexpected").inc();
+		this.events.record("upstream.unexpected-response", "reason", reason, "replica", connection.upstream().id(),
+				"connection", connection.describeSend(), "attempt", String.valueOf(expectedAttempt), "status", status,
+				"receivedAttempt", String.valueOf(receivedAttempt));
+	}
+
 	/**
 	 * Returns whether a connection to a replica has been open since a given time, which a
 	 * process that crashed meanwhile can't have.
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -24,6 +24,7 @@
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.route.ResponseMetadata;
@@ -42,7 +43,7 @@
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private final UpstreamPool pool = new UpstreamPool(LoopResources.create("test", 1, true), this.channel.eventLoop(),
-			new RequestTranslator(), new MetricRegistry(), (replica) -> 1);
+			new RequestTranslator(), new MetricRegistry(), EventLog.NONE, (replica) -> 1);
 
 	private final UpstreamConnection connection = new UpstreamConnection(this.channel, new RequestTranslator(),
 			this.pool, REPLICA);
