--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -6,9 +6,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -52,6 +56,8 @@
 
 	private final Channel channel;
 
+	private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(this);
+
 	private final RequestTranslator translator;
 
 	private final UpstreamPool pool;
@@ -62,6 +68,8 @@
 
 	private @Nullable UpstreamExchange exchange;
 
+	private HttpMethod method = HttpMethod.GET;
+
 	private @Nullable SkippedResponse skippedResponse;
 
 	private int skippedResponses;
@@ -89,6 +97,20 @@
 		return this.upstream;
 	}
 
+	/**
+	 * Adds the handlers of the connection in front of those of a pipeline.
+	 * @param pipeline pipeline of the connection's channel
+	 */
+	void addTo(ChannelPipeline pipeline) {
+		pipeline.addFirst("nutmegdoor-upstream", this)
+			.addFirst("nutmegdoor-encoder", new HttpRequestEncoder())
+			.addFirst("nutmegdoor-decoder", this.decoder);
+	}
+
+	boolean isIdle() {
+		return this.exchange == null;
+	}
+
 	/**
 	 * Returns whether the connection is open and the replica is expected to keep it open.
 	 * @return {@code true} if a request may be sent on the connection
@@ -113,7 +135,9 @@
 		this.isHeadReceived = false;
 		this.skippedResponses = 0;
 		this.skippedBytes = 0;
-		this.channel.write(next.requestHead());
+		HttpRequest head = next.requestHead();
+		this.method = head.method();
+		this.channel.write(head);
 		this.channel.writeAndFlush(new DefaultLastHttpContent(next.requestBody())).addListener((written) -> {
 			if (!written.isSuccess()) {
 				fail("the request could not be written: " + written.cause(), true);
@@ -169,7 +193,12 @@
 			skip(SkippedResponse.INFORMATIONAL);
 			return;
 		}
-		ResponseMetadata metadata = this.translator.decodeAnswer(response.status().code(), response.headers());
+		if (UpstreamResponseDecoder.isJoined(response)) {
+			recordUnexpected("parts of two responses", response);
+			fail("parts of two responses");
+			return;
+		}
+		ResponseMetadata metadata = decodeMetadata(response);
 		String expected = current.attemptId();
 		if (metadata.attemptId() != null && expected != null && !metadata.attemptId().equals(expected)) {
 			recordUnexpected("response to another request", response);
@@ -187,11 +216,38 @@
 		current.responseStarted(response.status(), response.headers(), metadata);
 	}
 
+	private ResponseMetadata decodeMetadata(HttpResponse response) {
+		return this.translator.decodeAnswer(response.status().code(), response.headers());
+	}
+
+	/**
+	 * Returns whether a response belongs to the request in progress and that request has
+	 * a given method.
+	 * @param requestMethod method of the request
+	 * @param response head of the response
+	 * @return {@code false} also if the response belongs to another request
+	 */
+	boolean isResponseTo(HttpMethod requestMethod, HttpResponse response) {
+		UpstreamExchange current = this.exchange;
+		String received = decodeMetadata(response).attemptId();
+		return current != null && this.method.equals(requestMethod)
+				&& (received == null || received.equals(current.attemptId()));
+	}
+
+	/**
+	 * Closes the connection after bytes without a request: the replica writes what the
+	 * next request must not take for its response.
+	 */
+	void closeAfterUnexpectedBytes() {
+		this.pool.recordUnexpected("bytes without a request", this, null, 0, null);
+		this.channel.close();
+		this.pool.closed(this);
+	}
+
 	private void recordUnexpected(String reason, HttpResponse response) {
 		UpstreamExchange current = this.exchange;
 		this.pool.recordUnexpected(reason, this, (current != null) ? current.attemptId() : null,
-				response.status().code(),
-				this.translator.decodeAnswer(response.status().code(), response.headers()).attemptId());
+				response.status().code(), decodeMetadata(response).attemptId());
 	}
 
 	private void skip(SkippedResponse kind) {
@@ -252,7 +308,10 @@
 		this.exchange = null;
 		setReading(true);
 		this.idleSinceNs = System.nanoTime();
-		if (this.isKeepAlive && this.channel.isActive()) {
+		if (this.decoder.hasUndecodedBytes()) {
+			closeAfterUnexpectedBytes();
+		}
+		else if (this.isKeepAlive && this.channel.isActive()) {
 			this.pool.release(this);
 		}
 		else {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -14,7 +14,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.resolver.DefaultAddressResolverGroup;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
@@ -38,12 +37,6 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MS = 250;
 
-	private static final int MAX_LINE_BYTES = 16_384;
-
-	private static final int MAX_HEADER_BYTES = 65_536;
-
-	private static final int MAX_CHUNK_BYTES = 16_384;
-
 	private final LoopResources loops;
 
 	private final EventLoop eventLoop;
@@ -118,9 +111,7 @@
 	private UpstreamConnection install(Connection established, Upstream upstream) {
 		Channel channel = established.channel();
 		UpstreamConnection connection = new UpstreamConnection(channel, this.translator, this, upstream);
-		channel.pipeline()
-			.addFirst("nutmegdoor-http", new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
-		channel.pipeline().addAfter("nutmegdoor-http", "nutmegdoor-upstream", connection);
+		connection.addTo(channel.pipeline());
 		// Reactor Netty reads only on demand of its own subscribers, which are not used
 		// here.
 		channel.config().setAutoRead(true);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -9,7 +9,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -34,6 +33,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 class UpstreamConnectionTests {
 
@@ -48,11 +48,11 @@
 	private final UpstreamConnection connection = new UpstreamConnection(this.channel, new RequestTranslator(),
 			this.pool, REPLICA);
 
-	private final RecordingExchange exchange = new RecordingExchange();
+	private final RecordingExchange exchange = new RecordingExchange("a-1");
 
 	@BeforeEach
 	void connect() {
-		this.channel.pipeline().addLast(new HttpClientCodec(), this.connection);
+		this.connection.addTo(this.channel.pipeline());
 		this.connection.send(this.exchange);
 		this.channel.releaseOutbound();
 	}
@@ -227,10 +227,53 @@
 
 	}
 
+	@Nested
+	class RepeatedAnswers {
+
+		private final RecordingExchange next = new RecordingExchange("a-2");
+
+		private void sendNext() {
+			UpstreamConnectionTests.this.connection.send(this.next);
+			UpstreamConnectionTests.this.channel.releaseOutbound();
+		}
+
+		// Guards against a success of an earlier request that becomes the status of a
+		// later
+		// failure, because the head of its repetition ends early.
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Ty", "HTTP/1.1 200 OK\r\n" })
+		void withoutEndDoNotJoinNextResponse(String start) {
+			receive(response("a-1", "hello"));
+			receive(start);
+			if (UpstreamConnectionTests.this.channel.isActive()) {
+				sendNext();
+				receive("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nno");
+			}
+			assertThat(this.next.events, not(hasItem("200")));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Ty", "HTTP/1.1 200 OK\r\n" })
+		void withoutEndDoNotJoinResponseToRequestSentMeanwhile(String start) {
+			receive(response("a-1", "hello"));
+			sendNext();
+			receive(start);
+			receive("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nno");
+			assertThat(this.next.events, not(hasItem("200")));
+		}
+
+	}
+
 	private static final class RecordingExchange implements UpstreamExchange {
 
 		private final List<String> events = new ArrayList<>();
 
+		private final String attemptId;
+
+		private RecordingExchange(String attemptId) {
+			this.attemptId = attemptId;
+		}
+
 		@Override
 		public HttpRequest requestHead() {
 			return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
@@ -243,7 +286,7 @@
 
 		@Override
 		public String attemptId() {
-			return "a-1";
+			return this.attemptId;
 		}
 
 		@Override
