--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -111,6 +111,10 @@
 		return this.exchange == null;
 	}
 
+	boolean isUnused() {
+		return this.sends == 0;
+	}
+
 	/**
 	 * Returns whether the connection is open and the replica is expected to keep it open.
 	 * @return {@code true} if a request may be sent on the connection
@@ -205,17 +209,25 @@
 			skip(SkippedResponse.OTHER_REQUEST);
 			return;
 		}
-		boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
-		if (isSuccess && expected != null && metadata.attemptId() == null) {
-			fail("an answer without the identifier of its request");
+		if (metadata.attemptId() == null && expected != null && !isTrustedWithoutAttemptId(response)) {
+			recordUnexpected("response without an attempt identifier", response);
+			fail("a response without the identifier of its request");
 			return;
 		}
-		this.isKeepAlive = HttpUtil.isKeepAlive(response);
+		// Nothing tells a repetition of a response that names no request from the next
+		// one.
+		this.isKeepAlive = HttpUtil.isKeepAlive(response) && metadata.attemptId() != null;
 		this.idleTimeoutMs = idleTimeoutMs(response);
 		this.isHeadReceived = true;
 		current.responseStarted(response.status(), response.headers(), metadata);
 	}
 
+	// Only the first response on a connection can't be the repetition of an earlier one.
+	private boolean isTrustedWithoutAttemptId(HttpResponse response) {
+		return this.sends == 1 && this.skippedResponses == 0
+				&& response.status().codeClass() != HttpStatusClass.SUCCESS;
+	}
+
 	private ResponseMetadata decodeMetadata(HttpResponse response) {
 		return this.translator.decodeAnswer(response.status().code(), response.headers());
 	}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -237,11 +237,9 @@
 			UpstreamConnectionTests.this.channel.releaseOutbound();
 		}
 
-		// Guards against a success of an earlier request that becomes the status of a
-		// later
-		// failure, because the head of its repetition ends early.
+		// Guards against a failure that reaches its client with the status of a success.
 		@ParameterizedTest
-		@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Ty", "HTTP/1.1 200 OK\r\n" })
+		@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Type: te", "HTTP/1.1 200 OK\r\n" })
 		void withoutEndDoNotJoinNextResponse(String start) {
 			receive(response("a-1", "hello"));
 			receive(start);
@@ -253,7 +251,7 @@
 		}
 
 		@ParameterizedTest
-		@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Ty", "HTTP/1.1 200 OK\r\n" })
+		@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Type: te", "HTTP/1.1 200 OK\r\n" })
 		void withoutEndDoNotJoinResponseToRequestSentMeanwhile(String start) {
 			receive(response("a-1", "hello"));
 			sendNext();
@@ -262,6 +260,15 @@
 			assertThat(this.next.events, not(hasItem("200")));
 		}
 
+		// Guards against a refusal that is taken for the response to a later request.
+		@Test
+		void withoutAttemptIdAreNoAnswerToNextRequest() {
+			receive(response("a-1", "hello"));
+			sendNext();
+			receive("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+			assertThat(this.next.events, contains("broken"));
+		}
+
 	}
 
 	private static final class RecordingExchange implements UpstreamExchange {
