--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
@@ -72,7 +72,7 @@
 			end(upstream, true);
 			return;
 		}
-		this.pool.acquire(upstream, (connection) -> {
+		this.pool.acquire(upstream, (connection) -> true, (connection) -> {
 			this.pool.release(connection);
 			end(upstream, true);
 		}, (reason) -> end(upstream, false));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -1,5 +1,8 @@
 package dev.nutmegdoor.node.relay;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -64,6 +67,8 @@
 
 	private final ReplicaList replicas;
 
+	private final Set<UpstreamConnection> usedConnections = new HashSet<>(2);
+
 	private volatile long sentMs;
 
 	/**
@@ -157,22 +162,31 @@
 			if (this.isEnded) {
 				return;
 			}
-			Disposable acquisition = RelayTransfer.this.pool.acquire(this.upstream, this::connected, (reason) -> {
-				if (!this.isEnded) {
-					end(RelayOutcome.NOT_CONNECTED, reason);
-				}
-			});
+			Disposable acquisition = RelayTransfer.this.pool.acquire(this.upstream, this::isEligible, this::connected,
+					(reason) -> {
+						if (!this.isEnded) {
+							end(RelayOutcome.NOT_CONNECTED, reason);
+						}
+					});
 			if (this.connection == null) {
 				this.pendingConnection = acquisition;
 			}
 		}
 
+		// A response names the attempt that it belongs to, so it belongs to one send only
+		// if the attempt was sent on its connection once.
+		private boolean isEligible(UpstreamConnection candidate) {
+			return (attemptId() != null) ? !RelayTransfer.this.usedConnections.contains(candidate)
+					: candidate.isUnused();
+		}
+
 		private void connected(UpstreamConnection acquiredConnection) {
 			if (this.isEnded) {
 				RelayTransfer.this.pool.release(acquiredConnection);
 				return;
 			}
 			this.connection = acquiredConnection;
+			RelayTransfer.this.usedConnections.add(acquiredConnection);
 			acquiredConnection.send(this);
 		}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -5,9 +5,11 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
 import com.codahale.metrics.MetricRegistry;
@@ -84,13 +86,15 @@
 	/**
 	 * Takes an idle connection from the pool or opens a new one.
 	 * @param upstream replica to connect to
+	 * @param isEligible whether a connection from the pool may be used
 	 * @param onReady receives the connection
 	 * @param onFailure receives the reason if no connection can be opened
 	 * @return handle that cancels the wait for a new connection
 	 */
-	Disposable acquire(Upstream upstream, Consumer<UpstreamConnection> onReady, Consumer<String> onFailure) {
+	Disposable acquire(Upstream upstream, Predicate<UpstreamConnection> isEligible,
+			Consumer<UpstreamConnection> onReady, Consumer<String> onFailure) {
 		String key = keyOf(upstream);
-		UpstreamConnection pooled = takeUsable(key);
+		UpstreamConnection pooled = takeUsable(key, isEligible);
 		if (pooled != null) {
 			onReady.accept(pooled);
 			return () -> {
@@ -119,14 +123,19 @@
 		return connection;
 	}
 
-	private @Nullable UpstreamConnection takeUsable(String key) {
-		Deque<UpstreamConnection> connections = this.idleConnections.get(key);
-		while (connections != null && !connections.isEmpty()) {
-			UpstreamConnection connection = connections.removeLast();
-			if (connection.isUsable()) {
+	private @Nullable UpstreamConnection takeUsable(String key, Predicate<UpstreamConnection> isEligible) {
+		Iterator<UpstreamConnection> newestFirst = this.idleConnections.getOrDefault(key, new ArrayDeque<>())
+			.descendingIterator();
+		while (newestFirst.hasNext()) {
+			UpstreamConnection connection = newestFirst.next();
+			if (!connection.isUsable()) {
+				newestFirst.remove();
+				connection.close();
+			}
+			else if (isEligible.test(connection)) {
+				newestFirst.remove();
 				return connection;
 			}
-			connection.close();
 		}
 		return null;
 	}
