Fail a request whose replica switches the protocol

A response with status 101 made the decoder pass all later bytes on as raw buffers, which were neither counted nor released, and the caller waited until its deadline. The test failed before (no event).

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -193,6 +194,12 @@
 			this.channel.close();
 			return;
 		}
+		if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			// What follows would not be HTTP and never end.
+			recordUnexpected("protocol switch", response);
+			fail("a protocol switch that was not requested");
+			return;
+		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			skip(SkippedResponse.INFORMATIONAL);
 			return;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -217,6 +217,15 @@
 			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
 		}
 
+		// Guards against bytes that are neither counted nor released after a protocol
+		// switch.
+		@Test
+		void failsRequestWhenProtocolIsSwitched() {
+			receive("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n");
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
+		}
+
 		// Guards against bytes that are not an HTTP response and are forwarded to a
 		// client.
 		@Test
