Take the only version for a stream's own only if the store confirms it

Cause: if nobody remembers a stream, StreamOrigins took the only version of the list for the one that began it as long as nobody disagreed. An instance out of reach of the others, or with holders whose lists are behind as well, agreed with itself on an old list.

ListWatcher.confirm makes a short watch from the last revision; what it returns is applied first. It is answered by a call that begins after it, calls are shared, at most one runs and at most ten a second begin. A result of the watch in flight that reports the same changes is dropped. StreamOrigins takes the only version if the list was confirmed after the take-up arrived, shows that one version still, and it or another instance has known the service for 30 s. After a new listing, the time for which the services are known begins anew: a version may have come and gone unseen.

So that streams go on without the store, an instance also tells holders of streams that begin while it does not follow the list, and of those of the last 30 s when it loses it. With one version and a followed list nothing is sent.

WhileOneVersionServes.letsStreamsGoOnWhileOthersAreOutOfReach asserted that an instance out of reach of all others goes on by its own opinion; without the store that is the reported fault. It now holds with the store in reach. refusesUnknownStreamsWhileOthersAndStoreAreOutOfReach, streamsThatBeganInZoneAfterLossWasNoticedGoOnThere and streamsThatRanWhenStoreWasLostGoOn take its place for the other cases. The play of an instance that stood still now breaks its connections before the streams begin; else it was told of some of them on resuming.

The event stream.origin-unknown and the new stream.origin-concluded say whether the list was confirmed, its revision and the number of answers.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -1,6 +1,8 @@
 package dev.nutmegdoor.core.store;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -12,7 +14,7 @@
  * them again when the store no longer has the history that a watch needs. Failed calls
  * are retried with jittered backoff. Runs on the control thread.
  */
-public final class ListWatcher {
+public final class ListWatcher implements FollowedList {
 
 	/** Backoff in milliseconds after the first failed call; doubled up to the maximum. */
 	private static final long INITIAL_BACKOFF_MS = 100;
@@ -31,6 +33,9 @@
 	 */
 	private static final long PROBE_TIMEOUT_MS = 100;
 
+	/** Wait in milliseconds of the watch that confirms the list. */
+	private static final long CONFIRMATION_WAIT_MS = 1;
+
 	/**
 	 * Maximum duration in milliseconds that is reported in events; applies if no call has
 	 * failed before.
@@ -55,6 +60,10 @@
 
 	private final KindListener listener;
 
+	private final Confirmations confirmations;
+
+	private final List<InterruptionListener> interruptionListeners = new ArrayList<>();
+
 	private long lastVersion;
 
 	private long lastResponseMs;
@@ -63,6 +72,8 @@
 
 	private boolean isConnected;
 
+	private boolean isConfirmationFailed;
+
 	private int consecutiveFailures;
 
 	/**
@@ -90,6 +101,7 @@
 		this.watchTimeoutMs = watchTimeoutMs;
 		this.batchDelayMs = batchDelayMs;
 		this.listener = listener;
+		this.confirmations = new Confirmations(timer, this::callToConfirm);
 	}
 
 	public void start() {
@@ -109,16 +121,64 @@
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
 			notifyListener(() -> this.listener.listed(page.objects()));
+			this.interruptionListeners.forEach(InterruptionListener::listed);
 			this.lastResponseMs = this.timer.nowMs();
 			watch();
 		});
 	}
 
+	@Override
+	public boolean isFollowed() {
+		return this.isListed && this.isConnected && !this.isConfirmationFailed;
+	}
+
+	@Override
+	public long revision() {
+		return this.lastVersion;
+	}
+
+	@Override
+	public CompletableFuture<Boolean> confirm() {
+		return this.confirmations.request();
+	}
+
+	@Override
+	public void subscribe(InterruptionListener interruptionListener) {
+		this.interruptionListeners.add(interruptionListener);
+	}
+
+	// Its failures are not recorded as those of the store: the watch finds out itself.
+	private CompletableFuture<Boolean> callToConfirm() {
+		if (!this.isListed || !this.isConnected) {
+			return CompletableFuture.completedFuture(false);
+		}
+		long openedMs = this.timer.nowMs();
+		long afterVersion = this.lastVersion;
+		return this.store.watch(this.kind, afterVersion, CONFIRMATION_WAIT_MS).handle((result, error) -> {
+			if (error != null) {
+				changeState(() -> this.isConfirmationFailed = true);
+				return CompletableFuture.completedFuture(false);
+			}
+			this.isConfirmationFailed = false;
+			if (result.isReset() || !this.isListed) {
+				return CompletableFuture.completedFuture(false);
+			}
+			if (this.lastVersion == afterVersion) {
+				apply(result, openedMs);
+			}
+			else if (!result.events().isEmpty() && result.version() > this.lastVersion) {
+				return callToConfirm();
+			}
+			return CompletableFuture.completedFuture(true);
+		}).thenCompose((confirmed) -> confirmed);
+	}
+
 	private void watch() {
 		long openedMs = this.timer.nowMs();
+		long afterVersion = this.lastVersion;
 		long timeoutMs = (this.consecutiveFailures > 0) ? Math.min(PROBE_TIMEOUT_MS, this.watchTimeoutMs)
 				: this.watchTimeoutMs;
-		this.store.watch(this.kind, this.lastVersion, timeoutMs).whenComplete((result, error) -> {
+		this.store.watch(this.kind, afterVersion, timeoutMs).whenComplete((result, error) -> {
 			if (error != null) {
 				onFailure(error);
 				return;
@@ -126,19 +186,18 @@
 			onSuccess();
 			if (result.isReset()) {
 				this.events.record("store.history-gone", "kind", this.kind, "revision", this.lastVersion);
-				this.isListed = false;
+				changeState(() -> this.isListed = false);
 				list();
 				return;
 			}
-			this.lastVersion = Math.max(this.lastVersion, result.version());
-			List<StoreEvent> changes = result.events();
-			if (!changes.isEmpty()) {
-				this.events.record("store.changed", "kind", this.kind, "revision", this.lastVersion, "changes",
-						changes.size(), "unwatchedMs", openedMs - this.lastResponseMs);
-				notifyListener(() -> this.listener.changed(changes));
+			// A confirmation may have applied these changes and later ones.
+			boolean isOutdated = this.lastVersion != afterVersion;
+			if (!isOutdated) {
+				this.lastVersion = Math.max(this.lastVersion, result.version());
+				apply(result, openedMs);
 			}
 			this.lastResponseMs = this.timer.nowMs();
-			if (changes.isEmpty() || this.batchDelayMs == 0) {
+			if (this.batchDelayMs == 0 || (result.events().isEmpty() && !isOutdated)) {
 				watch();
 			}
 			else {
@@ -147,6 +206,24 @@
 		});
 	}
 
+	private void apply(StoreWatchResult result, long openedMs) {
+		List<StoreEvent> changes = result.events();
+		if (!changes.isEmpty()) {
+			this.lastVersion = Math.max(this.lastVersion, result.version());
+			this.events.record("store.changed", "kind", this.kind, "revision", this.lastVersion, "changes",
+					changes.size(), "unwatchedMs", openedMs - this.lastResponseMs);
+			notifyListener(() -> this.listener.changed(changes));
+		}
+	}
+
+	private void changeState(Runnable change) {
+		boolean wasFollowed = isFollowed();
+		change.run();
+		if (wasFollowed && !isFollowed()) {
+			this.interruptionListeners.forEach(InterruptionListener::interrupted);
+		}
+	}
+
 	// An object that the listener can't handle must not end the watch.
 	private void notifyListener(Runnable notification) {
 		try {
@@ -159,6 +236,7 @@
 
 	private void onSuccess() {
 		this.consecutiveFailures = 0;
+		this.isConfirmationFailed = false;
 		this.health.recordSuccess();
 		if (!this.isConnected) {
 			this.isConnected = true;
@@ -172,7 +250,7 @@
 		if (this.isConnected || this.consecutiveFailures == 0) {
 			this.events.record("store.lost", "kind", this.kind, "error", String.valueOf(cause.getMessage()));
 		}
-		this.isConnected = false;
+		changeState(() -> this.isConnected = false);
 		this.health.recordFailure();
 		long backoffMs = Math.min(MAX_BACKOFF_MS,
 				INITIAL_BACKOFF_MS << Math.min(this.consecutiveFailures, MAX_BACKOFF_DOUBLINGS));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/ServiceVersions.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/ServiceVersions.java
@@ -1,8 +1,10 @@
 package dev.nutmegdoor.core.stream;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -58,6 +60,13 @@
 		return changedServices;
 	}
 
+	/**
+	 * Applies that versions may have come and gone unseen until now.
+	 */
+	void interrupted() {
+		this.services.values().forEach((service) -> service.knownSinceMs = this.timer.nowMs());
+	}
+
 	VersionHistory history(String name) {
 		Service service = this.services.get(name);
 		if (service == null) {
@@ -71,21 +80,25 @@
 	}
 
 	/**
-	 * Returns the version of a service with a single one.
-	 * @param name name of a service whose history is {@link VersionHistory#SINGLE}
-	 * @return service and version
+	 * Returns the versions that serve now.
+	 * @param names names of services
+	 * @return the version of each service; empty if one of them has not exactly one
 	 */
-	StreamOrigin onlyVersion(String name) {
-		Service service = this.services.get(name);
-		if (service == null || service.versions.size() != 1) {
-			throw new IllegalArgumentException("service " + name + " does not have exactly one version");
+	List<StreamOrigin> onlyVersions(List<String> names) {
+		List<StreamOrigin> origins = new ArrayList<>();
+		for (String name : names) {
+			Service service = this.services.get(name);
+			if (service == null || service.versions.size() != 1) {
+				return List.of();
+			}
+			origins.add(new StreamOrigin(name, service.versions.iterator().next()));
 		}
-		return new StreamOrigin(name, service.versions.iterator().next());
+		return origins;
 	}
 
 	private static final class Service {
 
-		private final long knownSinceMs;
+		private long knownSinceMs;
 
 		private Set<String> versions = Set.of();
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/StreamOrigins.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/stream/StreamOrigins.java
@@ -20,16 +20,19 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.store.FollowedList;
+import dev.nutmegdoor.core.store.InterruptionListener;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
  * Finds the software version that began a stream. While replicas of several versions
- * serve, each instance tells two or three others of each stream that it sends to a
- * replica, before the first event arrives. Rendezvous hashing chooses them by the
- * client's attempt, so every instance knows whom to ask, also when the one that began the
- * stream has been killed. Runs on the control thread.
+ * serve, or while the list of replicas may be behind, each instance tells two or three
+ * others of each stream that it sends to a replica, before the first event arrives.
+ * Rendezvous hashing chooses them by the client's attempt, so every instance knows whom
+ * to ask, also when the one that began the stream has been killed. Runs on the control
+ * thread.
  */
-public final class StreamOrigins {
+public final class StreamOrigins implements InterruptionListener {
 
 	/** Instances that remember a stream; one of them may be the one that began it. */
 	private static final int HOLDERS = 3;
@@ -52,6 +55,8 @@
 
 	private final Supplier<? extends Collection<InstanceId>> otherInstances;
 
+	private final FollowedList replicas;
+
 	private final TimerService timer;
 
 	private final EventLog events;
@@ -66,20 +71,23 @@
 	 * @param transport sends messages to other instances
 	 * @param otherInstances returns the other instances
 	 * @param configuration list of replicas
+	 * @param replicas confirms that the list of replicas is up to date
 	 * @param timer clock
 	 * @param events log of streams whose origin is not known here
 	 */
 	public StreamOrigins(PeerTransport transport, Supplier<? extends Collection<InstanceId>> otherInstances,
-			ConfigurationView configuration, TimerService timer, EventLog events) {
+			ConfigurationView configuration, FollowedList replicas, TimerService timer, EventLog events) {
 		this.transport = transport;
 		this.otherInstances = otherInstances;
+		this.replicas = replicas;
 		this.timer = timer;
 		this.events = events;
 		this.versions = new ServiceVersions(timer, MEMORY_MS);
 		apply(configuration.current());
 		configuration.subscribe(this::apply);
+		replicas.subscribe(this);
 		transport.subscribe(StreamBegun.class, (from, begun) -> {
-			remember(begun.attempt(), begun.origin(), false);
+			remember(begun.attempt(), new Entry(begun.origin(), false, true, this.timer.nowMs()));
 			return null;
 		});
 		transport.subscribe(StreamOriginQuery.class,
@@ -100,6 +108,24 @@
 		});
 	}
 
+	// Streams that run now may be taken up where the list can't be confirmed either.
+	@Override
+	public void interrupted() {
+		long oldestMs = this.timer.nowMs() - MEMORY_MS;
+		this.remembered.replaceAll((attempt, entry) -> {
+			if (!entry.isOwn || entry.isTold || entry.rememberedMs < oldestMs) {
+				return entry;
+			}
+			tellHolders(attempt, entry.origin);
+			return new Entry(entry.origin, true, true, entry.rememberedMs);
+		});
+	}
+
+	@Override
+	public void listed() {
+		this.versions.interrupted();
+	}
+
 	/**
 	 * Records that a stream is sent to a replica. The last call for an attempt counts: an
 	 * attempt is sent again only if no event has arrived.
@@ -110,15 +136,18 @@
 	public void began(String attemptId, String service, Upstream replica) {
 		long attempt = keyOf(attemptId);
 		StreamOrigin origin = new StreamOrigin(service, ServiceVersions.versionOf(replica));
-		remember(attempt, origin, true);
-		if (this.versions.history(service) != VersionHistory.SINGLE) {
+		boolean isTold = this.versions.history(service) != VersionHistory.SINGLE || !this.replicas.isFollowed();
+		remember(attempt, new Entry(origin, true, isTold, this.timer.nowMs()));
+		if (isTold) {
 			tellHolders(attempt, origin);
 		}
 	}
 
 	/**
 	 * Finds out where a stream may go on. Other instances are asked also if one version
-	 * serves as far as this instance knows: its list of replicas may be behind.
+	 * serves as far as this instance knows. A version that nobody remembers is taken only
+	 * if the store confirms this instance's list of replicas after this call: silence of
+	 * the others proves nothing, and those who answer may be behind as well.
 	 * @param attemptId identifier of the attempt that brought its first event, or
 	 * {@code null} if the client does not name it
 	 * @param services services that may have begun it
@@ -126,16 +155,15 @@
 	 */
 	public CompletableFuture<ResumeTarget> find(@Nullable String attemptId, List<String> services) {
 		long attempt = (attemptId != null) ? keyOf(attemptId) : 0;
-		List<StreamOriginAnswer> answers = new ArrayList<>();
-		answers.add(answer(attempt, services));
-		StreamOrigin remembered = answers.get(0).remembered();
-		if (remembered != null) {
-			return CompletableFuture.completedFuture(new ResumeTarget(List.of(remembered)));
+		StreamOriginAnswer own = answer(attempt, services);
+		if (own.remembered() != null) {
+			return CompletableFuture.completedFuture(new ResumeTarget(List.of(own.remembered())));
 		}
 		CompletableFuture<ResumeTarget> result = new CompletableFuture<>();
-		List<CompletableFuture<?>> handledAnswers = new ArrayList<>();
+		List<StreamOriginAnswer> answers = new ArrayList<>();
+		List<CompletableFuture<?>> pending = new ArrayList<>();
 		for (InstanceId holder : holdersOf(attempt)) {
-			handledAnswers.add(this.transport
+			pending.add(this.transport
 				.request(holder, new StreamOriginQuery(attempt, services), StreamOriginAnswer.class, QUERY_TIMEOUT_MS)
 				.thenAccept((received) -> {
 					answers.add(received);
@@ -145,28 +173,41 @@
 					}
 				}));
 		}
-		CompletableFuture.allOf(handledAnswers.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
-			ResumeTarget target = conclude(answers);
-			if (result.complete(target) && target.origins().isEmpty()) {
-				this.events.record("stream.origin-unknown", "attempt", String.valueOf(attemptId), "services", services,
-						"asked", handledAnswers.size(), "answers", answers.size() - 1, "error", String.valueOf(error));
+		int asked = pending.size();
+		CompletableFuture<Boolean> confirmation = own.isAmbiguous() ? CompletableFuture.completedFuture(false)
+				: this.replicas.confirm();
+		pending.add(confirmation);
+		CompletableFuture.allOf(pending.toArray(new CompletableFuture<?>[0])).whenComplete((ignored, error) -> {
+			boolean isConfirmed = confirmation.join();
+			ResumeTarget target = conclude(attempt, services, answers, isConfirmed);
+			if (result.complete(target)) {
+				this.events.record(target.origins().isEmpty() ? "stream.origin-unknown" : "stream.origin-concluded",
+						"attempt", String.valueOf(attemptId), "services", services, "origins", target.origins(),
+						"confirmed", isConfirmed, "revision", this.replicas.revision(), "asked", asked, "answers",
+						answers.size(), "error", String.valueOf(error));
 			}
 		});
 		return result;
 	}
 
-	// Nobody remembers the stream. It can go on only if all who answer agree that one
-	// version has served all the time.
-	private static ResumeTarget conclude(List<StreamOriginAnswer> answers) {
-		if (answers.stream().anyMatch(StreamOriginAnswer::isAmbiguous)) {
+	private ResumeTarget conclude(long attempt, List<String> services, List<StreamOriginAnswer> answers,
+			boolean isConfirmed) {
+		StreamOriginAnswer own = answer(attempt, services);
+		if (own.remembered() != null) {
+			return new ResumeTarget(List.of(own.remembered()));
+		}
+		if (!isConfirmed || own.isAmbiguous() || answers.stream().anyMatch(StreamOriginAnswer::isAmbiguous)) {
 			return ResumeTarget.UNKNOWN;
 		}
+		List<StreamOrigin> listed = this.versions.onlyVersions(services);
 		List<List<StreamOrigin>> opinions = answers.stream()
 			.map(StreamOriginAnswer::onlyVersions)
 			.filter((onlyVersions) -> !onlyVersions.isEmpty())
-			.distinct()
 			.toList();
-		return (opinions.size() == 1) ? new ResumeTarget(opinions.get(0)) : ResumeTarget.UNKNOWN;
+		// An instance that has not known the services for long needs one that has.
+		boolean isHistoryKnown = !own.onlyVersions().isEmpty() || !opinions.isEmpty();
+		return (isHistoryKnown && opinions.stream().allMatch(listed::equals)) ? new ResumeTarget(listed)
+				: ResumeTarget.UNKNOWN;
 	}
 
 	private StreamOriginAnswer answer(long attempt, List<String> services) {
@@ -174,12 +215,12 @@
 		List<VersionHistory> histories = services.stream().map(this.versions::history).toList();
 		boolean isSingle = histories.stream().allMatch((history) -> history == VersionHistory.SINGLE);
 		return new StreamOriginAnswer((entry != null) ? entry.origin : null, histories.contains(VersionHistory.SEVERAL),
-				isSingle ? services.stream().map(this.versions::onlyVersion).toList() : List.of());
+				isSingle ? this.versions.onlyVersions(services) : List.of());
 	}
 
-	private void remember(long attempt, StreamOrigin origin, boolean isOwn) {
+	private void remember(long attempt, Entry entry) {
 		this.remembered.remove(attempt);
-		this.remembered.put(attempt, new Entry(origin, isOwn, this.timer.nowMs()));
+		this.remembered.put(attempt, entry);
 		long oldestMs = this.timer.nowMs() - MEMORY_MS;
 		Iterator<Entry> eldest = this.remembered.values().iterator();
 		while (eldest.hasNext()) {
@@ -209,7 +250,15 @@
 		return LongHashFunction.xx().hashChars(attemptId);
 	}
 
-	private record Entry(StreamOrigin origin, boolean isOwn, long rememberedMs) {
+	/**
+	 * A stream that is remembered.
+	 *
+	 * @param origin where it began
+	 * @param isOwn whether this instance sent it
+	 * @param isTold whether other instances have been told of it
+	 * @param rememberedMs time at which it began or was told of, in milliseconds
+	 */
+	private record Entry(StreamOrigin origin, boolean isOwn, boolean isTold, long rememberedMs) {
 
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import dev.nutmegdoor.core.event.EventLog;
@@ -42,10 +44,11 @@
 		start(0);
 	}
 
-	private void start(long batchDelayMs) {
-		new ListWatcher(this.client, this.host, this.random, new StoreHealth(this.host), EventLog.NONE, "k", 30_000,
-				batchDelayMs, this)
-			.start();
+	private ListWatcher start(long batchDelayMs) {
+		ListWatcher watcher = new ListWatcher(this.client, this.host, this.random, new StoreHealth(this.host),
+				EventLog.NONE, "k", 30_000, batchDelayMs, this);
+		watcher.start();
+		return watcher;
 	}
 
 	@Override
@@ -123,4 +126,106 @@
 		assertThat(this.store.calls() - callsBefore - 20, lessThanOrEqualTo(5L));
 	}
 
+	@Nested
+	class Confirmation {
+
+		private static final long BATCH_DELAY_MS = 1_000;
+
+		private final ListWatcher watcher = start(BATCH_DELAY_MS);
+
+		private boolean confirm() {
+			CompletableFuture<Boolean> confirmation = this.watcher.confirm();
+			ListWatcherTests.this.timer.advance(Confirmations.TIMEOUT_MS);
+			assertThat(confirmation.isDone(), is(true));
+			return confirmation.join();
+		}
+
+		private void create(String value) {
+			ListWatcherTests.this.client.create("k", value, value);
+			ListWatcherTests.this.timer.advance(30);
+		}
+
+		// Guards against a list that passes for confirmed although the last changes are
+		// missing, and against changes that are applied twice.
+		@Test
+		void appliesMissingChangesOnce() {
+			ListWatcherTests.this.timer.advance(100);
+			create("first");
+			create("second");
+			assertThat(ListWatcherTests.this.observedValues, is(List.of("first")));
+			CompletableFuture<List<String>> whenConfirmed = this.watcher.confirm()
+				.thenApply((isConfirmed) -> List.copyOf(ListWatcherTests.this.observedValues));
+			ListWatcherTests.this.timer.advance(Confirmations.TIMEOUT_MS);
+			assertThat(whenConfirmed.join(), is(List.of("first", "second")));
+			ListWatcherTests.this.timer.advance(3_000);
+			assertThat(ListWatcherTests.this.observedValues, is(List.of("first", "second")));
+		}
+
+		// Guards against a change that is applied again on top of a later one, or missed,
+		// when a watch in flight and a confirmation both report it.
+		@Test
+		void keepsOrderOfChangesWithWatchInFlight() {
+			ListWatcherTests.this.store.setFaults(new StoreFaults(1, 40, 0, Integer.MAX_VALUE));
+			ListWatcherTests.this.timer.advance(200);
+			List<String> expected = new ArrayList<>();
+			for (int i = 0; i < 100; i++) {
+				String value = "v" + i;
+				expected.add(value);
+				ListWatcherTests.this.client.create("k", value, value);
+				this.watcher.confirm();
+				ListWatcherTests.this.timer.advance(170);
+			}
+			ListWatcherTests.this.timer.advance(5_000);
+			assertThat(ListWatcherTests.this.observedValues, is(expected));
+		}
+
+		// Guards against an old list that passes for confirmed.
+		@Test
+		void failsWithoutList() {
+			assertThat(confirm(), is(false));
+			assertThat(confirm(), is(true));
+			ListWatcherTests.this.store.setAvailable(false);
+			assertThat(confirm(), is(false));
+			ListWatcherTests.this.timer.advance(1_000);
+			assertThat(this.watcher.isFollowed(), is(false));
+			ListWatcherTests.this.timer.advance(10_000);
+			assertThat(confirm(), is(false));
+			ListWatcherTests.this.store.setAvailable(true);
+			ListWatcherTests.this.timer.advance(3_000);
+			assertThat(confirm(), is(true));
+			assertThat(this.watcher.isFollowed(), is(true));
+		}
+
+		// Guards against a call of the store for each stream that is taken up.
+		@Test
+		void sharesCalls() {
+			ListWatcherTests.this.timer.advance(100);
+			long callsBefore = ListWatcherTests.this.store.calls();
+			List<CompletableFuture<Boolean>> confirmations = new ArrayList<>();
+			for (int i = 0; i < 500; i++) {
+				confirmations.add(this.watcher.confirm());
+				ListWatcherTests.this.timer.advance(2);
+			}
+			ListWatcherTests.this.timer.advance(Confirmations.TIMEOUT_MS);
+			assertThat(confirmations.stream().filter(CompletableFuture::join).count(), is(500L));
+			assertThat(ListWatcherTests.this.store.calls() - callsBefore, lessThanOrEqualTo(12L));
+		}
+
+		// Guards against a request that is answered by a call which the store has
+		// executed before the request.
+		@Test
+		void isAnsweredByCallThatBeginsLater() {
+			ListWatcherTests.this.timer.advance(100);
+			create("first");
+			ListWatcherTests.this.store.setFaults(new StoreFaults(50, 0, 0, Integer.MAX_VALUE));
+			this.watcher.confirm();
+			ListWatcherTests.this.timer.advance(75);
+			ListWatcherTests.this.client.create("k", "second", "second");
+			ListWatcherTests.this.timer.advance(60);
+			assertThat(confirm(), is(true));
+			assertThat(ListWatcherTests.this.observedValues, is(List.of("first", "second")));
+		}
+
+	}
+
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/stream/StreamOriginsOutOfStepTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/stream/StreamOriginsOutOfStepTests.java
@@ -33,6 +33,7 @@
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -106,7 +107,7 @@
 				EventLog.NONE, KIND, 30_000, 250, new Replicas(configuration));
 		this.hosts.set(index, host);
 		this.instances.set(index,
-				new StreamOrigins(this.network.join(host), () -> others, configuration, host, EventLog.NONE));
+				new StreamOrigins(this.network.join(host), () -> others, configuration, list, host, EventLog.NONE));
 		list.start();
 	}
 
@@ -124,10 +125,10 @@
 		this.timer.advance(LIST_MS);
 	}
 
-	private void cutFromOthers(int index, boolean isCut) {
+	private void cutFromOthers(int index) {
 		this.ids.forEach((id) -> {
 			if (!id.equals(this.ids.get(index))) {
-				this.network.setCut(this.ids.get(index), id, isCut);
+				this.network.setCut(this.ids.get(index), id, true);
 			}
 		});
 	}
@@ -144,6 +145,20 @@
 		this.store.setCut(zone(zone), true);
 	}
 
+	private void joinAndLeaveUnseen() {
+		for (int i = 0; i < ZONES; i++) {
+			this.store.setCut(zone(i), true);
+		}
+		joinReplicaOfNewVersion();
+		this.replicas.delete(KIND, "r-2", this.store.peek(KIND, "r-2").version());
+		this.timer.advance(LIST_MS);
+		this.store.discardHistory();
+		for (int i = 0; i < ZONES; i++) {
+			this.store.setCut(zone(i), false);
+		}
+		this.timer.advance(LOSS_MS);
+	}
+
 	private void beginStreams(int instance, String version) {
 		for (int i = 0; i < STREAMS; i++) {
 			this.instances.get(instance).began("attempt-" + i, SERVICE, replica("r", version));
@@ -174,7 +189,7 @@
 	// out of reach of everything.
 	@Test
 	void instanceOutOfReachOfStoreAndOthersDoesNotTakeItsOnlyVersion() {
-		cutFromOthers(4, true);
+		cutFromOthers(4);
 		cutZoneFromStore(4 % ZONES);
 		joinReplicaOfNewVersion();
 		beginStreams(0, "v2");
@@ -187,7 +202,7 @@
 	void instanceOutOfReachOfOthersDoesNotTakeOnlyVersionOfItsLastWatch() {
 		this.replicas.create(KIND, "r-3", "v1");
 		this.timer.advance(FIRST_EVENT_MS);
-		cutFromOthers(4, true);
+		cutFromOthers(4);
 		this.replicas.create(KIND, "r-2", "v2");
 		this.timer.advance(FIRST_EVENT_MS);
 		beginStreams(0, "v2");
@@ -201,9 +216,9 @@
 		this.replicas.create(KIND, "r-3", "v1");
 		this.timer.advance(FIRST_EVENT_MS);
 		this.hosts.get(4).pause();
+		cutFromOthers(4);
 		joinReplicaOfNewVersion();
 		beginStreams(0, "v2");
-		cutFromOthers(4, true);
 		int[] found = { -1 };
 		this.hosts.get(4).run(() -> found[0] = countFound(4, "v2"));
 		this.hosts.get(4).resume();
@@ -220,6 +235,45 @@
 		assertThat(countFound(4, "v2"), is(0));
 	}
 
+	// Guards against a zone in which no stream can go on while it is cut off.
+	@Test
+	void streamsThatBeganInZoneAfterLossWasNoticedGoOnThere() {
+		cutZoneFromOthers(1);
+		cutZoneFromStore(1);
+		this.timer.advance(LOSS_MS);
+		beginStreams(1, "v1");
+		this.hosts.get(1).crash();
+		assertThat(countFound(4, "v1"), greaterThanOrEqualTo(STREAMS / 2));
+	}
+
+	// Guards against a zone in which running streams can't go on once the store is lost.
+	@Test
+	void streamsThatRanWhenStoreWasLostGoOn() {
+		beginStreams(1, "v1");
+		this.store.setAvailable(false);
+		this.timer.advance(LOSS_MS);
+		this.hosts.get(1).crash();
+		assertThat(countFound(4, "v1"), is(STREAMS));
+	}
+
+	// Guards against streams that can't go on although the list shows all versions.
+	@Test
+	void streamsGoOnWhereStoreConfirmsThatOneVersionServed() {
+		beginStreams(1, "v1");
+		cutFromOthers(4);
+		assertThat(countFound(4, "v1"), is(STREAMS));
+	}
+
+	// Guards against a version that came and went while the history of the store was
+	// lost to the instances.
+	@Test
+	void versionThatMayHaveComeAndGoneUnseenIsNotRuledOut() {
+		joinAndLeaveUnseen();
+		assertThat(countFound(4, "v1"), is(0));
+		this.timer.advance(SETTLED_MS);
+		assertThat(countFound(4, "v1"), is(STREAMS));
+	}
+
 	/**
 	 * Applies the entries of the store, whose value is the version of a replica.
 	 */
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/stream/StreamOriginsTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/stream/StreamOriginsTests.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.configuration.UpstreamKind;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.fake.FakeConfigurationView;
+import dev.nutmegdoor.core.fake.FakeFollowedList;
 import dev.nutmegdoor.core.fake.FakeHost;
 import dev.nutmegdoor.core.fake.FakePeerNetwork;
 import dev.nutmegdoor.core.fake.LinkSettings;
@@ -53,6 +54,8 @@
 
 	private final FakeConfigurationView configuration = new FakeConfigurationView(replicas("v1"));
 
+	private final FakeFollowedList list = new FakeFollowedList();
+
 	private final List<InstanceId> ids = new ArrayList<>();
 
 	private final List<FakeHost> hosts = new ArrayList<>();
@@ -87,8 +90,8 @@
 		FakeHost host = new FakeHost(this.timer, this.ids.get(index), new AvailabilityZone("z" + index % 3), 0);
 		List<InstanceId> others = this.ids.stream().filter((id) -> !id.equals(host.id())).toList();
 		this.hosts.set(index, host);
-		this.instances.set(index,
-				new StreamOrigins(this.network.join(host), () -> others, this.configuration, host, EventLog.NONE));
+		this.instances.set(index, new StreamOrigins(this.network.join(host), () -> others, this.configuration,
+				this.list, host, EventLog.NONE));
 	}
 
 	private String versionOf(int stream) {
@@ -293,7 +296,8 @@
 			assertThat(find(4, "began-before").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
 		}
 
-		// Guards against a zone in which no stream can go on while it is cut off.
+		// Guards against streams that can't go on at the only instance in reach of a
+		// client, although the store shows that one version can have begun them.
 		@Test
 		void letsStreamsGoOnWhileOthersAreOutOfReach() {
 			start(3);
@@ -304,6 +308,32 @@
 			assertThat(find(0, "began-before").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
 		}
 
+		// Guards against an instance that takes the only version of a list that the store
+		// has not confirmed, because no other instance answers.
+		@Test
+		void refusesUnknownStreamsWhileOthersAndStoreAreOutOfReach() {
+			start(3);
+			StreamOriginsTests.this.timer.advance(SETTLED_MS);
+			for (int i = 1; i < 3; i++) {
+				StreamOriginsTests.this.hosts.get(i).crash();
+			}
+			StreamOriginsTests.this.list.setInReach(false);
+			StreamOriginsTests.this.instances.get(0).began("own", SERVICE, replica("v1"));
+			assertThat(find(0, "own").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
+			assertThat(find(0, "began-before"), is(ResumeTarget.UNKNOWN));
+		}
+
+		// Guards against an instance that is alone and takes its own word for a history
+		// that it does not know.
+		@Test
+		void instanceThatIsAloneNeedsKnownHistory() {
+			start(1);
+			StreamOriginsTests.this.timer.advance(FIRST_EVENT_MS);
+			assertThat(find(0, "began-before"), is(ResumeTarget.UNKNOWN));
+			StreamOriginsTests.this.timer.advance(SETTLED_MS);
+			assertThat(find(0, "began-before").select(SERVICE), is(new StreamOrigin(SERVICE, "v1")));
+		}
+
 	}
 
 	@Nested
@@ -324,7 +354,8 @@
 			StreamOriginsTests.this.ids.add(self);
 			FakeHost host = new FakeHost(StreamOriginsTests.this.timer, self, new AvailabilityZone("z2"), 0);
 			StreamOrigins behind = new StreamOrigins(StreamOriginsTests.this.network.join(host),
-					() -> StreamOriginsTests.this.ids.subList(0, 2), ownList, host, EventLog.NONE);
+					() -> StreamOriginsTests.this.ids.subList(0, 2), ownList, new FakeFollowedList(), host,
+					EventLog.NONE);
 			StreamOriginsTests.this.timer.advance(SETTLED_MS);
 			StreamOriginsTests.this.configuration.set(replicas("v1", "v2"));
 			StreamOriginsTests.this.instances.get(0).began("attempt-1", SERVICE, replica("v2"));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -212,8 +212,8 @@
 		ControlBridge controlBridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
-				events, this.quarantine,
-				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.control, events),
+				events, this.quarantine, new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment,
+						this.replicaWatcher, this.control, events),
 				this.drainDeadline, replicas);
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
