Publish a replica that joins and leaves within one batch of changes

A batch of changes was applied as a whole, so a software version whose replica joined and left within it (the instance stood still, or collects changes for up to 1 s) was never seen by StreamOrigins, and the other version passed for the only one. A second change of the same entry now publishes the list before it is applied.

publishesReplicaThatLeavesAtOnce failed before: published [[r-1]], expected [[r-1, r-3], [r-1]].

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -138,7 +138,14 @@
 
 	@Override
 	public void changed(List<StoreEvent> changes) {
+		Set<String> unpublished = new HashSet<>();
 		for (StoreEvent change : changes) {
+			// A version that serves only for a moment may begin streams.
+			if (!unpublished.add(change.name())) {
+				this.deployment.accept(this.replicas);
+				unpublished.clear();
+				unpublished.add(change.name());
+			}
 			String value = change.value();
 			ListedReplica replica = (value != null) ? this.decoder.apply(change.name(), value) : null;
 			if (replica != null) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
@@ -95,6 +96,24 @@
 
 	}
 
+	@Nested
+	class SeveralChangesAtOnce {
+
+		// Guards against a software version that served for a moment and is not taken
+		// into account, because its replica joins and leaves within one batch.
+		@Test
+		void publishesReplicaThatLeavesAtOnce() {
+			List<Set<UpstreamId>> published = new ArrayList<>();
+			ReplicaListTests.this.deployment
+				.subscribe((configuration) -> published.add(configuration.upstreams().keySet()));
+			ReplicaListTests.this.replicaList
+				.changed(List.of(event("r-3", "ready"), event("r-2", null), event("r-3", null)));
+			assertThat(published,
+					is(List.of(Set.of(new UpstreamId("r-1"), new UpstreamId("r-3")), Set.of(new UpstreamId("r-1")))));
+		}
+
+	}
+
 	@Nested
 	class WhenReplicaStatesThatItLeaves {
 
