Read objects of a response one by one

One entry of another writer that Jackson's limits reject (nested deeper than 1,000, a number of more than 1,000 digits) or that holds NaN or Infinity made the whole response of a list or a watch unreadable. The kind was not followed any more: requests went on to replicas that had reported draining, and replicas that joined got none. A response to a change that contained such an entry counted as an unknown outcome.

PlatformHttp parsed each response into one tree, so the limits applied to all entries together. JsonSlice finds the objects within a response without reading them, in constant memory: the gateway has a heap of 72 MB, and a parser's object for each level of a 1 MB entry would take about half of it. Each object is read by itself. One without a readable name or revision is reported once (store.entry-unreadable) and left out of a list; in a watch it reads as deleted, so that its earlier value is not used any longer. A page continues after the last readable name. An entry of a replica of more than 20,000 characters counts as unreadable, because a list is held in memory as a whole.

Revisions that are fractional or out of range are not truncated any more.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/cluster/SharedState.java
@@ -116,7 +116,7 @@
 		this.platformHttp = new PlatformHttp(settings.platform(), control, HttpResources.get());
 		this.filePersistence = openDataFolder(settings.dataFolder(), control, events);
 		this.persistence = (this.filePersistence != null) ? this.filePersistence : LocalPersistence.NONE;
-		this.store = new BudgetedObjectStore(new HttpObjectStore(this.platformHttp), control, random,
+		this.store = new BudgetedObjectStore(new HttpObjectStore(this.platformHttp, events), control, random,
 				CallBudgetSettings.DEFAULT, URGENT_KINDS, events);
 		this.instanceRegistry = new StoredInstanceRegistry(this.store, "instances", events);
 		this.peers = new TcpPeerTransport(self, settings.peer(), new FrameCodec(new MessageTypes(messageTypes())),
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/platform/PlatformStandinTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/platform/PlatformStandinTests.java
@@ -42,7 +42,7 @@
 
 	private PlatformHttp http = connect();
 
-	private ObjectStore store = new HttpObjectStore(this.http);
+	private ObjectStore store = new HttpObjectStore(this.http, EventLog.NONE);
 
 	private static PlatformStandinSettings settings(int writesPerSecond) {
 		return new PlatformStandinSettings("127.0.0.1", 0, 1, 2_000, writesPerSecond, 0, 0, 10, List.of());
@@ -57,7 +57,7 @@
 		stop();
 		this.platform = PlatformStandin.start(settings);
 		this.http = connect();
-		this.store = new HttpObjectStore(this.http);
+		this.store = new HttpObjectStore(this.http, EventLog.NONE);
 	}
 
 	private void stop() {
