--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -147,12 +147,13 @@
 		});
 	}
 
-	// An object that the listener can't handle must not end the watch.
+	// An object that the listener can't handle must not end the watch, also not if it
+	// exhausts the stack.
 	private void notifyListener(Runnable notification) {
 		try {
 			notification.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			this.events.record("store.listener-failed", "kind", this.kind, "revision", this.lastVersion, "error", ex);
 		}
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
@@ -36,6 +36,8 @@
 
 	private String failingValue = "";
 
+	private String errorValue = "";
+
 	private int listCount;
 
 	private void start() {
@@ -60,6 +62,9 @@
 			if (this.failingValue.equals(change.value())) {
 				throw new IllegalArgumentException(this.failingValue);
 			}
+			if (this.errorValue.equals(change.value())) {
+				throw new StackOverflowError(this.errorValue);
+			}
 			this.observedValues.add(change.value());
 		});
 	}
@@ -79,6 +84,21 @@
 		assertThat(this.observedValues, is(List.of("first", "last")));
 	}
 
+	// Guards against a watch that ends for good because an object exhausts the stack of
+	// its listener.
+	@Test
+	void goesOnAfterListenerThrewError() {
+		this.client.create("k", "one", "first");
+		this.errorValue = "deep";
+		start();
+		this.timer.advance(1_000);
+		this.client.create("k", "two", "deep");
+		this.timer.advance(1_000);
+		this.client.create("k", "three", "last");
+		this.timer.advance(1_000);
+		assertThat(this.observedValues, is(List.of("first", "last")));
+	}
+
 	// Guards against a change that is received too late after an outage to be applied
 	// within 2 s of the store's recovery, because the backoff has become too long.
 	@Test
