Apply replica changes after an entry whose decoding fails

A change of a replica was lost if an entry in the same response made the decoder throw: ReplicaList left the loop, and the watch went on from a later revision.

Each entry is decoded by itself; one that fails or describes no replica is reported once and has no effect beyond its own name.

appliesChangesAfterEntryThatExhaustsStack failed before with the error. No entry that makes today's decoder throw is known.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.store.StoreEvent;
 import dev.nutmegdoor.core.store.StoreHealth;
 import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.store.UnreadableEntries;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -83,11 +84,13 @@
 
 	private final Set<UpstreamId> missing = new HashSet<>();
 
+	private final UnreadableEntries unreadableEntries;
+
 	/**
 	 * Creates an empty list.
 	 * @param deployment receives the list after each change
 	 * @param timer source of time
-	 * @param events records each change
+	 * @param events records each change and each entry that doesn't describe a replica
 	 * @param decoder decodes the name and the value of an entry; returns {@code null} if
 	 * the entry doesn't describe a replica
 	 * @param storeHealth provides the time since the last outage of the store
@@ -103,6 +106,7 @@
 		this.decoder = decoder;
 		this.storeHealth = storeHealth;
 		this.restartListener = restartListener;
+		this.unreadableEntries = new UnreadableEntries(events);
 	}
 
 	/**
@@ -122,7 +126,7 @@
 	public void listed(List<StoredObject> objects) {
 		Set<UpstreamId> present = new HashSet<>();
 		for (StoredObject object : objects) {
-			ListedReplica replica = this.decoder.apply(object.name(), object.value());
+			ListedReplica replica = decode(object.kind(), object.name(), object.value());
 			if (replica != null) {
 				present.add(replica.upstream().id());
 				update(replica);
@@ -140,7 +144,7 @@
 	public void changed(List<StoreEvent> changes) {
 		for (StoreEvent change : changes) {
 			String value = change.value();
-			ListedReplica replica = (value != null) ? this.decoder.apply(change.name(), value) : null;
+			ListedReplica replica = (value != null) ? decode(change.kind(), change.name(), value) : null;
 			if (replica != null) {
 				update(replica);
 			}
@@ -151,6 +155,23 @@
 		this.deployment.accept(this.replicas);
 	}
 
+	// An entry that can't be decoded must not keep the changes after it from being
+	// applied.
+	private @Nullable ListedReplica decode(String kind, String name, String value) {
+		String reason = "it does not describe a replica";
+		try {
+			ListedReplica replica = this.decoder.apply(name, value);
+			if (replica != null) {
+				return replica;
+			}
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			reason = String.valueOf(ex);
+		}
+		this.unreadableEntries.report(kind, name, reason);
+		return null;
+	}
+
 	// The name may be that of another writer's entry, which need not be an identifier.
 	private void handleMissing(String name) {
 		for (UpstreamId id : List.copyOf(this.replicas.keySet())) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/ReplicaListTests.java
@@ -41,6 +41,9 @@
 		if (value.equals("other writer")) {
 			return null;
 		}
+		if (value.equals("deep")) {
+			throw new StackOverflowError(value);
+		}
 		Upstream upstream = new Upstream(new UpstreamId(name), UpstreamKind.SERVICE, new AvailabilityZone("a"),
 				"10.0.0.1", 80, List.of("s"), 1, false, value.equals("leaving"));
 		return new ListedReplica(upstream, value.equals("started again") ? 2 : 1, 1);
@@ -83,6 +86,19 @@
 			assertThat(isListed("r-1"), is(false));
 		}
 
+		// Guards against changes that are lost because they follow an entry whose
+		// decoding
+		// fails.
+		@Test
+		void appliesChangesAfterEntryThatExhaustsStack() {
+			ReplicaListTests.this.replicaList
+				.changed(List.of(event("r-1", "leaving"), event("r-2", "deep"), event("r-3", "ready")));
+			assertThat(ReplicaListTests.this.deployment.current().upstreams().get(new UpstreamId("r-1")).isLeaving(),
+					is(true));
+			assertThat(isListed("r-2"), is(false));
+			assertThat(isListed("r-3"), is(true));
+		}
+
 		// Guards against an entry whose name is no identifier and that ends the watch, so
 		// that later changes are missed.
 		@ParameterizedTest
