List only instances with an IPv4 address and a port

An entry of another writer among the gateways or ledger replicas with port 70000 made each message to it throw, and one with a host name was looked up on the control thread. Port was read as 80, and an entry without a host as an instance.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/StoredInstanceRegistry.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/membership/StoredInstanceRegistry.java
@@ -13,6 +13,7 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.id.NetworkAddresses;
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoreException;
 import dev.nutmegdoor.core.store.StoreFailure;
@@ -123,8 +124,14 @@
 
 	private DirectoryEntry decode(StoredObject object) throws JsonProcessingException {
 		JsonNode node = this.mapper.readTree(object.value());
+		JsonNode host = node.path("host");
+		JsonNode port = node.path("port");
+		if (!host.isTextual() || !NetworkAddresses.isIpv4(host.textValue()) || !port.isIntegralNumber()
+				|| !port.canConvertToInt() || !NetworkAddresses.isPort(port.intValue())) {
+			throw new IllegalArgumentException("it has no IPv4 address and port");
+		}
 		return new DirectoryEntry(new InstanceId(object.name()), new AvailabilityZone(node.path("zone").asText()),
-				node.path("host").asText(), node.path("port").asInt(), node.path("leaving").asBoolean());
+				host.textValue(), port.intValue(), node.path("leaving").asBoolean());
 	}
 
 }
