--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/ObjectTable.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/ObjectTable.java
@@ -60,6 +60,11 @@
 		return put(kind, ObjectRecord.create(name, this.revision + 1, spec));
 	}
 
+	synchronized ObjectRecord createOrReplace(String kind, String name, JsonNode spec) {
+		ObjectRecord existing = objects(kind).get(name);
+		return (existing != null) ? update(kind, name, null, spec) : create(kind, name, spec);
+	}
+
 	synchronized ObjectRecord update(String kind, String name, @Nullable Long expectedRevision, JsonNode spec) {
 		ObjectRecord existing = require(kind, name, expectedRevision);
 		return existing.spec().equals(spec) ? existing : put(kind, existing.withSpec(this.revision + 1, spec));
--- a/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandin.java
+++ b/nutmegdoor-standin/src/main/java/dev/nutmegdoor/standin/platform/PlatformStandin.java
@@ -8,7 +8,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -92,6 +94,17 @@
 		this.faults.add(new PlatformFault(kind, nowMs, nowMs + durationMs, probability, delayMs));
 	}
 
+	/**
+	 * Creates or replaces an object as another writer does. Its value is returned to
+	 * clients as it is.
+	 * @param kind kind of the object
+	 * @param name name within the kind
+	 * @param spec JSON of any depth and with numbers of any length
+	 */
+	public void put(String kind, String name, String spec) {
+		this.objects.createOrReplace(kind, name, JsonNodeFactory.instance.rawValueNode(new RawValue(spec)));
+	}
+
 	/**
 	 * Returns counts of requests by kind and rejection status, of closed connections and
 	 * of written bytes.
