Go on with a watch after a listener of interruptions has failed

A listener that throws when the store is lost, or after a listing, kept the next call from being scheduled. ListWatcherTests (goesOnAfterListenerOfInterruptionsFailed) failed before.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -121,7 +121,7 @@
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
 			notifyListener(() -> this.listener.listed(page.objects()));
-			this.interruptionListeners.forEach(InterruptionListener::listed);
+			notifyListener(() -> this.interruptionListeners.forEach(InterruptionListener::listed));
 			this.lastResponseMs = this.timer.nowMs();
 			watch();
 		});
@@ -220,12 +220,12 @@
 		boolean wasFollowed = isFollowed();
 		change.run();
 		if (wasFollowed && !isFollowed()) {
-			this.interruptionListeners.forEach(InterruptionListener::interrupted);
+			notifyListener(() -> this.interruptionListeners.forEach(InterruptionListener::interrupted));
 		}
 	}
 
-	// An object that the listener can't handle must not end the watch, also not if it
-	// exhausts the stack.
+	// What a listener can't handle must not end the watch, also not if it exhausts the
+	// stack.
 	private void notifyListener(Runnable notification) {
 		try {
 			notification.run();
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
@@ -102,6 +102,32 @@
 		assertThat(this.observedValues, is(List.of("first", "last")));
 	}
 
+	// Guards against a watch that ends for good at the loss of the store, because a
+	// listener of interruptions fails.
+	@Test
+	void goesOnAfterListenerOfInterruptionsFailed() {
+		start(0).subscribe(new InterruptionListener() {
+
+			@Override
+			public void interrupted() {
+				throw new IllegalStateException("interrupted");
+			}
+
+			@Override
+			public void listed() {
+				throw new IllegalStateException("listed");
+			}
+
+		});
+		this.timer.advance(1_000);
+		this.store.setAvailable(false);
+		this.timer.advance(5_000);
+		this.store.setAvailable(true);
+		this.client.create("k", "n", "new");
+		this.timer.advance(2_000);
+		assertThat(this.observedValues, hasItem("new"));
+	}
+
 	// Guards against a change that is received too late after an outage to be applied
 	// within 2 s of the store's recovery, because the backoff has become too long.
 	@Test
