--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -81,6 +81,8 @@
 
 	private boolean isHeadReceived;
 
+	private boolean isBodyEndedByClose;
+
 	private int sends;
 
 	private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
@@ -200,19 +202,23 @@
 			fail("a protocol switch that was not requested");
 			return;
 		}
-		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-			skip(SkippedResponse.INFORMATIONAL);
-			return;
-		}
-		if (UpstreamResponseDecoder.isJoined(response)) {
+		if (StatusLine.isIn(response.status().reasonPhrase()) || StatusLine.isIn(response.headers())) {
 			recordUnexpected("parts of two responses", response);
 			fail("parts of two responses");
 			return;
 		}
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			skip(SkippedResponse.INFORMATIONAL);
+			return;
+		}
 		ResponseMetadata metadata = decodeMetadata(response);
 		String expected = current.attemptId();
 		if (metadata.attemptId() != null && expected != null && !metadata.attemptId().equals(expected)) {
 			recordUnexpected("response to another request", response);
+			if (isEndedByClose(response)) {
+				fail("a response without a length to another request");
+				return;
+			}
 			skip(SkippedResponse.OTHER_REQUEST);
 			return;
 		}
@@ -226,6 +232,7 @@
 		this.isKeepAlive = HttpUtil.isKeepAlive(response) && metadata.attemptId() != null;
 		this.idleTimeoutMs = idleTimeoutMs(response);
 		this.isHeadReceived = true;
+		this.isBodyEndedByClose = isEndedByClose(response);
 		current.responseStarted(response.status(), response.headers(), metadata);
 	}
 
@@ -235,6 +242,12 @@
 				&& response.status().codeClass() != HttpStatusClass.SUCCESS;
 	}
 
+	private static boolean isEndedByClose(HttpResponse response) {
+		return !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
+				&& !response.status().equals(HttpResponseStatus.NO_CONTENT)
+				&& !response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+	}
+
 	private ResponseMetadata decodeMetadata(HttpResponse response) {
 		return this.translator.decodeAnswer(response.status().code(), response.headers());
 	}
@@ -248,9 +261,11 @@
 	 */
 	boolean isResponseTo(HttpMethod requestMethod, HttpResponse response) {
 		UpstreamExchange current = this.exchange;
+		if (current == null || !this.method.equals(requestMethod)) {
+			return false;
+		}
 		String received = decodeMetadata(response).attemptId();
-		return current != null && this.method.equals(requestMethod)
-				&& (received == null || received.equals(current.attemptId()));
+		return received == null || received.equals(current.attemptId());
 	}
 
 	/**
@@ -297,8 +312,27 @@
 		this.channel.config().setAutoRead(isReading);
 	}
 
+	// A response that ends early is filled up with the next one, also one that is
+	// skipped.
+	private boolean holdsOtherResponse(HttpContent content) {
+		if (content instanceof LastHttpContent last && StatusLine.isIn(last.trailingHeaders())) {
+			return true;
+		}
+		if (this.skippedResponse != null || this.isBodyEndedByClose) {
+			return StatusLine.isIn(content.content());
+		}
+		return content instanceof LastHttpContent && this.decoder.hasUndecodedBytes()
+				&& StatusLine.beginsIn(content.content(), this.decoder.startOfUndecodedBytes());
+	}
+
 	private void contentReceived(HttpContent content) {
 		UpstreamExchange current = this.exchange;
+		if (current != null && holdsOtherResponse(content)) {
+			content.release();
+			this.pool.recordUnexpected("response within another", this, current.attemptId(), 0, null);
+			fail("a response within the body of another");
+			return;
+		}
 		if (this.skippedResponse != null) {
 			skipped(content.content().readableBytes());
 			content.release();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamResponseDecoder.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamResponseDecoder.java
@@ -1,7 +1,6 @@
 package dev.nutmegdoor.node.relay;
 
-import java.util.Map;
-import java.util.regex.Pattern;
+import java.nio.charset.StandardCharsets;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,8 +24,6 @@
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
-
 	private final UpstreamConnection connection;
 
 	/**
@@ -40,24 +37,6 @@
 		this.connection = connection;
 	}
 
-	/**
-	 * Returns whether a response is put together from two: a replica wrote the start of
-	 * one and then another.
-	 * @param response head of the response
-	 * @return {@code true} if its reason phrase or a field contains a status line
-	 */
-	static boolean isJoined(HttpResponse response) {
-		if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
-			return true;
-		}
-		for (Map.Entry<String, String> field : response.headers()) {
-			if (STATUS_LINE.matcher(field.getValue()).find()) {
-				return true;
-			}
-		}
-		return false;
-	}
-
 	/**
 	 * Returns whether bytes have been received after the last decoded object.
 	 * @return {@code true} if there are bytes that are not decoded yet
@@ -66,6 +45,16 @@
 		return actualReadableBytes() > 0;
 	}
 
+	/**
+	 * Returns the first bytes after the last decoded object.
+	 * @return as many as a status line needs, or all that have been received
+	 */
+	String startOfUndecodedBytes() {
+		ByteBuf undecoded = internalBuffer();
+		return undecoded.toString(undecoded.readerIndex(), Math.min(StatusLine.LENGTH, undecoded.readableBytes()),
+				StandardCharsets.US_ASCII);
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
 		if (message instanceof ByteBuf && this.connection.isIdle()) {
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -269,6 +269,41 @@
 			assertThat(this.next.events, not(hasItem("200")));
 		}
 
+		// Guards against a response that ends early and is filled up with its repetition.
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 6, 12, 100 })
+		void doNotCompleteResponseThatEndsEarly(int length) {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: " + length + "\r\n\r\nhel");
+			receive(response("a-1", "x".repeat(100)));
+			assertThat(UpstreamConnectionTests.this.exchange.events, not(hasItem("completed")));
+			assertThat(UpstreamConnectionTests.this.exchange.events, hasItem("broken"));
+		}
+
+		@Test
+		void doNotExtendResponseWithoutLength() {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhello");
+			receive(response("a-1", "hello"));
+			UpstreamConnectionTests.this.channel.close();
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hello", "broken"));
+		}
+
+		// Guards against a caller that waits until its deadline for a response that was
+		// taken for a part of a repetition.
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 100 Con", "HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhel",
+				"HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: 4000\r\n\r\nhel",
+				"HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\nhel",
+				"HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: te" })
+		void withoutEndDoNotHoldNextResponseBack(String start) {
+			receive(response("a-1", "hello"));
+			sendNext();
+			receive(start);
+			if (UpstreamConnectionTests.this.channel.isActive()) {
+				receive("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nno");
+			}
+			assertThat(this.next.events, contains("broken"));
+		}
+
 		// Guards against a refusal that is taken for the response to a later request.
 		@Test
 		void withoutAttemptIdAreNoAnswerToNextRequest() {
