--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -83,6 +83,8 @@
 
 	private boolean isBodyEndedByClose;
 
+	private boolean isOtherResponseSkipped;
+
 	private int sends;
 
 	private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
@@ -140,6 +142,7 @@
 		this.exchange = next;
 		this.sends++;
 		this.isHeadReceived = false;
+		this.isOtherResponseSkipped = false;
 		this.skippedResponses = 0;
 		this.skippedBytes = 0;
 		HttpRequest head = next.requestHead();
@@ -219,6 +222,7 @@
 				fail("a response without a length to another request");
 				return;
 			}
+			this.isOtherResponseSkipped = true;
 			skip(SkippedResponse.OTHER_REQUEST);
 			return;
 		}
@@ -238,7 +242,7 @@
 
 	// Only the first response on a connection can't be the repetition of an earlier one.
 	private boolean isTrustedWithoutAttemptId(HttpResponse response) {
-		return this.sends == 1 && this.skippedResponses == 0
+		return this.sends == 1 && !this.isOtherResponseSkipped
 				&& response.status().codeClass() != HttpStatusClass.SUCCESS;
 	}
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -304,6 +304,14 @@
 			assertThat(this.next.events, contains("broken"));
 		}
 
+		// Guards against a first refusal without identifier that counts as unknown.
+		@Test
+		void doNotIncludeInformationalResponses() {
+			receive("HTTP/1.1 100 Continue\r\n\r\n");
+			receive("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+			assertThat(UpstreamConnectionTests.this.exchange.events, contains("503", "completed"));
+		}
+
 		// Guards against a refusal that is taken for the response to a later request.
 		@Test
 		void withoutAttemptIdAreNoAnswerToNextRequest() {
