--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.time.VirtualTimerService;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -34,6 +35,8 @@
 
 	private final ObjectStore client = this.store.clientOf(this.host);
 
+	private final StoreHealth health = new StoreHealth(this.host);
+
 	private final List<String> observedValues = new ArrayList<>();
 
 	private String failingValue = "";
@@ -45,8 +48,8 @@
 	}
 
 	private ListWatcher start(long batchDelayMs) {
-		ListWatcher watcher = new ListWatcher(this.client, this.host, this.random, new StoreHealth(this.host),
-				EventLog.NONE, "k", 30_000, batchDelayMs, this);
+		ListWatcher watcher = new ListWatcher(this.client, this.host, this.random, this.health, EventLog.NONE, "k",
+				30_000, batchDelayMs, this);
 		watcher.start();
 		return watcher;
 	}
@@ -196,6 +199,19 @@
 			assertThat(this.watcher.isFollowed(), is(true));
 		}
 
+		// Guards against a rejected confirmation that passes for an outage of the store.
+		@Test
+		void leavesHealthToWatch() {
+			ListWatcherTests.this.timer.advance(100);
+			ListWatcherTests.this.store.setFaults(new StoreFaults(1, 0, 0, 0));
+			assertThat(confirm(), is(false));
+			assertThat(this.watcher.isFollowed(), is(false));
+			assertThat(ListWatcherTests.this.health.timeSinceFailureMs(), greaterThan(1_000_000L));
+			ListWatcherTests.this.store.setFaults(StoreFaults.NONE);
+			assertThat(confirm(), is(true));
+			assertThat(this.watcher.isFollowed(), is(true));
+		}
+
 		// Guards against a call of the store for each stream that is taken up.
 		@Test
 		void sharesCalls() {
