--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/process/PlatformConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/process/PlatformConnection.java
@@ -49,8 +49,8 @@
 			UniformRandomProvider random, EventLog events, Set<String> urgentKinds) {
 		PlatformHttp http = new PlatformHttp(new PlatformEndpoint(settings.store().getHostString(),
 				settings.store().getPort(), CONNECT_TIMEOUT_MS, REQUEST_TIMEOUT_MS), control, loops);
-		this.store = new BudgetedObjectStore(new HttpObjectStore(http, events), control, random, CALL_BUDGET, urgentKinds,
-				events);
+		this.store = new BudgetedObjectStore(new HttpObjectStore(http, events), control, random, CALL_BUDGET,
+				urgentKinds, events);
 	}
 
 	public ObjectStore store() {
