--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/RetirementListener.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/RetirementListener.java
@@ -13,6 +13,7 @@
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoreEvent;
 import dev.nutmegdoor.core.store.StoredObject;
+import dev.nutmegdoor.core.store.UnreadableEntries;
 import dev.nutmegdoor.core.time.TimerService;
 import dev.nutmegdoor.platform.RetirementTranslator;
 
@@ -42,6 +43,8 @@
 
 	private final EventLog events;
 
+	private final UnreadableEntries unreadableEntries;
+
 	private final Set<String> orderedNames = new HashSet<>();
 
 	RetirementListener(InstanceId self, LedgerReplica replica, InstanceRegistry registry, ObjectStore store,
@@ -52,16 +55,31 @@
 		this.store = store;
 		this.timer = timer;
 		this.events = events;
+		this.unreadableEntries = new UnreadableEntries(events);
 	}
 
 	@Override
 	public void listed(List<StoredObject> objects) {
-		objects.forEach((object) -> ordered(object.name()));
+		objects.forEach((object) -> entryFound(object.name(), object.value()));
 	}
 
 	@Override
 	public void changed(List<StoreEvent> changes) {
-		changes.stream().filter((change) -> change.value() != null).forEach((change) -> ordered(change.name()));
+		for (StoreEvent change : changes) {
+			String value = change.value();
+			if (value != null) {
+				entryFound(change.name(), value);
+			}
+		}
+	}
+
+	private void entryFound(String name, String value) {
+		if (RetirementTranslator.isOrder(value)) {
+			ordered(name);
+		}
+		else {
+			this.unreadableEntries.report(RetirementTranslator.KIND, name, "it orders no retirement");
+		}
 	}
 
 	private void ordered(String name) {
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RetirementListenerTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RetirementListenerTests.java
@@ -7,6 +7,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.fake.FakeHost;
@@ -35,6 +37,8 @@
 
 class RetirementListenerTests {
 
+	private static final String ORDER = "{\"DurationS\":10}";
+
 	private static final AvailabilityZone ZONE = new AvailabilityZone("a");
 
 	private final VirtualTimerService timer = new VirtualTimerService(0);
@@ -62,10 +66,14 @@
 	}
 
 	private void order(String name) {
+		put(name, ORDER);
+	}
+
+	private void put(String name, String value) {
 		this.store.clientOf(new FakeHost(this.timer, new InstanceId("operator"), ZONE, 0))
-			.create(RetirementTranslator.KIND, name, "{\"DurationS\":10}");
+			.create(RetirementTranslator.KIND, name, value);
 		this.timer.advance(100);
-		List<StoredObject> objects = List.of(new StoredObject(RetirementTranslator.KIND, name, 1, "{}"));
+		List<StoredObject> objects = List.of(new StoredObject(RetirementTranslator.KIND, name, 1, value));
 		this.first.listed(objects);
 		this.second.listed(objects);
 	}
@@ -93,11 +101,23 @@
 		order("storage-3");
 		this.timer.advance(10_000);
 		assertThat(status("storage-3"), is(nullValue()));
-		third.listed(List.of(new StoredObject(RetirementTranslator.KIND, "storage-3", 1, "{}")));
+		third.listed(List.of(new StoredObject(RetirementTranslator.KIND, "storage-3", 1, ORDER)));
 		this.timer.advance(10_000);
 		assertThat(status("storage-3"), is(RetirementTranslator.completed()));
 	}
 
+	// Guards against a machine that is emptied and removed because of an entry of another
+	// writer.
+	@ParameterizedTest
+	@ValueSource(strings = { "{}", "[]", "null", "", "{", "{\"DurationS\":\"10\"}", "{\"DurationS\":[[10]]}" })
+	void ignoresEntryWithoutDuration(String value) {
+		put("storage-1", value);
+		put("storage-9", value);
+		this.timer.advance(10_000);
+		assertThat(status("storage-1"), is(nullValue()));
+		assertThat(status("storage-9"), is(nullValue()));
+	}
+
 	private static final class EmptyLog implements LedgerLog {
 
 		@Override
