--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/NetworkAddresses.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/id/NetworkAddresses.java
@@ -1,7 +1,5 @@
 package dev.nutmegdoor.core.id;
 
-import java.util.regex.Pattern;
-
 /**
  * Validates addresses that other writers may have written.
  */
@@ -9,8 +7,9 @@
 
 	private static final int MAX_PORT = 65_535;
 
-	private static final Pattern IPV4 = Pattern
-		.compile("(?:(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(?:\\.(?!$)|$)){4}");
+	private static final int PARTS = 4;
+
+	private static final int MAX_PART = 255;
 
 	private NetworkAddresses() {
 	}
@@ -22,7 +21,32 @@
 	 * @return {@code true} if the host has four numbers from 0 to 255
 	 */
 	public static boolean isIpv4(String host) {
-		return host.length() <= "255.255.255.255".length() && IPV4.matcher(host).matches();
+		int start = 0;
+		for (int part = 0; part < PARTS; part++) {
+			int end = (part < PARTS - 1) ? host.indexOf('.', start) : host.length();
+			if (end < 0 || !isPart(host, start, end)) {
+				return false;
+			}
+			start = end + 1;
+		}
+		return true;
+	}
+
+	// A number without leading zeros.
+	private static boolean isPart(String host, int start, int end) {
+		int length = end - start;
+		if (length < 1 || length > 3 || (length > 1 && host.charAt(start) == '0')) {
+			return false;
+		}
+		int value = 0;
+		for (int i = start; i < end; i++) {
+			char c = host.charAt(i);
+			if (c < '0' || c > '9') {
+				return false;
+			}
+			value = value * 10 + (c - '0');
+		}
+		return value <= MAX_PART;
 	}
 
 	/**
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/StatusLine.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/StatusLine.java
@@ -1,8 +1,7 @@
 package dev.nutmegdoor.node.relay;
 
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.Map;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -18,21 +17,26 @@
 	/** Number of bytes of a status line that are looked for. */
 	static final int LENGTH = "HTTP/1.1 200".length();
 
-	private static final Pattern PATTERN = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+	private static final String PREFIX = "HTTP/1.";
 
 	private static final ByteBuf START = Unpooled
-		.unreleasableBuffer(Unpooled.copiedBuffer("HTTP/1.", StandardCharsets.US_ASCII))
+		.unreleasableBuffer(Unpooled.copiedBuffer(PREFIX, StandardCharsets.US_ASCII))
 		.asReadOnly();
 
 	private StatusLine() {
 	}
 
-	static boolean isIn(CharSequence text) {
-		return PATTERN.matcher(text).find();
+	static boolean isIn(String text) {
+		return indexIn(text) >= 0;
 	}
 
 	static boolean isIn(HttpHeaders fields) {
-		return fields.entries().stream().anyMatch((field) -> isIn(field.getValue()));
+		for (Map.Entry<String, String> field : fields) {
+			if (isIn(field.getValue())) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	static boolean isIn(ByteBuf body) {
@@ -46,8 +50,28 @@
 	 * @return {@code false} if a status line begins just behind the body
 	 */
 	static boolean beginsIn(ByteBuf body, String next) {
-		Matcher matcher = PATTERN.matcher(body.toString(StandardCharsets.US_ASCII) + next);
-		return matcher.find() && matcher.start() < body.readableBytes();
+		int index = indexIn(body.toString(StandardCharsets.US_ASCII) + next);
+		return index >= 0 && index < body.readableBytes();
+	}
+
+	// Without a regular expression, whose classes each process would load as it starts.
+	private static int indexIn(String text) {
+		int index = text.indexOf(PREFIX);
+		while (index >= 0 && !isStatusLine(text, index)) {
+			index = text.indexOf(PREFIX, index + 1);
+		}
+		return index;
+	}
+
+	private static boolean isStatusLine(String text, int index) {
+		int position = index + PREFIX.length();
+		return index + LENGTH <= text.length() && isBetween(text.charAt(position), '0', '1')
+				&& text.charAt(position + 1) == ' ' && isBetween(text.charAt(position + 2), '1', '5')
+				&& isBetween(text.charAt(position + 3), '0', '9') && isBetween(text.charAt(position + 4), '0', '9');
+	}
+
+	private static boolean isBetween(char c, char first, char last) {
+		return c >= first && c <= last;
 	}
 
 }
