Say who ends a send, and log time-outs of clients

Cancellations of sends carry a reason. request.send-cancelled has it, the status of the answer (0 before its head) and whether the client has got a part of it; client.timed-out shows each connection that the idle or header time-out closes, with the requests that were open. No decision changes.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/Relay.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/Relay.java
@@ -13,8 +13,8 @@
 	 * @param upstream replica that receives the request
 	 * @param timeLeftMs time that the replica has for the request in milliseconds
 	 * @param listener receives the progress and the end, on the control thread
-	 * @return handle that cancels the send and closes its connection
+	 * @return handle that cancels the send
 	 */
-	CallHandle send(Upstream upstream, long timeLeftMs, RelayListener listener);
+	RelayHandle send(Upstream upstream, long timeLeftMs, RelayListener listener);
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -2,9 +2,10 @@
 
 import org.jspecify.annotations.Nullable;
 
-import dev.nutmegdoor.core.call.CallHandle;
 import dev.nutmegdoor.core.call.CallResult;
+import dev.nutmegdoor.core.call.RelayCancellation;
 import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayHandle;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayOutcome;
 import dev.nutmegdoor.core.call.RelayedCall;
@@ -44,7 +45,7 @@
 
 	private @Nullable Subscription deadlineTimer;
 
-	private @Nullable CallHandle sendHandle;
+	private @Nullable RelayHandle sendHandle;
 
 	private long startedMs;
 
@@ -66,9 +67,9 @@
 	void start() {
 		this.startedMs = this.timer.nowMs();
 		long remainingMs = Math.max(1, this.call.deadlineMs - this.startedMs);
-		this.call.onCancel = this::cancel;
+		this.call.onCancel = () -> cancel(RelayCancellation.CALLER_LEFT);
 		this.deadlineTimer = this.timer.schedule(remainingMs, this::expire);
-		CallHandle handle = this.payload.relay().send(this.reservation.upstream(), remainingMs, this);
+		RelayHandle handle = this.payload.relay().send(this.reservation.upstream(), remainingMs, this);
 		if (!this.isEnded) {
 			this.sendHandle = handle;
 			if (CallCosts.isModelRequest(this.payload)) {
@@ -88,7 +89,7 @@
 			this.timer.schedule(RESPONSE_CHECK_PERIOD_MS, this::checkResponsiveness);
 			return;
 		}
-		cancel();
+		cancel(RelayCancellation.ZONE_SILENT);
 		this.runner.failed(this.call, this.reservation.upstream(), RunState.UNKNOWN,
 				"the zone of the replica does not answer", false);
 	}
@@ -198,18 +199,18 @@
 		if (this.isEnded) {
 			return;
 		}
-		cancel();
+		cancel(RelayCancellation.DEADLINE);
 		this.runner.expired(this.call, this.payload.minServiceMs());
 	}
 
-	private void cancel() {
+	private void cancel(RelayCancellation reason) {
 		if (this.isEnded) {
 			return;
 		}
 		finish();
 		this.runner.index().release(this.reservation);
 		if (this.sendHandle != null) {
-			this.sendHandle.cancel();
+			this.sendHandle.cancel(reason);
 		}
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/DeclaredRateTests.java
@@ -12,12 +12,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import dev.nutmegdoor.core.call.CallHandle;
 import dev.nutmegdoor.core.call.CallListener;
 import dev.nutmegdoor.core.call.CallRequest;
 import dev.nutmegdoor.core.call.CallResult;
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayHandle;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayOutcome;
 import dev.nutmegdoor.core.call.RelayedCall;
@@ -129,7 +129,7 @@
 		}
 	}
 
-	private CallHandle send(int instance, Upstream upstream, RelayListener listener) {
+	private RelayHandle send(int instance, Upstream upstream, RelayListener listener) {
 		long nowMs = this.timer.nowMs();
 		String instanceAndReplica = instance + "/" + upstream.id();
 		this.sendTimesMs.computeIfAbsent(upstream.id(), (id) -> new ArrayList<>()).add(nowMs);
@@ -146,7 +146,7 @@
 			listener.answerStarted(null);
 			listener.ended(new RelayEnd(RelayOutcome.ANSWERED, 200, 10, null, "status 200"));
 		});
-		return () -> {
+		return (reason) -> {
 		};
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/RelayedCallTests.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayHandle;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayOutcome;
 import dev.nutmegdoor.core.call.RelayedCall;
@@ -108,10 +109,10 @@
 				new KeyId("k"), null, 0, "", call, 3_000), new OutcomeRecorder());
 	}
 
-	private CallHandle send(Upstream upstream, long remainingMs, RelayListener listener) {
+	private RelayHandle send(Upstream upstream, long remainingMs, RelayListener listener) {
 		Send send = new Send(upstream.id(), remainingMs, listener);
 		this.sends.add(send);
-		return () -> send.isCancelled = true;
+		return (reason) -> send.isCancelled = true;
 	}
 
 	private void end(int index, RelayOutcome outcome) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ClientConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ClientConnection.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.route.RequestLimits;
 
 /**
@@ -27,6 +28,8 @@
 
 	private final LongSupplier clockNs;
 
+	private final EventLog events;
+
 	private volatile @Nullable ChannelHandlerContext context;
 
 	private @Nullable ScheduledFuture<?> expiryCheck;
@@ -41,10 +44,12 @@
 	 * Creates the handler of one connection.
 	 * @param limits supplies the limits of the active configuration
 	 * @param clockNs monotonic clock in nanoseconds
+	 * @param events receives an event for each connection that a timeout closes
 	 */
-	ClientConnection(Supplier<RequestLimits> limits, LongSupplier clockNs) {
+	ClientConnection(Supplier<RequestLimits> limits, LongSupplier clockNs, EventLog events) {
 		this.limits = limits;
 		this.clockNs = clockNs;
+		this.events = events;
 	}
 
 	@Override
@@ -130,6 +135,8 @@
 			schedule(handlerContext, remainingMs);
 		}
 		else {
+			this.events.record("client.timed-out", "phase", this.phase, "elapsedMs", elapsedMs, "openRequests",
+					this.openRequests);
 			this.phase.close(handlerContext);
 		}
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -222,7 +222,7 @@
 		ErrorResponses errorResponses = new ErrorResponses(
 				new HttpResponses(this.deployment, RetryAfterStyle.FRACTIONS), entryDecisions, this.metrics, events);
 		this.server = new GatewayServer(clientAddress, this.loops, filterChain, errorResponses, decisionIds,
-				controlBridge, this.metrics, this.deployment::limits, this.drainDeadline);
+				controlBridge, this.metrics, this.deployment::limits, this.drainDeadline, events);
 		List<InetSocketAddress> observationAddresses = (metricsPort > 0)
 				? List.of(readinessAddress, new InetSocketAddress(settings.host(), metricsPort))
 				: List.of(readinessAddress);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayServer.java
@@ -24,6 +24,7 @@
 import dev.nutmegdoor.core.call.Refusal;
 import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.RunState;
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.route.RequestLimits;
 import dev.nutmegdoor.node.entry.ControlBridge;
@@ -68,13 +69,15 @@
 
 	private final DrainDeadline drainDeadline;
 
+	private final EventLog events;
+
 	private final Sinks.Empty<Void> interruption = Sinks.empty();
 
 	private @Nullable DisposableServer server;
 
 	GatewayServer(InetSocketAddress address, LoopResources loops, FilterChain chain, ErrorResponses errorResponses,
 			DecisionIds decisionIds, ControlBridge control, MetricRegistry metrics, Supplier<RequestLimits> limits,
-			DrainDeadline drainDeadline) {
+			DrainDeadline drainDeadline, EventLog events) {
 		this.address = address;
 		this.loops = loops;
 		this.chain = chain;
@@ -84,6 +87,7 @@
 		this.metrics = metrics;
 		this.limits = limits;
 		this.drainDeadline = drainDeadline;
+		this.events = events;
 		metrics.gauge("gateway.requests.running", () -> this.runningRequests::get);
 		metrics.gauge("gateway.connections", () -> this.connections::size);
 	}
@@ -94,7 +98,7 @@
 			.runOn(this.loops, false)
 			.channelGroup(this.connections)
 			.doOnChannelInit((observer, channel, remote) -> channel.pipeline()
-				.addFirst(CLIENT_HANDLER, new ClientConnection(this.limits, System::nanoTime)))
+				.addFirst(CLIENT_HANDLER, new ClientConnection(this.limits, System::nanoTime, this.events)))
 			.httpRequestDecoder((spec) -> spec.maxHeaderSize(MAX_HEADER_BYTES).maxInitialLineLength(MAX_HEADER_BYTES))
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.handle(this::handle)
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -15,9 +15,10 @@
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
 
-import dev.nutmegdoor.core.call.CallHandle;
 import dev.nutmegdoor.core.call.Relay;
+import dev.nutmegdoor.core.call.RelayCancellation;
 import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayHandle;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayOutcome;
 import dev.nutmegdoor.core.configuration.Upstream;
@@ -103,17 +104,17 @@
 	}
 
 	@Override
-	public CallHandle send(Upstream upstream, long timeLeftMs, RelayListener listener) {
+	public RelayHandle send(Upstream upstream, long timeLeftMs, RelayListener listener) {
 		if (this.quarantine.withheldMs(this.fingerprint) > 0) {
 			listener
 				.ended(new RelayEnd(RelayOutcome.WITHHELD, 0, 0, null, "replicas crashed while they had the request"));
-			return () -> {
+			return (reason) -> {
 			};
 		}
 		this.sentMs = this.exchange.elapsedMs();
 		SendAttempt attempt = new SendAttempt(upstream, timeLeftMs, listener, this.control.timers().nowMs());
 		this.pool.eventLoop().execute(attempt::start);
-		return () -> this.pool.eventLoop().execute(attempt::cancel);
+		return (reason) -> this.pool.eventLoop().execute(() -> attempt.cancel(reason));
 	}
 
 	private RoutedRequest routed() {
@@ -190,7 +191,7 @@
 			acquiredConnection.send(this);
 		}
 
-		private void cancel() {
+		private void cancel(RelayCancellation reason) {
 			if (this.isEnded) {
 				return;
 			}
@@ -198,7 +199,8 @@
 			RelayTransfer.this.exchange.reservation().tokensDelivered(deliveredTokens());
 			RelayTransfer.this.events.record("request.send-cancelled", "attempt", routed().attemptId(), "decision",
 					RelayTransfer.this.exchange.decision(), "replica", this.upstream.id(), "sentMs",
-					RelayTransfer.this.sentMs, "tokens", deliveredTokens(), "elapsedMs",
+					RelayTransfer.this.sentMs, "reason", reason, "status", statusCode(), "forwarded",
+					this.isHeadForwarded, "tokens", deliveredTokens(), "elapsedMs",
 					RelayTransfer.this.exchange.elapsedMs());
 			if (this.connection != null) {
 				this.connection.abort();
@@ -376,6 +378,10 @@
 			return receivedStatus == null || receivedStatus.codeClass() == HttpStatusClass.SERVER_ERROR;
 		}
 
+		private int statusCode() {
+			return (this.status != null) ? this.status.code() : 0;
+		}
+
 		private int deliveredTokens() {
 			return this.eventCounter.events() * RelayTransfer.this.tokensPerEvent;
 		}
@@ -383,8 +389,7 @@
 		private void end(RelayOutcome sendOutcome, String detail) {
 			this.isEnded = true;
 			RelayTransfer.this.exchange.reservation().tokensDelivered(deliveredTokens());
-			int statusCode = (this.status != null) ? this.status.code() : 0;
-			RelayEnd end = new RelayEnd(sendOutcome, statusCode, deliveredTokens(),
+			RelayEnd end = new RelayEnd(sendOutcome, statusCode(), deliveredTokens(),
 					this.isHeadForwarded ? null : this.reportedLoad, detail);
 			RelayTransfer.this.events.record("request.sent", "attempt", routed().attemptId(), "decision",
 					RelayTransfer.this.exchange.decision(), "workspace",
@@ -394,7 +399,7 @@
 					String.valueOf(routed().facts().resumedAttemptId()), "connection",
 					(this.connection != null) ? this.connection.describeSend() : "-", "sentMs",
 					RelayTransfer.this.sentMs, "timeLeftMs", this.timeLeftMs, "outcome", sendOutcome, "status",
-					statusCode, "tokens", end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(),
+					statusCode(), "tokens", end.generatedTokens(), "elapsedMs", RelayTransfer.this.exchange.elapsedMs(),
 					"detail", detail);
 			RelayTransfer.this.control.execute(() -> this.listener.ended(end));
 		}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ClientConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ClientConnectionTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.route.RequestLimits;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -20,7 +21,7 @@
 
 	private RequestLimits limits = new RequestLimits(1_000, 1_000, 3_000, 15_000);
 
-	private final ClientConnection connection = new ClientConnection(() -> this.limits, this::nowNs);
+	private final ClientConnection connection = new ClientConnection(() -> this.limits, this::nowNs, EventLog.NONE);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadSimulation.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/LoadSimulation.java
@@ -11,7 +11,9 @@
 
 import dev.nutmegdoor.core.call.CallResult;
 import dev.nutmegdoor.core.call.CallRunner;
+import dev.nutmegdoor.core.call.RelayCancellation;
 import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayHandle;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayedCall;
 import dev.nutmegdoor.core.configuration.Upstream;
@@ -196,7 +198,7 @@
 			Upstream chosen = replicaChooser.apply(call, this.cluster.replicasOf(call.service()));
 			String key = instance + "/" + chosen.id();
 			this.inFlight.merge(key, 1, Integer::sum);
-			return call.relay().send(chosen, request.timeoutMs(), new RelayListener() {
+			RelayHandle handle = call.relay().send(chosen, request.timeoutMs(), new RelayListener() {
 
 				@Override
 				public void rateDeclared(double requestsPerSecond) {
@@ -213,6 +215,7 @@
 				}
 
 			});
+			return () -> handle.cancel(RelayCancellation.CALLER_LEFT);
 		};
 	}
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledCluster.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ModelledCluster.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 
-import dev.nutmegdoor.core.call.CallHandle;
 import dev.nutmegdoor.core.call.RelayEnd;
+import dev.nutmegdoor.core.call.RelayHandle;
 import dev.nutmegdoor.core.call.RelayListener;
 import dev.nutmegdoor.core.call.RelayOutcome;
 import dev.nutmegdoor.core.configuration.Configuration;
@@ -103,7 +103,7 @@
 	 * @param listener receives the start and end of the response
 	 * @return handle after whose call the listener receives nothing more
 	 */
-	CallHandle send(int instance, Upstream upstream, List<PromptPart> prompt, int tokens, int workMs,
+	RelayHandle send(int instance, Upstream upstream, List<PromptPart> prompt, int tokens, int workMs,
 			RelayListener listener) {
 		boolean isSameZone = upstream.availabilityZone().equals(zone(instance));
 		long latencyMs = isSameZone ? 0 : Math.round(this.workload.crossingMs);
@@ -121,7 +121,7 @@
 				});
 			}
 		});
-		return () -> response.isCancelled = true;
+		return (reason) -> response.isCancelled = true;
 	}
 
 	/**
