--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayCancellation.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayCancellation.java
@@ -1,7 +1,8 @@
 package dev.nutmegdoor.core.call;
 
 /**
- * Why a send is cancelled while its replica may be at work on the request.
+ * Why a send is cancelled while its replica may be at work on the request. A replica that
+ * does not respond is no reason.
  */
 public enum RelayCancellation {
 
@@ -9,9 +10,6 @@
 	CALLER_LEFT,
 
 	/** The time of the request is up. */
-	DEADLINE,
-
-	/** The availability zone of the replica does not respond. */
-	ZONE_SILENT
+	DEADLINE
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -273,13 +273,10 @@
 	 * not respond to a request within the expected time.
 	 * @param reservation slot of the call
 	 * @param sinceMs time in milliseconds since which there has been no response
-	 * @return whether the zone of the replica is still considered reachable
 	 */
-	public boolean recordNoResponse(Reservation reservation, long sinceMs) {
+	public void recordNoResponse(Reservation reservation, long sinceMs) {
 		Upstream upstream = reservation.upstream();
-		long nowMs = this.timer.nowMs();
-		this.zones.recordNoResponse(upstream.availabilityZone(), reservation.call(), sinceMs, nowMs);
-		return this.zones.isReachable(upstream.availabilityZone(), nowMs);
+		this.zones.recordNoResponse(upstream.availabilityZone(), reservation.call(), sinceMs, this.timer.nowMs());
 	}
 
 	/**
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -78,20 +78,13 @@
 		}
 	}
 
-	// No response arrives for a request sent over an existing connection while the
-	// network between the zones is partitioned. Failing it early leaves the client time
-	// to retry before its own deadline.
+	// Silence only steers calls that are placed later. It does not prove that this call
+	// is lost: a replica may pause, and its response may already be on the event loop.
 	private void checkResponsiveness() {
-		if (this.isEnded || this.responseStartedMs > 0) {
-			return;
-		}
-		if (this.runner.index().recordNoResponse(this.reservation, this.startedMs) || !this.payload.isInterruptible()) {
+		if (!this.isEnded && this.responseStartedMs == 0) {
+			this.runner.index().recordNoResponse(this.reservation, this.startedMs);
 			this.timer.schedule(RESPONSE_CHECK_PERIOD_MS, this::checkResponsiveness);
-			return;
 		}
-		cancel(RelayCancellation.ZONE_SILENT);
-		this.runner.failed(this.call, this.reservation.upstream(), RunState.UNKNOWN,
-				"the zone of the replica does not answer", false);
 	}
 
 	@Override
