Add tunnels to replicas through other gateways

Cause: a gateway that is partitioned from all replicas still reaches other gateways, but can't send a request through them.

Nothing uses tunnels yet.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,7 @@
 import dev.nutmegdoor.core.peer.PeerHandler;
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.tunnel.TunnelRequest;
 import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.protocol.Frame;
 import dev.nutmegdoor.protocol.FrameCodec;
@@ -78,6 +80,8 @@
 
 	private @Nullable DisposableServer server;
 
+	private volatile @Nullable TunnelAcceptor tunnelAcceptor;
+
 	/**
 	 * Creates a transport on event loops of its own.
 	 * @param self this instance
@@ -172,6 +176,15 @@
 		}
 	}
 
+	/**
+	 * Accepts tunnels; without an acceptor they are refused like other requests without a
+	 * handler.
+	 * @param acceptor receives the requests for tunnels
+	 */
+	public void acceptTunnels(TunnelAcceptor acceptor) {
+		this.tunnelAcceptor = acceptor;
+	}
+
 	@Override
 	public void close() {
 		DisposableServer bound = this.server;
@@ -396,11 +409,26 @@
 			else if (message == null) {
 				answerError(context.channel(), frame, "unknown type " + frame.type());
 			}
+			else if (message instanceof TunnelRequest request && acceptsTunnel(frame)) {
+				openTunnel(context, from, frame, request);
+			}
 			else {
 				TcpPeerTransport.this.control.execute(() -> dispatch(context.channel(), from, frame, message));
 			}
 		}
 
+		private boolean acceptsTunnel(Frame frame) {
+			return frame.kind() == FrameKind.REQUEST && this.connection == null
+					&& TcpPeerTransport.this.tunnelAcceptor != null;
+		}
+
+		// A replacement receives the frames that were read together with the request.
+		private void openTunnel(ChannelHandlerContext context, InstanceId from, Frame frame, TunnelRequest request) {
+			TunnelAcceptor acceptor = Objects.requireNonNull(TcpPeerTransport.this.tunnelAcceptor);
+			context.pipeline()
+				.replace(this, "nutmegdoor-tunnel", acceptor.accept(from, frame.correlationId(), request));
+		}
+
 		private void acknowledge(Channel channel, Frame frame) {
 			long nowNs = System.nanoTime();
 			if (frame.kind() == FrameKind.ONE_WAY && nowNs - this.acknowledgedNs >= ACKNOWLEDGEMENT_PERIOD_NS) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -112,6 +112,17 @@
 			.addFirst("nutmegdoor-decoder", this.decoder);
 	}
 
+	/**
+	 * Adds the handlers of the connection behind another handler.
+	 * @param pipeline pipeline of the connection's channel
+	 * @param predecessor name of the handler that passes the bytes of the replica on
+	 */
+	void addTo(ChannelPipeline pipeline, String predecessor) {
+		pipeline.addAfter(predecessor, "nutmegdoor-upstream", this)
+			.addAfter(predecessor, "nutmegdoor-encoder", new HttpRequestEncoder())
+			.addAfter(predecessor, "nutmegdoor-decoder", this.decoder);
+	}
+
 	boolean isIdle() {
 		return this.exchange == null;
 	}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/peer/TcpPeerTransportTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/peer/TcpPeerTransportTests.java
@@ -1,6 +1,10 @@
 package dev.nutmegdoor.node.peer;
 
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -8,8 +12,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -19,8 +28,12 @@
 import dev.nutmegdoor.core.peer.PeerException;
 import dev.nutmegdoor.core.peer.PeerFailure;
 import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.tunnel.TunnelAnswer;
+import dev.nutmegdoor.core.tunnel.TunnelRequest;
 import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.protocol.Frame;
 import dev.nutmegdoor.protocol.FrameCodec;
+import dev.nutmegdoor.protocol.FrameKind;
 import dev.nutmegdoor.protocol.MessageTypes;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -44,7 +57,8 @@
 	private final TcpPeerTransport two = transport(TWO, "secret");
 
 	private TcpPeerTransport transport(InstanceId id, String secret) {
-		FrameCodec codec = new FrameCodec(new MessageTypes(List.of(Ask.class, Answer.class, Notice.class)));
+		FrameCodec codec = new FrameCodec(new MessageTypes(
+				List.of(Ask.class, Answer.class, Notice.class, TunnelRequest.class, TunnelAnswer.class)));
 		return new TcpPeerTransport(id, new PeerTransportSettings("127.0.0.1", 0, secret, 64, 1_000), codec,
 				this.control, new PeerAddresses() {
 
@@ -142,6 +156,50 @@
 		assertThat(this.one.request(seed, new Ask(1), Answer.class, 10_000).get().number(), is(2));
 	}
 
+	// Guards against a process without tunnels that leaves a request for one hanging.
+	@Test
+	void reportsTunnelRequestWithoutAcceptorAsRemoteError() {
+		CompletableFuture<TunnelAnswer> answer = this.one.request(TWO, new TunnelRequest("replica", 1_000),
+				TunnelAnswer.class, 10_000);
+		assertThat(failureOf(answer), is(PeerFailure.REMOTE_ERROR));
+	}
+
+	// Guards against bytes of a tunnel that are lost because they were read together with
+	// the request for it, before its handler was in the pipeline.
+	@Test
+	void passesFramesAfterTunnelRequestToItsHandler() throws Exception {
+		CompletableFuture<String> accepted = new CompletableFuture<>();
+		CompletableFuture<byte[]> received = new CompletableFuture<>();
+		this.two.acceptTunnels((from, correlationId, request) -> {
+			accepted.complete(from + " " + correlationId + " " + request);
+			return new SimpleChannelInboundHandler<ByteBuf>() {
+
+				@Override
+				protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+					received.complete(ByteBufUtil.getBytes(frame));
+				}
+
+			};
+		});
+		FrameCodec codec = new FrameCodec(new MessageTypes(List.of(TunnelRequest.class)));
+		TunnelRequest request = new TunnelRequest("replica", 1_000);
+		byte[] data = codec.encode(new Frame(FrameKind.TUNNEL_DATA, "", 0, 0, new byte[] { 1, 2 }));
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		DataOutputStream frames = new DataOutputStream(bytes);
+		for (byte[] envelope : List.of(
+				codec.encode(Frame.hello(ONE.value(), TWO.value(), "secret".getBytes(StandardCharsets.UTF_8))),
+				codec.encode(codec.frame(FrameKind.REQUEST, request, 7, 300)), data)) {
+			frames.writeInt(envelope.length);
+			frames.write(envelope);
+		}
+		InetSocketAddress address = Objects.requireNonNull(this.addresses.get(TWO));
+		try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+			socket.getOutputStream().write(bytes.toByteArray());
+			assertThat(accepted.get(30, TimeUnit.SECONDS), is(ONE + " 7 " + request));
+			assertThat(received.get(30, TimeUnit.SECONDS), is(data));
+		}
+	}
+
 	record Notice(int number) implements PeerMessage {
 	}
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -1,19 +1,11 @@
 package dev.nutmegdoor.node.relay;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -26,7 +18,6 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.UpstreamId;
-import dev.nutmegdoor.core.route.ResponseMetadata;
 import dev.nutmegdoor.platform.RequestTranslator;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -74,7 +65,7 @@
 		@Test
 		void forwardsCompleteResponseAndReusesConnection() {
 			receive(response("a-1", "hello"));
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hello", "completed"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "completed"));
 			assertThat(UpstreamConnectionTests.this.pool.idleConnections(), is(1));
 		}
 
@@ -84,7 +75,7 @@
 		void skipsResponseToOtherRequest() {
 			receive(response("a-0", "late"));
 			receive(response("a-1", "hello"));
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hello", "completed"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "completed"));
 		}
 
 		// Guards against a success that is reported to the client although the response
@@ -92,7 +83,7 @@
 		@Test
 		void failsRequestWhenResponseLacksAttemptId() {
 			receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 		}
 
 		// Guards against a truncated response that looks complete to the client because
@@ -101,7 +92,7 @@
 		void failsRequestWhenResponseEndsEarly() {
 			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: 9\r\n\r\nhel");
 			UpstreamConnectionTests.this.channel.close();
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hel", "broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hel", "broken"));
 		}
 
 		// Guards against a truncated response that looks complete because a reset is
@@ -111,7 +102,7 @@
 			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhel");
 			UpstreamConnectionTests.this.channel.pipeline().fireExceptionCaught(new java.io.IOException("reset"));
 			UpstreamConnectionTests.this.channel.close();
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hel", "broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hel", "broken"));
 		}
 
 		// Guards against clients that wait forever for the end of a response without a
@@ -120,7 +111,7 @@
 		void completesResponseWithoutLengthWhenConnectionCloses() {
 			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhello");
 			UpstreamConnectionTests.this.channel.close();
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hello", "completed"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "completed"));
 		}
 
 	}
@@ -134,7 +125,7 @@
 		void forwardsResponseWhenTimeoutIsOutOfRange() {
 			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nKeep-Alive: timeout=99999999999999999999\r\n"
 					+ "Content-Length: 5\r\n\r\nhello");
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hello", "completed"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "completed"));
 		}
 
 	}
@@ -170,7 +161,7 @@
 			for (int i = 0; i < 10_000 && UpstreamConnectionTests.this.channel.isActive(); i++) {
 				receive("X-" + i + ": " + "x".repeat(50) + "\r\n");
 			}
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
 		}
 
@@ -185,7 +176,7 @@
 			for (int i = 0; i < 1_000 && UpstreamConnectionTests.this.channel.isActive(); i++) {
 				receive("1".repeat(1_000));
 			}
-			assertThat(UpstreamConnectionTests.this.exchange.events, hasItem("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), hasItem("broken"));
 			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
 		}
 
@@ -196,7 +187,7 @@
 			for (int i = 0; i < 100 && UpstreamConnectionTests.this.channel.isActive(); i++) {
 				receive(response("a-0", "late"));
 			}
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 		}
 
 		@Test
@@ -204,7 +195,7 @@
 			for (int i = 0; i < 100 && UpstreamConnectionTests.this.channel.isActive(); i++) {
 				receive("HTTP/1.1 100 Continue\r\n\r\n");
 			}
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 		}
 
 		// Guards against a body without end that belongs to another request.
@@ -214,7 +205,7 @@
 			for (int i = 0; i < 10_000 && UpstreamConnectionTests.this.channel.isActive(); i++) {
 				receive("x".repeat(1_000));
 			}
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 		}
 
 		// Guards against bytes that are neither counted nor released after a protocol
@@ -222,7 +213,7 @@
 		@Test
 		void failsRequestWhenProtocolIsSwitched() {
 			receive("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n");
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
 		}
 
@@ -231,7 +222,7 @@
 		@Test
 		void failsRequestWhenBytesAreNotHttp() {
 			receive("garbage garbage\r\n\r\n");
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 		}
 
 	}
@@ -256,7 +247,7 @@
 				sendNext();
 				receive("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nno");
 			}
-			assertThat(this.next.events, not(hasItem("200")));
+			assertThat(this.next.events(), not(hasItem("200")));
 		}
 
 		@ParameterizedTest
@@ -266,7 +257,7 @@
 			sendNext();
 			receive(start);
 			receive("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nno");
-			assertThat(this.next.events, not(hasItem("200")));
+			assertThat(this.next.events(), not(hasItem("200")));
 		}
 
 		// Guards against a response that ends early and is filled up with its repetition.
@@ -275,8 +266,8 @@
 		void doNotCompleteResponseThatEndsEarly(int length) {
 			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: " + length + "\r\n\r\nhel");
 			receive(response("a-1", "x".repeat(100)));
-			assertThat(UpstreamConnectionTests.this.exchange.events, not(hasItem("completed")));
-			assertThat(UpstreamConnectionTests.this.exchange.events, hasItem("broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), not(hasItem("completed")));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), hasItem("broken"));
 		}
 
 		@Test
@@ -284,7 +275,7 @@
 			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhello");
 			receive(response("a-1", "hello"));
 			UpstreamConnectionTests.this.channel.close();
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("200", "hello", "broken"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "broken"));
 		}
 
 		// Guards against a caller that waits until its deadline for a response that was
@@ -301,7 +292,7 @@
 			if (UpstreamConnectionTests.this.channel.isActive()) {
 				receive("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nno");
 			}
-			assertThat(this.next.events, contains("broken"));
+			assertThat(this.next.events(), contains("broken"));
 		}
 
 		// Guards against a first refusal without identifier that counts as unknown.
@@ -309,7 +300,7 @@
 		void doNotIncludeInformationalResponses() {
 			receive("HTTP/1.1 100 Continue\r\n\r\n");
 			receive("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-			assertThat(UpstreamConnectionTests.this.exchange.events, contains("503", "completed"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("503", "completed"));
 		}
 
 		// Guards against a refusal that is taken for the response to a later request.
@@ -318,55 +309,7 @@
 			receive(response("a-1", "hello"));
 			sendNext();
 			receive("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-			assertThat(this.next.events, contains("broken"));
-		}
-
-	}
-
-	private static final class RecordingExchange implements UpstreamExchange {
-
-		private final List<String> events = new ArrayList<>();
-
-		private final String attemptId;
-
-		private RecordingExchange(String attemptId) {
-			this.attemptId = attemptId;
-		}
-
-		@Override
-		public HttpRequest requestHead() {
-			return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-		}
-
-		@Override
-		public ByteBuf requestBody() {
-			return Unpooled.EMPTY_BUFFER;
-		}
-
-		@Override
-		public String attemptId() {
-			return this.attemptId;
-		}
-
-		@Override
-		public void responseStarted(HttpResponseStatus status, HttpHeaders headers, ResponseMetadata metadata) {
-			this.events.add(Integer.toString(status.code()));
-		}
-
-		@Override
-		public void chunkReceived(ByteBuf chunk) {
-			this.events.add(chunk.toString(StandardCharsets.US_ASCII));
-			chunk.release();
-		}
-
-		@Override
-		public void responseCompleted() {
-			this.events.add("completed");
-		}
-
-		@Override
-		public void failed(String reason, boolean isConnectionLost) {
-			this.events.add("broken");
+			assertThat(this.next.events(), contains("broken"));
 		}
 
 	}
--- a/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/FrameKind.java
+++ b/nutmegdoor-protocol/src/main/java/dev/nutmegdoor/protocol/FrameKind.java
@@ -23,7 +23,16 @@
 	ERROR(4),
 
 	/** Confirms to the sender of one-way messages that its connection works. */
-	ACKNOWLEDGEMENT(5);
+	ACKNOWLEDGEMENT(5),
+
+	/** Bytes of a tunnel to a replica; the body is the bytes. */
+	TUNNEL_DATA(6),
+
+	/** The replica closed its connection in order; no bytes follow. */
+	TUNNEL_END(7),
+
+	/** The connection to the replica was reset or failed; no bytes follow. */
+	TUNNEL_RESET(8);
 
 	private final int code;
 
@@ -33,7 +42,7 @@
 
 	/**
 	 * Returns the code of this kind on the wire.
-	 * @return a number from 0 to 5
+	 * @return a number from 0 to 8
 	 */
 	public int code() {
 		return this.code;
