--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -236,7 +236,11 @@
 	 */
 	public @Nullable Reservation reserve(UpstreamId id, int prefillTokens) {
 		ReplicaState state = this.replicas.get(id);
-		return (state != null) ? new Reservation(state, state.startCall(this.timer.nowMs(), prefillTokens)) : null;
+		if (state == null) {
+			return null;
+		}
+		this.zones.recordCall(state.upstream().availabilityZone(), this.timer.nowMs());
+		return new Reservation(state, state.startCall(this.timer.nowMs(), prefillTokens));
 	}
 
 	/**
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ZoneReachability.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ZoneReachability.java
@@ -98,6 +98,19 @@
 		status.avoidedUntilMs = Long.MIN_VALUE;
 	}
 
+	/**
+	 * Records a call that is sent to a zone. One call at a time tests a zone that is
+	 * lost, because it waits until its deadline if the zone is still partitioned.
+	 * @param zone availability zone of the replica
+	 * @param nowMs current time in milliseconds
+	 */
+	void recordCall(AvailabilityZone zone, long nowMs) {
+		ZoneStatus status = this.statusByZone.get(zone);
+		if (status != null && status.isLost && nowMs >= status.avoidedUntilMs) {
+			status.avoidedUntilMs = nowMs + AVOIDANCE_MS;
+		}
+	}
+
 	boolean isReachable(AvailabilityZone zone, long nowMs) {
 		ZoneStatus status = this.statusByZone.get(zone);
 		return status == null || nowMs >= status.avoidedUntilMs;
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/ZoneReachabilityTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/ZoneReachabilityTests.java
@@ -61,6 +61,21 @@
 			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 450), is(true));
 		}
 
+		// Guards against many calls that wait until their deadline each time a
+		// partitioned
+		// zone is tried again.
+		@Test
+		void isTestedByOneCallAtATimeWhileItIsLost() {
+			ZoneReachabilityTests.this.zones.recordNoResponse(OTHER, "call 1", 0, 400);
+			ZoneReachabilityTests.this.zones.recordNoResponse(OTHER, "call 2", 0, 400);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 1_900), is(true));
+			ZoneReachabilityTests.this.zones.recordCall(OTHER, 1_900);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 1_901), is(false));
+			ZoneReachabilityTests.this.zones.recordAnswer(OTHER, 1_950);
+			ZoneReachabilityTests.this.zones.recordCall(OTHER, 1_960);
+			assertThat(ZoneReachabilityTests.this.zones.isReachable(OTHER, 1_961), is(true));
+		}
+
 		// Guards against a zone that receives no calls after the partition has healed.
 		@Test
 		void isRetriedAfterAvoidancePeriodAndRegainedWithAnswer() {
