End 204 and 304 to HTTP/1.0 clients without a reset

Cause: a response without length to an HTTP/1.0 client is reset on close until it has been written. Reactor Netty closes the connection of a response without a body before the option is taken back.

Change: responses without a body never reset; their head is their end.

Result: withoutBodyAreForwarded failed before in both cases (1.0 with 204 and with 304, "no orderly end"), and passes with the change.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayResponse.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
@@ -66,7 +67,7 @@
 				return Mono.empty();
 			}
 			HttpServerResponse response = this.exchange.response().status(received.status());
-			delimit(response, received.headers().contains(HttpHeaderNames.CONTENT_LENGTH));
+			delimit(response, received);
 			// Fields that are set already concern the connection to the client and stay.
 			received.headers().forEach((field) -> response.addHeader(field.getKey(), field.getValue()));
 			this.isBodySubscribed = true;
@@ -91,15 +92,23 @@
 	// A client recognizes a partial response by a missing last chunk or by its length.
 	// Without either, the end of the connection ends the response, so the connection of
 	// a partial one must be reset, also if this process is killed.
-	private void delimit(HttpServerResponse response, boolean hasLength) {
+	private void delimit(HttpServerResponse response, Head received) {
+		boolean hasLength = received.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
 		boolean supportsChunks = this.exchange.request().version().equals(HttpVersion.HTTP_1_1);
 		response.chunkedTransfer(!hasLength && supportsChunks);
-		if (!hasLength && !supportsChunks) {
+		if (!hasLength && !supportsChunks && hasBody(received.status())) {
 			this.isEndedByClose = true;
 			setLinger(RESET_ON_CLOSE);
 		}
 	}
 
+	// A response without a body ends with its head. Reactor Netty closes the connection
+	// as soon as that is written, which must not reset it.
+	private boolean hasBody(HttpResponseStatus status) {
+		return !this.exchange.request().method().equals(HttpMethod.HEAD)
+				&& !status.equals(HttpResponseStatus.NO_CONTENT) && !status.equals(HttpResponseStatus.NOT_MODIFIED);
+	}
+
 	private void written() {
 		if (this.isEndedByClose) {
 			setLinger(LINGER_DISABLED);
