Treat streams that end before their first event as broken

Cause: the end of the connection ends a stream without length and chunks.

Change: such a stream counts as broken off unless the client took it up with Last-Event-Id, when no event may be left. It is sent to the next replica where the route allows it, otherwise answered 502.

Result: areNotEmptyStreams failed before, and passes with the change.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -148,6 +149,8 @@
 
 		private RelayEnd.@Nullable ReportedLoad reportedLoad;
 
+		private boolean isEndedByClose;
+
 		private boolean isHeadForwarded;
 
 		private boolean isEnded;
@@ -273,6 +276,8 @@
 				this.outcome = RelayOutcome.ANSWERED;
 			}
 			this.status = receivedStatus;
+			this.isEndedByClose = !receivedHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)
+					&& !receivedHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING);
 			this.headers = HopByHopHeaders.without(receivedHeaders);
 		}
 
@@ -328,7 +333,7 @@
 				return;
 			}
 			if (isStreamBrokenOff()) {
-				failed("the stream ended inside an event", false);
+				failed("the stream ended inside an event or before the first one", false);
 				return;
 			}
 			if (this.outcome == RelayOutcome.ANSWERED) {
@@ -366,7 +371,14 @@
 		private boolean isStreamBrokenOff() {
 			return this.outcome == RelayOutcome.ANSWERED && this.status != null
 					&& this.status.codeClass() == HttpStatusClass.SUCCESS && isEventStream()
-					&& this.eventCounter.isInEvent();
+					&& (this.eventCounter.isInEvent() || isEndedBeforeFirstEvent());
+		}
+
+		// Only a stream that is taken up after its last event has none.
+		private boolean isEndedBeforeFirstEvent() {
+			return this.isEndedByClose && this.eventCounter.events() == 0 && routed().route().kind().isStream()
+					&& routed().facts().resumeAfterEvent() == 0 && HttpResponseStatus.OK.equals(this.status)
+					&& !RelayTransfer.this.exchange.request().method().equals(HttpMethod.HEAD);
 		}
 
 		private boolean isEventStream() {
