--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/CrashWatch.java
@@ -25,6 +25,9 @@
 	 */
 	private static final long CHECK_DELAY_MS = 50;
 
+	/** Maximum time in milliseconds to find out whether a replica accepts connections. */
+	private static final long CHECK_TIMEOUT_MS = 1_000;
+
 	private final UpstreamPool pool;
 
 	private final RequestQuarantine quarantine;
@@ -72,7 +75,7 @@
 			end(upstream, true);
 			return;
 		}
-		this.pool.acquire(upstream, (connection) -> true, (connection) -> {
+		this.pool.acquire(upstream, CHECK_TIMEOUT_MS, (connection) -> true, (connection) -> {
 			this.pool.release(connection);
 			end(upstream, true);
 		}, (reason) -> end(upstream, false));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -34,6 +34,8 @@
 import dev.nutmegdoor.core.placement.RateShares;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.quarantine.RequestQuarantine;
+import dev.nutmegdoor.core.reachability.DetourPeers;
+import dev.nutmegdoor.core.reachability.DirectReachability;
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
@@ -49,6 +51,7 @@
 import dev.nutmegdoor.core.stream.StreamOriginAnswer;
 import dev.nutmegdoor.core.stream.StreamOriginQuery;
 import dev.nutmegdoor.core.stream.StreamOrigins;
+import dev.nutmegdoor.core.tunnel.TunnelMessages;
 import dev.nutmegdoor.core.usage.LocalUsageEndpoint;
 import dev.nutmegdoor.core.usage.UsageDigest;
 import dev.nutmegdoor.core.usage.UsageLimiter;
@@ -111,6 +114,12 @@
 
 	private static final long DRAIN_POLL_MS = 20;
 
+	/**
+	 * Maximum time to reach a replica through another instance in milliseconds: the time
+	 * that the other instance has to connect, and two round trips between zones.
+	 */
+	private static final int TUNNEL_OPEN_TIMEOUT_MS = 300;
+
 	private final ProcessSettings settings;
 
 	private final EventLog events;
@@ -147,6 +156,10 @@
 
 	private final List<ObservationServer> observationServers;
 
+	private final DirectReachability reachability;
+
+	private final ReplicaTunnelServer tunnels;
+
 	private final DrainDeadline drainDeadline = new DrainDeadline(System::nanoTime);
 
 	/**
@@ -190,11 +203,15 @@
 				new Observers(decisions, this.invariants, StepListener.NONE));
 		InetSocketAddress peerAddress = Objects.requireNonNull(settings.control(),
 				"the gateway requires an address for other processes, but the settings have none");
-		this.transport = new TcpPeerTransport(settings.instance(),
-				new PeerTransportSettings(peerAddress.getHostString(), peerAddress.getPort(), "",
-						PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
-						PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS),
-				new FrameCodec(new MessageTypes(messageTypes())), this.control, new KnownAddresses(), this.loops);
+		FrameCodec codec = new FrameCodec(new MessageTypes(messageTypes()));
+		PeerTransportSettings peerSettings = new PeerTransportSettings(peerAddress.getHostString(),
+				peerAddress.getPort(), "", PeerTransportSettings.DEFAULT_MAX_QUEUED_FRAMES,
+				PeerTransportSettings.DEFAULT_CONNECT_TIMEOUT_MS);
+		this.transport = new TcpPeerTransport(settings.instance(), peerSettings, codec, this.control,
+				new KnownAddresses(), this.loops);
+		this.tunnels = new ReplicaTunnelServer((id) -> this.deployment.current().upstreams().get(id), this.loops, codec,
+				this::isTunnelAvailable, events);
+		this.transport.acceptTunnels(this.tunnels);
 		this.deploymentExchange = new DeploymentExchange(this.transport, this.deployment, this.ledgerMembers,
 				configurations, this.control, events, settings.seeds(), peerAddress);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
@@ -207,8 +224,14 @@
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
 		EventLoop eventLoop = this.loops.onServer(false).next();
 		RequestTranslator translator = new RequestTranslator();
-		UpstreamPool pool = new UpstreamPool(this.loops, eventLoop, translator, this.metrics, events,
-				new IdleConnectionLimit(this.deployment, this.peers::instances)::limitFor);
+		this.reachability = new DirectReachability(events);
+		ReplicaConnector connector = new ReplicaConnector(
+				this.loops, this.reachability, new Gateways(this.peers, settings.zone()),
+				new DetourPeers(RandomSource.XO_SHI_RO_256_PP.create()), new ReplicaTunnelClient(settings.instance(),
+						peerSettings.sharedSecret(), codec, this.loops, (peer) -> true, TUNNEL_OPEN_TIMEOUT_MS),
+				this.control::nowMs, this.metrics);
+		UpstreamPool pool = new UpstreamPool(connector, this.reachability, this.control::nowMs, eventLoop, translator,
+				this.metrics, events, new IdleConnectionLimit(this.deployment, this.peers::instances)::limitFor);
 		ControlBridge controlBridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
@@ -265,7 +288,8 @@
 				this.server.runningRequests());
 		Thread.sleep(Math.min(GatewaySettings.DRAIN_NOTICE_MS, this.drainDeadline.remainingMs()));
 		this.server.stopAccepting();
-		while (this.server.openConnections() > 0 && this.drainDeadline.remainingMs() > 0) {
+		while ((this.server.openConnections() > 0 || this.tunnels.openTunnels() > 0)
+				&& this.drainDeadline.remainingMs() > 0) {
 			// Includes those of responses that began before the stop and end only now.
 			this.server.closeIdleConnections();
 			Thread.sleep(DRAIN_POLL_MS);
@@ -338,6 +362,7 @@
 
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
+		types.addAll(TunnelMessages.types());
 		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class,
 				StreamBegun.class, StreamOriginQuery.class, StreamOriginAnswer.class));
 		return types;
@@ -347,10 +372,15 @@
 		return !this.drainDeadline.isStarted() && this.deploymentExchange.isComplete();
 	}
 
+	private boolean isTunnelAvailable() {
+		return !this.drainDeadline.isStarted() && !this.reachability.isIsolated();
+	}
+
 	private Mono<String> dump() {
 		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
 				+ this.drainDeadline.isStarted() + " configuration=" + this.deployment.current().version()
 				+ " replicas=" + this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
+				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
 				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
 				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -163,8 +163,8 @@
 			if (this.isEnded) {
 				return;
 			}
-			Disposable acquisition = RelayTransfer.this.pool.acquire(this.upstream, this::isEligible, this::connected,
-					(reason) -> {
+			Disposable acquisition = RelayTransfer.this.pool.acquire(this.upstream, remainingMs(), this::isEligible,
+					this::connected, (reason) -> {
 						if (!this.isEnded) {
 							end(RelayOutcome.NOT_CONNECTED, reason);
 						}
@@ -174,6 +174,12 @@
 			}
 		}
 
+		// The time for the connection is part of the time that the request has.
+		private long remainingMs() {
+			long elapsedMs = RelayTransfer.this.control.timers().nowMs() - this.startedMs;
+			return Math.max(1, this.timeLeftMs - elapsedMs);
+		}
+
 		// A response names the attempt that it belongs to, so it belongs to one send only
 		// if the attempt was sent on its connection once.
 		private boolean isEligible(UpstreamConnection candidate) {
@@ -222,7 +228,7 @@
 					|| RelayTransfer.this.body.length > 0;
 			RelayTransfer.this.pool.translator()
 				.encodeRequest(this.headers, this.upstream.id(), RelayTransfer.this.exchange.workspaceOrNull(),
-						this.timeLeftMs, urgency());
+						remainingMs(), urgency());
 			this.headers.remove(HttpHeaderNames.AUTHORIZATION);
 			if (hasBody) {
 				this.headers.set(HttpHeaderNames.CONTENT_LENGTH, RelayTransfer.this.body.length);
--- /dev/null
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaConnector.java
@@ -0,0 +1,238 @@
+package dev.nutmegdoor.node.relay;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.resolver.DefaultAddressResolverGroup;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
+
+import dev.nutmegdoor.core.configuration.Upstream;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.reachability.DetourPeers;
+import dev.nutmegdoor.core.reachability.DirectReachability;
+
+/**
+ * Opens connections to replicas: directly, and through other instances while this one
+ * does not reach a replica that they reach. Confined to the event loop of the pool.
+ */
+final class ReplicaConnector {
+
+	/**
+	 * Maximum time to establish a connection in milliseconds. Round trips take less than
+	 * 20 ms; a SYN packet that a replica with a full backlog drops is retransmitted only
+	 * after a second.
+	 */
+	private static final int CONNECT_TIMEOUT_MS = 250;
+
+	/** Maximum number of instances that are asked for a connection to a replica. */
+	private static final int MAX_PEERS = 4;
+
+	/** Time in milliseconds after which no further instance is asked. */
+	private static final long DETOUR_SEARCH_MS = 400;
+
+	private final LoopResources loops;
+
+	private final DirectReachability reachability;
+
+	private final Gateways gateways;
+
+	private final DetourPeers detourPeers;
+
+	private final ReplicaTunnelClient tunnels;
+
+	private final LongSupplier clockMs;
+
+	private final MetricRegistry metrics;
+
+	/**
+	 * Creates a connector.
+	 * @param loops event loops on which connections run
+	 * @param reachability decides whether replicas are reached directly
+	 * @param gateways the other instances
+	 * @param detourPeers selects instances among them
+	 * @param tunnels opens connections through other instances
+	 * @param clockMs monotonic clock in milliseconds
+	 * @param metrics counts opened connections and tunnels
+	 */
+	ReplicaConnector(LoopResources loops, DirectReachability reachability, Gateways gateways, DetourPeers detourPeers,
+			ReplicaTunnelClient tunnels, LongSupplier clockMs, MetricRegistry metrics) {
+		this.loops = loops;
+		this.reachability = reachability;
+		this.gateways = gateways;
+		this.detourPeers = detourPeers;
+		this.tunnels = tunnels;
+		this.clockMs = clockMs;
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Opens a connection. Nothing is sent on it, so a request has not run if this fails.
+	 * @param upstream replica to connect to
+	 * @param timeLeftMs time until the deadline of the request in milliseconds
+	 * @param listener receives the connection or the reason of the failure
+	 * @return handle that cancels the wait for the connection
+	 */
+	Disposable connect(Upstream upstream, long timeLeftMs, Listener listener) {
+		Opening opening = new Opening(upstream, timeLeftMs, listener);
+		opening.start();
+		return opening.pending;
+	}
+
+	private Mono<? extends Connection> connectDirectly(Upstream upstream) {
+		this.metrics.counter("upstream.connections.opened").inc();
+		return TcpClient.newConnection()
+			.resolver(DefaultAddressResolverGroup.INSTANCE)
+			.runOn(this.loops, false)
+			.remoteAddress(() -> new InetSocketAddress(upstream.host(), upstream.port()))
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.connect();
+	}
+
+	// Ends the detours if it succeeds.
+	private void retryDirectly(Upstream upstream) {
+		connectDirectly(upstream).subscribe((connection) -> {
+			this.reachability.recordConnected(upstream.id(), this.clockMs.getAsLong());
+			connection.channel().close();
+		}, (error) -> {
+		});
+	}
+
+	/**
+	 * Receives the result of an opening.
+	 */
+	interface Listener {
+
+		/**
+		 * Called with an open connection.
+		 * @param channel channel of the connection
+		 * @param isDirect whether the connection leads to the replica without another
+		 * instance
+		 */
+		void connected(Channel channel, boolean isDirect);
+
+		/**
+		 * Called if neither this instance nor another one has reached the replica.
+		 * @param reason description for logs
+		 */
+		void failed(String reason);
+
+	}
+
+	/**
+	 * One search for a way to a replica.
+	 */
+	private final class Opening {
+
+		private final Upstream upstream;
+
+		private final long timeLeftMs;
+
+		private final Listener listener;
+
+		private final Disposable.Swap pending = Disposables.swap();
+
+		private final long startedMs = nowMs();
+
+		private boolean isDirectTried;
+
+		private int steps;
+
+		private Opening(Upstream upstream, long timeLeftMs, Listener listener) {
+			this.upstream = upstream;
+			this.timeLeftMs = timeLeftMs;
+			this.listener = listener;
+		}
+
+		private long nowMs() {
+			return ReplicaConnector.this.clockMs.getAsLong();
+		}
+
+		private void start() {
+			DirectReachability reachability = ReplicaConnector.this.reachability;
+			if (reachability.startRetry(this.startedMs)) {
+				retryDirectly(this.upstream);
+			}
+			if (!reachability.isDirect(this.upstream.id(), this.startedMs)) {
+				tryPeers("no direct path to " + this.upstream.id(), MAX_PEERS);
+				return;
+			}
+			this.isDirectTried = true;
+			await(() -> connectDirectly(this.upstream).subscribe((connection) -> {
+				reachability.recordConnected(this.upstream.id(), nowMs());
+				this.listener.connected(connection.channel(), true);
+			}, this::directConnectionFailed));
+		}
+
+		// While other replicas answer, a replica that drops packets has a fault of its
+		// own, and the time for another attempt is better spent at another replica.
+		private void directConnectionFailed(Throwable error) {
+			String reason = "no connection to " + this.upstream.id() + ": " + error;
+			boolean hasContact = ReplicaConnector.this.reachability.hasContactSince(this.startedMs);
+			if (error instanceof ConnectTimeoutException && hasContact) {
+				this.listener.failed(reason);
+			}
+			else {
+				tryPeers(reason, hasContact ? 1 : MAX_PEERS);
+			}
+		}
+
+		private void tryPeers(String reason, int maxPeers) {
+			List<InstanceId> peers = ReplicaConnector.this.detourPeers.select(
+					ReplicaConnector.this.gateways.instances(), ReplicaConnector.this.gateways::isInOwnZone, maxPeers,
+					nowMs());
+			tryPeer(peers, nowMs() + DETOUR_SEARCH_MS, reason);
+		}
+
+		private void tryPeer(List<InstanceId> peers, long searchUntilMs, String reason) {
+			if (peers.isEmpty() || nowMs() >= searchUntilMs || this.pending.isDisposed()) {
+				this.listener.failed(reason);
+				return;
+			}
+			InstanceId peer = peers.get(0);
+			List<InstanceId> otherPeers = peers.subList(1, peers.size());
+			InetSocketAddress address = ReplicaConnector.this.gateways.addressOf(peer);
+			if (address == null) {
+				tryPeer(otherPeers, searchUntilMs, reason);
+				return;
+			}
+			long remainingMs = Math.max(1, this.timeLeftMs - (nowMs() - this.startedMs));
+			await(() -> ReplicaConnector.this.tunnels.open(peer, address, this.upstream, remainingMs,
+					(channel) -> reached(peer, channel), (failure) -> {
+						ReplicaConnector.this.detourPeers.recordFailed(peer, failure.isPeerUnavailable(), nowMs());
+						tryPeer(otherPeers, searchUntilMs, reason + "; " + failure.reason());
+					}));
+		}
+
+		// A step that fails at once has begun the next one before it returns.
+		private void await(Supplier<Disposable> step) {
+			int startedStep = ++this.steps;
+			Disposable cancellation = step.get();
+			if (startedStep == this.steps) {
+				this.pending.update(cancellation);
+			}
+		}
+
+		private void reached(InstanceId peer, Channel channel) {
+			ReplicaConnector.this.metrics.counter("upstream.tunnels.opened").inc();
+			ReplicaConnector.this.detourPeers.recordReached(peer);
+			if (this.isDirectTried) {
+				ReplicaConnector.this.reachability.recordDetour(this.upstream.id(), this.startedMs, nowMs());
+			}
+			this.listener.connected(channel, false);
+		}
+
+	}
+
+}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaTunnelClient.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaTunnelClient.java
@@ -81,7 +81,7 @@
 	 * @return handle that cancels the opening, without effect on an open tunnel
 	 */
 	Disposable open(InstanceId peer, InetSocketAddress peerAddress, Upstream replica, long timeLeftMs,
-			Consumer<Channel> onConnected, Consumer<String> onFailure) {
+			Consumer<Channel> onConnected, Consumer<TunnelFailure> onFailure) {
 		long startNs = System.nanoTime();
 		TunnelOpening opening = new TunnelOpening("no tunnel to " + replica.id() + " through " + peer + ": ",
 				onConnected, onFailure);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/TunnelClientHandler.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/TunnelClientHandler.java
@@ -77,7 +77,7 @@
 			throw new ProtocolException("frame " + frame.kind() + " is not the answer to the request for a tunnel");
 		}
 		if (answer.outcome() != TunnelOutcome.CONNECTED) {
-			this.opening.fail(String.valueOf(answer.outcome()));
+			this.opening.refused(answer.outcome());
 			return;
 		}
 		this.isConnected = true;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/TunnelOpening.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/TunnelOpening.java
@@ -8,6 +8,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
+import dev.nutmegdoor.core.tunnel.TunnelOutcome;
+
 /**
  * The opening of one tunnel, which succeeds, fails or is cancelled once.
  */
@@ -17,7 +19,7 @@
 
 	private final Consumer<Channel> onConnected;
 
-	private final Consumer<String> onFailure;
+	private final Consumer<TunnelFailure> onFailure;
 
 	private final AtomicBoolean isSettled = new AtomicBoolean();
 
@@ -25,7 +27,7 @@
 
 	private @Nullable ScheduledFuture<?> timeout;
 
-	TunnelOpening(String failurePrefix, Consumer<Channel> onConnected, Consumer<String> onFailure) {
+	TunnelOpening(String failurePrefix, Consumer<Channel> onConnected, Consumer<TunnelFailure> onFailure) {
 		this.failurePrefix = failurePrefix;
 		this.onConnected = onConnected;
 		this.onFailure = onFailure;
@@ -60,13 +62,27 @@
 	}
 
 	/**
-	 * Closes the channel and reports the failure, unless the opening has ended.
-	 * @param reason why the tunnel isn't open
+	 * Closes the channel and reports that the other instance opened no tunnel, unless the
+	 * opening has ended.
+	 * @param outcome answer of the other instance
+	 */
+	void refused(TunnelOutcome outcome) {
+		fail(String.valueOf(outcome), outcome == TunnelOutcome.UNAVAILABLE);
+	}
+
+	/**
+	 * Closes the channel and reports that the other instance did not answer, unless the
+	 * opening has ended.
+	 * @param reason why there is no answer
 	 */
 	void fail(String reason) {
+		fail(reason, true);
+	}
+
+	private void fail(String reason, boolean isPeerUnavailable) {
 		if (this.isSettled.compareAndSet(false, true)) {
 			closeChannel();
-			this.onFailure.accept(this.failurePrefix + reason);
+			this.onFailure.accept(new TunnelFailure(this.failurePrefix + reason, isPeerUnavailable));
 		}
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -65,6 +65,8 @@
 
 	private final Upstream upstream;
 
+	private final boolean isDirect;
+
 	private final long openedNs = System.nanoTime();
 
 	private @Nullable UpstreamExchange exchange;
@@ -91,11 +93,13 @@
 
 	private long idleSinceNs = System.nanoTime();
 
-	UpstreamConnection(Channel channel, RequestTranslator translator, UpstreamPool pool, Upstream upstream) {
+	UpstreamConnection(Channel channel, RequestTranslator translator, UpstreamPool pool, Upstream upstream,
+			boolean isDirect) {
 		this.channel = channel;
 		this.translator = translator;
 		this.pool = pool;
 		this.upstream = upstream;
+		this.isDirect = isDirect;
 	}
 
 	Upstream upstream() {
@@ -123,6 +127,14 @@
 			.addAfter(predecessor, "nutmegdoor-decoder", this.decoder);
 	}
 
+	/**
+	 * Returns whether the connection leads to the replica without another instance.
+	 * @return {@code false} for a tunnel, which carries one request
+	 */
+	boolean isDirect() {
+		return this.isDirect;
+	}
+
 	boolean isIdle() {
 		return this.exchange == null;
 	}
@@ -158,6 +170,9 @@
 		this.skippedBytes = 0;
 		HttpRequest head = next.requestHead();
 		this.method = head.method();
+		if (this.isDirect) {
+			this.pool.watchForSilence(this.upstream);
+		}
 		this.channel.write(head);
 		this.channel.writeAndFlush(new DefaultLastHttpContent(next.requestBody())).addListener((written) -> {
 			if (!written.isSuccess()) {
@@ -202,6 +217,14 @@
 		}
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.isDirect) {
+			this.pool.recordContact();
+		}
+		context.fireChannelReadComplete();
+	}
+
 	private void responseReceived(HttpResponse response) {
 		UpstreamExchange current = this.exchange;
 		if (current == null) {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamPool.java
@@ -1,6 +1,5 @@
 package dev.nutmegdoor.node.relay;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -8,23 +7,21 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.resolver.DefaultAddressResolverGroup;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
-import reactor.netty.Connection;
-import reactor.netty.resources.LoopResources;
-import reactor.netty.tcp.TcpClient;
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.reachability.DirectReachability;
 import dev.nutmegdoor.platform.RequestTranslator;
 
 /**
@@ -33,13 +30,19 @@
 final class UpstreamPool {
 
 	/**
-	 * Maximum time to establish a connection in milliseconds. Round trips take less than
-	 * 20 ms; a SYN packet that a replica with a full backlog drops is retransmitted only
-	 * after a second.
+	 * Time in milliseconds without a sign of life from any replica after which the path
+	 * to one is checked.
 	 */
-	private static final int CONNECT_TIMEOUT_MS = 250;
+	private static final long SILENCE_MS = 300;
 
-	private final LoopResources loops;
+	/** Time in milliseconds that a check of a path may take. */
+	private static final long CHECK_MS = 1_000;
+
+	private final ReplicaConnector connector;
+
+	private final DirectReachability reachability;
+
+	private final LongSupplier clockMs;
 
 	private final EventLoop eventLoop;
 
@@ -55,19 +58,26 @@
 
 	private final Map<String, Set<UpstreamConnection>> openConnections = new HashMap<>();
 
+	private boolean isSilenceCheckPending;
+
 	/**
 	 * Creates an empty pool.
-	 * @param loops event loops on which connections run
+	 * @param connector opens connections
+	 * @param reachability decides whether replicas are reached directly
+	 * @param clockMs monotonic clock in milliseconds
 	 * @param eventLoop event loop to which the pool is confined
 	 * @param translator translates header fields
-	 * @param metrics counts the opened connections and the unexpected responses
+	 * @param metrics counts the unexpected responses
 	 * @param events receives an event for each unexpected response
 	 * @param maxIdleConnections returns the maximum number of idle connections to a
 	 * replica
 	 */
-	UpstreamPool(LoopResources loops, EventLoop eventLoop, RequestTranslator translator, MetricRegistry metrics,
-			EventLog events, ToIntFunction<Upstream> maxIdleConnections) {
-		this.loops = loops;
+	UpstreamPool(ReplicaConnector connector, DirectReachability reachability, LongSupplier clockMs, EventLoop eventLoop,
+			RequestTranslator translator, MetricRegistry metrics, EventLog events,
+			ToIntFunction<Upstream> maxIdleConnections) {
+		this.connector = connector;
+		this.reachability = reachability;
+		this.clockMs = clockMs;
 		this.eventLoop = eventLoop;
 		this.translator = translator;
 		this.metrics = metrics;
@@ -86,36 +96,44 @@
 	/**
 	 * Takes an idle connection from the pool or opens a new one.
 	 * @param upstream replica to connect to
+	 * @param timeLeftMs time until the deadline of the request in milliseconds
 	 * @param isEligible whether a connection from the pool may be used
 	 * @param onReady receives the connection
 	 * @param onFailure receives the reason if no connection can be opened
 	 * @return handle that cancels the wait for a new connection
 	 */
-	Disposable acquire(Upstream upstream, Predicate<UpstreamConnection> isEligible,
+	Disposable acquire(Upstream upstream, long timeLeftMs, Predicate<UpstreamConnection> isEligible,
 			Consumer<UpstreamConnection> onReady, Consumer<String> onFailure) {
-		String key = keyOf(upstream);
-		UpstreamConnection pooled = takeUsable(key, isEligible);
+		UpstreamConnection pooled = this.reachability.isDirect(upstream.id(), this.clockMs.getAsLong())
+				? takeUsable(keyOf(upstream), isEligible) : null;
 		if (pooled != null) {
 			onReady.accept(pooled);
 			return () -> {
 			};
 		}
-		this.metrics.counter("upstream.connections.opened").inc();
-		return TcpClient.newConnection()
-			.resolver(DefaultAddressResolverGroup.INSTANCE)
-			.runOn(this.loops, false)
-			.remoteAddress(() -> new InetSocketAddress(upstream.host(), upstream.port()))
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.connect()
-			.subscribe((connection) -> onReady.accept(install(connection, upstream)),
-					(error) -> onFailure.accept("no connection to " + key + ": " + error));
-	}
-
-	private UpstreamConnection install(Connection established, Upstream upstream) {
-		Channel channel = established.channel();
-		UpstreamConnection connection = new UpstreamConnection(channel, this.translator, this, upstream);
-		connection.addTo(channel.pipeline());
+		return this.connector.connect(upstream, timeLeftMs, new ReplicaConnector.Listener() {
+
+			@Override
+			public void connected(Channel channel, boolean isDirect) {
+				onReady.accept(install(channel, upstream, isDirect));
+			}
+
+			@Override
+			public void failed(String reason) {
+				onFailure.accept(reason);
+			}
+
+		});
+	}
+
+	private UpstreamConnection install(Channel channel, Upstream upstream, boolean isDirect) {
+		UpstreamConnection connection = new UpstreamConnection(channel, this.translator, this, upstream, isDirect);
+		if (isDirect) {
+			connection.addTo(channel.pipeline());
+		}
+		else {
+			connection.addTo(channel.pipeline(), ReplicaTunnelClient.HANDLER);
+		}
 		// Reactor Netty reads only on demand of its own subscribers, which are not used
 		// here.
 		channel.config().setAutoRead(true);
@@ -146,6 +164,10 @@
 	}
 
 	void release(UpstreamConnection connection) {
+		if (!connection.isDirect()) {
+			connection.close();
+			return;
+		}
 		Deque<UpstreamConnection> connections = this.idleConnections.computeIfAbsent(keyOf(connection.upstream()),
 				(key) -> new ArrayDeque<>());
 		while (connections.size() >= this.maxIdleConnections.applyAsInt(connection.upstream())) {
@@ -166,6 +188,60 @@
 		}
 	}
 
+	/** Records bytes that were received on a direct connection. */
+	void recordContact() {
+		this.reachability.recordContact(this.clockMs.getAsLong());
+	}
+
+	/**
+	 * Checks the path to a replica if no replica gives a sign of life after a request was
+	 * sent. A connection from the pool that a partition has interrupted shows no error.
+	 * @param upstream replica to which the request was sent on a direct connection
+	 */
+	void watchForSilence(Upstream upstream) {
+		if (!this.isSilenceCheckPending) {
+			this.isSilenceCheckPending = true;
+			long sentMs = this.clockMs.getAsLong();
+			this.eventLoop.schedule(() -> {
+				this.isSilenceCheckPending = false;
+				if (!this.reachability.hasContactSince(sentMs)) {
+					checkPaths(upstream);
+				}
+			}, SILENCE_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void checkPaths(Upstream upstream) {
+		checkPath(upstream);
+		// The path to a single replica does not show whether the others are reached.
+		this.openConnections.values()
+			.stream()
+			.flatMap(Set::stream)
+			.map(UpstreamConnection::upstream)
+			.filter((other) -> !other.id().equals(upstream.id()))
+			.findAny()
+			.ifPresent(this::checkPath);
+	}
+
+	private void checkPath(Upstream upstream) {
+		if (!this.reachability.isDirect(upstream.id(), this.clockMs.getAsLong())) {
+			return;
+		}
+		this.connector.connect(upstream, CHECK_MS, new ReplicaConnector.Listener() {
+
+			@Override
+			public void connected(Channel channel, boolean isDirect) {
+				release(install(channel, upstream, isDirect));
+			}
+
+			@Override
+			public void failed(String reason) {
+				UpstreamPool.this.events.record("replica.unreachable", "replica", upstream.id(), "detail", reason);
+			}
+
+		});
+	}
+
 	/**
 	 * Records bytes that are not the response to the request in progress.
 	 * @param reason what is unexpected
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ReplicaTunnelClientTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/ReplicaTunnelClientTests.java
@@ -61,7 +61,7 @@
 		return this.client.open(peer, address, this.replica, 60_000, (channel) -> {
 			channel.pipeline().addAfter(ReplicaTunnelClient.HANDLER, "recorder", new Recorder());
 			this.connected.complete(channel);
-		}, this.failed::complete);
+		}, (failure) -> this.failed.complete(failure.reason()));
 	}
 
 	private Channel channel() throws Exception {
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/TunnelClientHandlerTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/TunnelClientHandlerTests.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -19,11 +18,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import reactor.netty.resources.LoopResources;
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
-import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.core.tunnel.TunnelAnswer;
@@ -65,7 +62,7 @@
 		TunnelOpening opening = new TunnelOpening("", (opened) -> {
 			this.connected++;
 			onConnected.accept(opened);
-		}, this.failures::add);
+		}, (failure) -> this.failures.add(failure.reason()));
 		this.channel.pipeline()
 			.addFirst(ReplicaTunnelClient.HANDLER, new TunnelClientHandler(this.codec, opening))
 			.addFirst(new LengthFieldBasedFrameDecoder(TunnelFrames.MAX_FRAME_BYTES, 0, 4, 0, 4));
@@ -75,10 +72,9 @@
 
 	private void sendRequest(Channel opened) {
 		Upstream replica = new Upstream(new UpstreamId("replica"), UpstreamKind.SERVICE, new AvailabilityZone("a"),
-				"10.0.0.1", 80, List.of("s"), 1, false, false);
-		UpstreamPool pool = new UpstreamPool(LoopResources.create("test", 1, true), opened.eventLoop(),
-				new RequestTranslator(), new MetricRegistry(), EventLog.NONE, (upstream) -> 1);
-		UpstreamConnection connection = new UpstreamConnection(opened, new RequestTranslator(), pool, replica);
+				"127.0.0.1", 1, List.of("s"), 1, false, false);
+		UpstreamConnection connection = new UpstreamConnection(opened, new RequestTranslator(),
+				UpstreamPools.create(opened.eventLoop()), replica, false);
 		connection.addTo(opened.pipeline(), ReplicaTunnelClient.HANDLER);
 		connection.send(this.exchange);
 	}
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,11 +10,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import reactor.netty.resources.LoopResources;
 
 import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.configuration.UpstreamKind;
-import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.UpstreamId;
 import dev.nutmegdoor.platform.RequestTranslator;
@@ -29,15 +26,14 @@
 class UpstreamConnectionTests {
 
 	private static final Upstream REPLICA = new Upstream(new UpstreamId("replica"), UpstreamKind.SERVICE,
-			new AvailabilityZone("a"), "10.0.0.1", 80, List.of("s"), 1, false, false);
+			new AvailabilityZone("a"), "127.0.0.1", 1, List.of("s"), 1, false, false);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
-	private final UpstreamPool pool = new UpstreamPool(LoopResources.create("test", 1, true), this.channel.eventLoop(),
-			new RequestTranslator(), new MetricRegistry(), EventLog.NONE, (replica) -> 1);
+	private final UpstreamPool pool = UpstreamPools.create(this.channel.eventLoop());
 
 	private final UpstreamConnection connection = new UpstreamConnection(this.channel, new RequestTranslator(),
-			this.pool, REPLICA);
+			this.pool, REPLICA, true);
 
 	private final RecordingExchange exchange = new RecordingExchange("a-1");
 
