Test partitions that leave requests without a replica

A zone of three (hanging) or six (refused) gateways that is cut off as a whole serves nothing although another zone reaches the replicas; nor does a service whose replicas hang while others answer.

--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/reachability/DetourPeersTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/reachability/DetourPeersTests.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.core.reachability;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -68,6 +69,54 @@
 			assertThat(select(3, 100), hasItem(NEAR));
 		}
 
+		// Guards against the instances of a large zone that is cut off as a whole, which
+		// ask
+		// only each other and never one of another zone.
+		@Test
+		void reachesOtherZoneWhenOwnOneReachesNoReplica() {
+			List<InstanceId> instances = new ArrayList<>(List.of(FAR));
+			for (int i = 2; i <= 30; i++) {
+				instances.add(new InstanceId("a-" + i));
+			}
+			int requests = 0;
+			List<InstanceId> selected = List.of();
+			while (!selected.contains(FAR) && requests < 50) {
+				long nowMs = 100 * requests++;
+				selected = DetourPeersTests.this.peers.select(instances, (instance) -> instance.value().startsWith("a"),
+						4, nowMs);
+				selected.forEach((instance) -> DetourPeersTests.this.peers.recordFailed(instance, false, nowMs));
+			}
+			assertThat(selected, hasItem(FAR));
+		}
+
+		// Guards against the same in a zone whose instances know that they are isolated,
+		// with few requests.
+		@Test
+		void reachesOtherZoneWhenOwnOneIsUnavailable() {
+			List<InstanceId> instances = new ArrayList<>(List.of(FAR));
+			for (int i = 2; i <= 30; i++) {
+				instances.add(new InstanceId("a-" + i));
+			}
+			int requests = 0;
+			List<InstanceId> selected = List.of();
+			while (!selected.contains(FAR) && requests < 50) {
+				long nowMs = 200 * requests++;
+				selected = DetourPeersTests.this.peers.select(instances, (instance) -> instance.value().startsWith("a"),
+						4, nowMs);
+				selected.forEach((instance) -> DetourPeersTests.this.peers.recordFailed(instance, true, nowMs));
+			}
+			assertThat(selected, hasItem(FAR));
+		}
+
+		// Guards against a gateway that forgets the way to all replicas because one of
+		// them is down.
+		@Test
+		void keepsInstanceThatWorkedLastWhenOneReplicaIsDown() {
+			DetourPeersTests.this.peers.recordReached(FARTHER);
+			DetourPeersTests.this.peers.recordFailed(FARTHER, false, 100);
+			assertThat(select(3, 200).get(0), is(FARTHER));
+		}
+
 		// Guards against all partitioned instances using the same other one.
 		@Test
 		void spreadsFirstChoiceOverInstances() {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayDetourTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayDetourTests.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -21,18 +22,23 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.node.ledger.LedgerNode;
 import dev.nutmegdoor.node.relay.GatewayNode;
+import dev.nutmegdoor.platform.ProcessSettings;
 import dev.nutmegdoor.standin.platform.PlatformStandin;
 import dev.nutmegdoor.standin.platform.PlatformStandinSettings;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
@@ -56,6 +62,8 @@
 
 	private PlatformStandin otherPlatform;
 
+	private final List<GatewayNode> partitionedNeighbours = new ArrayList<>();
+
 	private GatewayNode partitioned;
 
 	@BeforeEach
@@ -89,6 +97,41 @@
 		await(() -> readiness() == 200 && dump().contains("replicas=" + REPLICAS) && dump().contains("gateways=2"));
 	}
 
+	// The working gateway is in zone a, all of zone b is partitioned.
+	private void startPartitionedZone(Partition partition, int neighbours) throws Exception {
+		PlatformStandin workingPlatform = this.platform;
+		this.otherPlatform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
+		this.platform = this.otherPlatform;
+		for (int i = 1; i <= REPLICAS; i++) {
+			put("servers", "r-" + i, entryAt(partition.openPort(this)));
+		}
+		copy(workingPlatform, "config");
+		copy(workingPlatform, "gateways");
+		copy(workingPlatform, LedgerNode.REGISTRY_KIND);
+		for (int i = 0; i <= neighbours; i++) {
+			this.clientPort = freePort();
+			this.readinessPort = freePort();
+			GatewayNode node = new GatewayNode(settingsInZoneB("i-" + (2 + neighbours - i)), 0, EventLog.NONE);
+			if (i < neighbours) {
+				this.partitionedNeighbours.add(node);
+			}
+			else {
+				this.partitioned = node;
+			}
+			node.start();
+			await(() -> readiness() == 200 && dump().contains("replicas=" + REPLICAS));
+		}
+		this.platform = workingPlatform;
+		await(() -> dump().contains("gateways=" + (2 + neighbours)));
+	}
+
+	private ProcessSettings settingsInZoneB(String name) throws IOException {
+		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("b"), HOST,
+				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
+				new InetSocketAddress(HOST, freePort()), freePort(), freePort(), List.of(), true,
+				this.platform.address(), 5_000, this.folder, 256, this.graceMs, 2_000);
+	}
+
 	private void copy(PlatformStandin from, String kind) throws Exception {
 		HttpRequest request = HttpRequest
 			.newBuilder(URI.create("http://" + HOST + ":" + from.address().getPort() + "/objects/" + kind))
@@ -104,6 +147,9 @@
 	void stopPartitionedGateway() throws IOException {
 		if (this.partitioned != null) {
 			this.partitioned.stop();
+			for (GatewayNode neighbour : this.partitionedNeighbours) {
+				neighbour.stop();
+			}
 			this.otherPlatform.close();
 		}
 		for (Socket socket : this.backlog) {
@@ -174,6 +220,101 @@
 
 	}
 
+	@Nested
+	class PartitionedZones {
+
+		// Guards against gateways of a zone that is cut off as a whole and ask only each
+		// other.
+		@ParameterizedTest
+		@CsvSource({ "REFUSE, 2", "REFUSE, 5", "HANG, 1", "HANG, 2", "HANG, 5" })
+		void areServedThroughOtherZone(Partition partition, int neighbours) throws Exception {
+			startPartitionedZone(partition, neighbours);
+			GatewayDetourTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "", "whole"));
+			List<String> statuses = new ArrayList<>();
+			List<Long> elapsedMs = new ArrayList<>();
+			for (int i = 0; i < REQUESTS; i++) {
+				long startNs = System.nanoTime();
+				statuses.add(exchange("/safe/a", KEY, "request").substring("HTTP/1.1 ".length(), 12));
+				elapsedMs.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
+			}
+			assertThat(statuses + " after " + elapsedMs + " ms",
+					statuses.subList(REQUESTS / 2, REQUESTS).stream().allMatch("200"::equals));
+		}
+
+		// Guards against a gateway that forgets the only way to the replicas because one
+		// replica is down.
+		@Test
+		void areServedThroughOtherZoneBesideReplicaThatIsDown() throws Exception {
+			put("servers", "r-4", entryAt(freePort()));
+			startPartitionedZone(Partition.REFUSE, 3);
+			PlatformStandin workingPlatform = GatewayDetourTests.this.platform;
+			GatewayDetourTests.this.platform = GatewayDetourTests.this.otherPlatform;
+			put("servers", "r-4", entryAt(freePort()));
+			GatewayDetourTests.this.platform = workingPlatform;
+			await(() -> dump().contains("replicas=4"));
+			GatewayDetourTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "", "whole"));
+			List<String> statuses = new ArrayList<>();
+			for (int i = 0; i < 4 * REQUESTS; i++) {
+				statuses.add(exchange("/safe/a", KEY, "request").substring("HTTP/1.1 ".length(), 12));
+			}
+			long served = statuses.stream().filter("200"::equals).count();
+			assertThat(statuses.toString(), served, greaterThan(2L * 4 * REQUESTS / 3));
+		}
+
+	}
+
+	@Nested
+	class PartitionedServices {
+
+		// Guards against requests that are refused because the replicas of another
+		// service answer, although other gateways reach those of their own.
+		@ParameterizedTest
+		@EnumSource
+		void areServedThroughOtherGateway(Partition partition) throws Exception {
+			startPartitionedGateway(partition);
+			GatewayDetourTests.this.replica.respondWith(ReplicaServer.fixedResponse(200, "", "whole"));
+			PlatformStandin workingPlatform = GatewayDetourTests.this.platform;
+			GatewayDetourTests.this.platform = GatewayDetourTests.this.otherPlatform;
+			put("servers", "t-1", entryAt(GatewayDetourTests.this.replica.port()).replace("\"s\"", "\"t\""));
+			String body = """
+					{"Meta":{"Name":"main"},"Spec":{"Version":2,"Limits":{"IdleTimeoutMs":60000},"Routes":[
+					{"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"s"},
+					{"Name":"near","Host":"h.example","Prefix":"/near/","Kind":"safe","TimeoutMs":2000,"Service":"t"}],
+					"Services":[{"Name":"s"},{"Name":"t"}],
+					"Tenants":[{"Name":"w","ApiKeys":["key-1"],"RatePerS":1000,"Burst":1000}]}}""";
+			HttpRequest change = HttpRequest
+				.newBuilder(URI.create("http://" + HOST + ":" + GatewayDetourTests.this.platform.address().getPort()
+						+ "/objects/config/main"))
+				.PUT(HttpRequest.BodyPublishers.ofString(body))
+				.build();
+			assertThat(GatewayDetourTests.this.client.send(change, HttpResponse.BodyHandlers.ofString()).statusCode(),
+					is(200));
+			GatewayDetourTests.this.platform = workingPlatform;
+			await(() -> exchange("/near/a", KEY, "").startsWith("HTTP/1.1 200"));
+			AtomicBoolean isEnded = new AtomicBoolean();
+			Thread other = new Thread(() -> {
+				try {
+					while (!isEnded.get()) {
+						exchange("/near/a", KEY, "");
+						Thread.sleep(10);
+					}
+				}
+				catch (IOException | InterruptedException ex) {
+					return;
+				}
+			});
+			other.start();
+			List<String> statuses = new ArrayList<>();
+			for (int i = 0; i < REQUESTS; i++) {
+				statuses.add(exchange("/safe/a", KEY, "request").substring("HTTP/1.1 ".length(), 12));
+			}
+			isEnded.set(true);
+			other.join();
+			assertThat(statuses.toString(), statuses.subList(REQUESTS / 2, REQUESTS).stream().allMatch("200"::equals));
+		}
+
+	}
+
 	@Nested
 	class Answers {
 
