Ask instances of other zones, and several at once, for a detour

With three gateways (hanging) or six (refused) in the zone, nothing was served. A service all of whose replicas hang while others answer was not served either. One replica that is down made the instance that works be forgotten.

Change: near and far instances alternate, up to six are asked, the next one every 50 ms without waiting for the one before, and the first tunnel wins; the others are closed unused (Detours). A replica that drops packets while others answer is still left to the scheduler, and the path to it is checked beside the requests, at most once in 200 ms. An instance that does not reach one replica stays the preferred one.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/reachability/DetourPeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/reachability/DetourPeers.java
@@ -34,24 +34,31 @@
 	}
 
 	/**
-	 * Selects instances to try one after the other.
+	 * Selects instances to try one after the other. Near and far ones alternate, because
+	 * an entire availability zone may be partitioned.
 	 * @param instances the other instances
 	 * @param isNear whether an instance is in the availability zone of this one
 	 * @param maxInstances maximum number of instances to try
 	 * @param nowMs current time in milliseconds
-	 * @return the one that worked last, then near ones, then others, in random order
+	 * @return the one that worked last, then near and far ones in random order
 	 */
 	public List<InstanceId> select(Collection<InstanceId> instances, Predicate<InstanceId> isNear, int maxInstances,
 			long nowMs) {
 		this.avoidedUntilMs.values().removeIf((untilMs) -> nowMs >= untilMs);
-		List<InstanceId> shuffled = shuffle(instances);
 		List<InstanceId> selected = new ArrayList<>();
 		InstanceId preferred = this.lastUsed;
 		if (preferred != null && instances.contains(preferred)) {
 			selected.add(preferred);
 		}
-		addAll(selected, shuffled, isNear);
-		addAll(selected, shuffled, (instance) -> true);
+		List<InstanceId> candidates = shuffle(instances).stream()
+			.filter((instance) -> !this.avoidedUntilMs.containsKey(instance) && !instance.equals(preferred))
+			.toList();
+		List<InstanceId> near = candidates.stream().filter(isNear).toList();
+		List<InstanceId> far = candidates.stream().filter(isNear.negate()).toList();
+		for (int i = 0; selected.size() < maxInstances && i < Math.max(near.size(), far.size()); i++) {
+			selected.addAll(near.subList(Math.min(i, near.size()), Math.min(i + 1, near.size())));
+			selected.addAll(far.subList(Math.min(i, far.size()), Math.min(i + 1, far.size())));
+		}
 		return selected.subList(0, Math.min(maxInstances, selected.size()));
 	}
 
@@ -64,15 +71,6 @@
 		return shuffled;
 	}
 
-	private void addAll(List<InstanceId> selected, List<InstanceId> candidates, Predicate<InstanceId> condition) {
-		for (InstanceId candidate : candidates) {
-			if (condition.test(candidate) && !this.avoidedUntilMs.containsKey(candidate)
-					&& !selected.contains(candidate)) {
-				selected.add(candidate);
-			}
-		}
-	}
-
 	/**
 	 * Records that an instance has reached a replica.
 	 * @param instance the instance
@@ -84,15 +82,15 @@
 	/**
 	 * Records that an instance has not reached a replica, or was not reached itself.
 	 * @param instance the instance
-	 * @param isUnavailable whether it can reach no replica, so that it is avoided
+	 * @param isUnavailable whether it is of no use for any replica, so that it is avoided
 	 * @param nowMs current time in milliseconds
 	 */
 	public void recordFailed(InstanceId instance, boolean isUnavailable, long nowMs) {
-		if (instance.equals(this.lastUsed)) {
-			this.lastUsed = null;
-		}
 		if (isUnavailable) {
 			this.avoidedUntilMs.put(instance, nowMs + AVOIDANCE_MS);
+			if (instance.equals(this.lastUsed)) {
+				this.lastUsed = null;
+			}
 		}
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -225,11 +225,12 @@
 		EventLoop eventLoop = this.loops.onServer(false).next();
 		RequestTranslator translator = new RequestTranslator();
 		this.reachability = new DirectReachability(events);
-		ReplicaConnector connector = new ReplicaConnector(
-				this.loops, this.reachability, new Gateways(this.peers, settings.zone()),
-				new DetourPeers(RandomSource.XO_SHI_RO_256_PP.create()), new ReplicaTunnelClient(settings.instance(),
-						peerSettings.sharedSecret(), codec, this.loops, (peer) -> true, TUNNEL_OPEN_TIMEOUT_MS),
-				this.control::nowMs, this.metrics);
+		ReplicaTunnelClient tunnelClient = new ReplicaTunnelClient(settings.instance(), peerSettings.sharedSecret(),
+				codec, this.loops, (peer) -> true, TUNNEL_OPEN_TIMEOUT_MS);
+		Detours detours = new Detours(new Gateways(this.peers, settings.zone()),
+				new DetourPeers(RandomSource.XO_SHI_RO_256_PP.create()), tunnelClient, eventLoop, this.control::nowMs);
+		ReplicaConnector connector = new ReplicaConnector(this.loops, this.reachability, detours, this.control::nowMs,
+				this.metrics);
 		UpstreamPool pool = new UpstreamPool(connector, this.reachability, this.control::nowMs, eventLoop, translator,
 				this.metrics, events, new IdleConnectionLimit(this.deployment, this.peers::instances)::limitFor);
 		ControlBridge controlBridge = new ControlBridge(this.control);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaConnector.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaConnector.java
@@ -1,7 +1,6 @@
 package dev.nutmegdoor.node.relay;
 
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -18,8 +17,6 @@
 import reactor.netty.tcp.TcpClient;
 
 import dev.nutmegdoor.core.configuration.Upstream;
-import dev.nutmegdoor.core.id.InstanceId;
-import dev.nutmegdoor.core.reachability.DetourPeers;
 import dev.nutmegdoor.core.reachability.DirectReachability;
 
 /**
@@ -36,42 +33,44 @@
 	private static final int CONNECT_TIMEOUT_MS = 250;
 
 	/** Maximum number of instances that are asked for a connection to a replica. */
-	private static final int MAX_PEERS = 4;
+	private static final int MAX_PEERS = 6;
 
-	/** Time in milliseconds after which no further instance is asked. */
-	private static final long DETOUR_SEARCH_MS = 400;
+	/**
+	 * Maximum number of instances that are asked while other replicas answer, so that the
+	 * replica rather than the path to it is likely to be down.
+	 */
+	private static final int MAX_PEERS_BESIDE_CONTACT = 2;
+
+	/**
+	 * Period in milliseconds in which at most one path is checked beside the requests.
+	 */
+	private static final long CHECK_PERIOD_MS = 200;
 
 	private final LoopResources loops;
 
 	private final DirectReachability reachability;
 
-	private final Gateways gateways;
-
-	private final DetourPeers detourPeers;
-
-	private final ReplicaTunnelClient tunnels;
+	private final Detours detours;
 
 	private final LongSupplier clockMs;
 
 	private final MetricRegistry metrics;
 
+	private long nextCheckMs;
+
 	/**
 	 * Creates a connector.
 	 * @param loops event loops on which connections run
 	 * @param reachability decides whether replicas are reached directly
-	 * @param gateways the other instances
-	 * @param detourPeers selects instances among them
-	 * @param tunnels opens connections through other instances
+	 * @param detours finds other instances that reach a replica
 	 * @param clockMs monotonic clock in milliseconds
 	 * @param metrics counts opened connections and tunnels
 	 */
-	ReplicaConnector(LoopResources loops, DirectReachability reachability, Gateways gateways, DetourPeers detourPeers,
-			ReplicaTunnelClient tunnels, LongSupplier clockMs, MetricRegistry metrics) {
+	ReplicaConnector(LoopResources loops, DirectReachability reachability, Detours detours, LongSupplier clockMs,
+			MetricRegistry metrics) {
 		this.loops = loops;
 		this.reachability = reachability;
-		this.gateways = gateways;
-		this.detourPeers = detourPeers;
-		this.tunnels = tunnels;
+		this.detours = detours;
 		this.clockMs = clockMs;
 		this.metrics = metrics;
 	}
@@ -165,7 +164,7 @@
 				retryDirectly(this.upstream);
 			}
 			if (!reachability.isDirect(this.upstream.id(), this.startedMs)) {
-				tryPeers("no direct path to " + this.upstream.id(), MAX_PEERS);
+				takeDetour("no direct path to " + this.upstream.id(), MAX_PEERS);
 				return;
 			}
 			this.isDirectTried = true;
@@ -175,44 +174,50 @@
 			}, this::directConnectionFailed));
 		}
 
-		// While other replicas answer, a replica that drops packets has a fault of its
-		// own, and the time for another attempt is better spent at another replica.
+		// While other replicas answer, a replica that drops packets probably has a fault
+		// of
+		// its own, and another replica serves the request sooner. Whether the path is
+		// interrupted is found out for later requests.
 		private void directConnectionFailed(Throwable error) {
 			String reason = "no connection to " + this.upstream.id() + ": " + error;
 			boolean hasContact = ReplicaConnector.this.reachability.hasContactSince(this.startedMs);
 			if (error instanceof ConnectTimeoutException && hasContact) {
 				this.listener.failed(reason);
+				checkForDetour();
 			}
 			else {
-				tryPeers(reason, hasContact ? 1 : MAX_PEERS);
+				takeDetour(reason, hasContact ? MAX_PEERS_BESIDE_CONTACT : MAX_PEERS);
 			}
 		}
 
-		private void tryPeers(String reason, int maxPeers) {
-			List<InstanceId> peers = ReplicaConnector.this.detourPeers.select(
-					ReplicaConnector.this.gateways.instances(), ReplicaConnector.this.gateways::isInOwnZone, maxPeers,
-					nowMs());
-			tryPeer(peers, nowMs() + DETOUR_SEARCH_MS, reason);
+		private void takeDetour(String reason, int maxPeers) {
+			long elapsedMs = nowMs() - this.startedMs;
+			await(() -> ReplicaConnector.this.detours.search(this.upstream, Math.max(1, this.timeLeftMs - elapsedMs),
+					maxPeers, this::reached, (failure) -> this.listener.failed(reason + "; " + failure)));
 		}
 
-		private void tryPeer(List<InstanceId> peers, long searchUntilMs, String reason) {
-			if (peers.isEmpty() || nowMs() >= searchUntilMs || this.pending.isDisposed()) {
-				this.listener.failed(reason);
-				return;
+		private void checkForDetour() {
+			if (nowMs() >= ReplicaConnector.this.nextCheckMs) {
+				ReplicaConnector.this.nextCheckMs = nowMs() + CHECK_PERIOD_MS;
+				ReplicaConnector.this.detours.search(this.upstream, CHECK_PERIOD_MS, MAX_PEERS_BESIDE_CONTACT,
+						(channel) -> {
+							recordDetour();
+							channel.close();
+						}, (failure) -> {
+						});
 			}
-			InstanceId peer = peers.get(0);
-			List<InstanceId> otherPeers = peers.subList(1, peers.size());
-			InetSocketAddress address = ReplicaConnector.this.gateways.addressOf(peer);
-			if (address == null) {
-				tryPeer(otherPeers, searchUntilMs, reason);
-				return;
+		}
+
+		private void reached(Channel channel) {
+			ReplicaConnector.this.metrics.counter("upstream.tunnels.opened").inc();
+			if (this.isDirectTried) {
+				recordDetour();
 			}
-			long remainingMs = Math.max(1, this.timeLeftMs - (nowMs() - this.startedMs));
-			await(() -> ReplicaConnector.this.tunnels.open(peer, address, this.upstream, remainingMs,
-					(channel) -> reached(peer, channel), (failure) -> {
-						ReplicaConnector.this.detourPeers.recordFailed(peer, failure.isPeerUnavailable(), nowMs());
-						tryPeer(otherPeers, searchUntilMs, reason + "; " + failure.reason());
-					}));
+			this.listener.connected(channel, false);
+		}
+
+		private void recordDetour() {
+			ReplicaConnector.this.reachability.recordDetour(this.upstream.id(), this.startedMs, nowMs());
 		}
 
 		// A step that fails at once has begun the next one before it returns.
@@ -224,15 +229,6 @@
 			}
 		}
 
-		private void reached(InstanceId peer, Channel channel) {
-			ReplicaConnector.this.metrics.counter("upstream.tunnels.opened").inc();
-			ReplicaConnector.this.detourPeers.recordReached(peer);
-			if (this.isDirectTried) {
-				ReplicaConnector.this.reachability.recordDetour(this.upstream.id(), this.startedMs, nowMs());
-			}
-			this.listener.connected(channel, false);
-		}
-
 	}
 
 }
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamPools.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamPools.java
@@ -32,9 +32,9 @@
 		DirectReachability reachability = new DirectReachability(EventLog.NONE);
 		ReplicaTunnelClient tunnels = new ReplicaTunnelClient(SELF, "",
 				new FrameCodec(new MessageTypes(TunnelMessages.types())), loops, (peer) -> true, 1);
-		ReplicaConnector connector = new ReplicaConnector(loops, reachability,
-				new Gateways(new UsagePeers(SELF), new AvailabilityZone("a")),
-				new DetourPeers(RandomSource.XO_SHI_RO_256_PP.create(1)), tunnels, () -> 0, metrics);
+		Detours detours = new Detours(new Gateways(new UsagePeers(SELF), new AvailabilityZone("a")),
+				new DetourPeers(RandomSource.XO_SHI_RO_256_PP.create(1)), tunnels, eventLoop, () -> 0);
+		ReplicaConnector connector = new ReplicaConnector(loops, reachability, detours, () -> 0, metrics);
 		return new UpstreamPool(connector, reachability, () -> 0, eventLoop, new RequestTranslator(), metrics,
 				EventLog.NONE, (replica) -> 1);
 	}
