--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaConnector.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaConnector.java
@@ -174,9 +174,8 @@
 			}, this::directConnectionFailed));
 		}
 
-		// While other replicas answer, a replica that drops packets probably has a fault
-		// of
-		// its own, and another replica serves the request sooner. Whether the path is
+		// While other replicas answer, one that drops packets probably has a fault of
+		// its own, and another one serves the request sooner. Whether the path to it is
 		// interrupted is found out for later requests.
 		private void directConnectionFailed(Throwable error) {
 			String reason = "no connection to " + this.upstream.id() + ": " + error;
