--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayCutTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayCutTests.java
@@ -2,14 +2,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.net.URI;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -69,17 +64,6 @@
 				{"Service":"s","Addr":"%s:%d","Zone":"a","Slots":16,"State":"ready","Seq":1}""".formatted(HOST, port);
 	}
 
-	private void copy(PlatformStandin from, String kind) throws Exception {
-		HttpRequest request = HttpRequest
-			.newBuilder(URI.create("http://" + HOST + ":" + from.address().getPort() + "/objects/" + kind))
-			.build();
-		JsonNode page = new ObjectMapper()
-			.readTree(this.client.send(request, HttpResponse.BodyHandlers.ofString()).body());
-		for (JsonNode item : page.get("items")) {
-			put(kind, item.get("Meta").get("Name").asText(), item.get("Spec").toString());
-		}
-	}
-
 	@AfterEach
 	void stopPartitionedGateway() throws IOException {
 		this.partitioned.stop();
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayDetourTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayDetourTests.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -132,17 +130,6 @@
 				this.platform.address(), 5_000, this.folder, 256, this.graceMs, 2_000);
 	}
 
-	private void copy(PlatformStandin from, String kind) throws Exception {
-		HttpRequest request = HttpRequest
-			.newBuilder(URI.create("http://" + HOST + ":" + from.address().getPort() + "/objects/" + kind))
-			.build();
-		JsonNode page = new ObjectMapper()
-			.readTree(this.client.send(request, HttpResponse.BodyHandlers.ofString()).body());
-		for (JsonNode item : page.get("items")) {
-			put(kind, item.get("Meta").get("Name").asText(), item.get("Spec").toString());
-		}
-	}
-
 	@AfterEach
 	void stopPartitionedGateway() throws IOException {
 		if (this.partitioned != null) {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.AfterEach;
@@ -153,7 +155,7 @@
 	void put(String kind, String name, String spec) throws Exception {
 		ObjectNode body = JsonNodeFactory.instance.objectNode();
 		body.putObject("Meta").put("Name", name);
-		body.set("Spec", new com.fasterxml.jackson.databind.ObjectMapper().readTree(spec));
+		body.set("Spec", new ObjectMapper().readTree(spec));
 		HttpRequest request = HttpRequest
 			.newBuilder(URI.create("http://" + HOST + ":" + this.platform.address().getPort() + "/objects/" + kind))
 			.timeout(Duration.ofMillis(LIMIT_MS))
@@ -162,6 +164,18 @@
 		assertThat(this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(), is(200));
 	}
 
+	/** Copies the objects of a kind to the platform that is used now. */
+	void copy(PlatformStandin from, String kind) throws Exception {
+		HttpRequest request = HttpRequest
+			.newBuilder(URI.create("http://" + HOST + ":" + from.address().getPort() + "/objects/" + kind))
+			.build();
+		JsonNode page = new ObjectMapper()
+			.readTree(this.client.send(request, HttpResponse.BodyHandlers.ofString()).body());
+		for (JsonNode item : page.get("items")) {
+			put(kind, item.get("Meta").get("Name").asText(), item.get("Spec").toString());
+		}
+	}
+
 	int readiness() throws Exception {
 		return observe("/readyz").statusCode();
 	}
