Stop accepting before the backlog of a cut link is filled

Trace with logs of each sign of life, 6 of 8 repetitions failing: 400 ms after the send the check of the path connected within 2 ms, although the link was cut. The acceptor of the test's link could still take a connection after the backlog was full, which made room for one more. cut() now waits until the acceptor has paused. The product did what it should: a path that accepts connections is sound.

--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/InterruptibleLink.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/InterruptibleLink.java
@@ -33,6 +33,8 @@
 
 	private volatile boolean isAccepting = true;
 
+	private volatile boolean isAcceptorPaused;
+
 	private volatile boolean isForwarding = true;
 
 	private volatile boolean isClosed;
@@ -57,6 +59,7 @@
 	private void accept() {
 		while (!this.isClosed) {
 			if (!this.isAccepting) {
+				this.isAcceptorPaused = true;
 				LockSupport.parkNanos(POLL_INTERVAL_NS);
 				continue;
 			}
@@ -109,6 +112,10 @@
 	void cut() throws IOException {
 		this.isAccepting = false;
 		this.isForwarding = false;
+		// A connection that is accepted after the backlog is full makes room for another.
+		while (!this.isAcceptorPaused) {
+			LockSupport.parkNanos(POLL_INTERVAL_NS);
+		}
 		InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port());
 		for (boolean isFull = false; !isFull;) {
 			Socket socket = new Socket();
