Report why each instance opened no tunnel

The reasons of a failed search began with "no other instance is known" when the second instance had been asked before the first one failed, which is the usual case since they are asked 50 ms apart. The reasons are a list now, and the text for none stands only where none was asked. Found in reading the change; only texts of logs and refusals differ. GatewayDetourTests: 16 of 16.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/Detours.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/Detours.java
@@ -90,7 +90,7 @@
 
 		private final List<Disposable> openings = new ArrayList<>();
 
-		private final StringBuilder reasons = new StringBuilder("no other instance is known");
+		private final List<String> reasons = new ArrayList<>();
 
 		private int asked;
 
@@ -119,7 +119,8 @@
 			}
 			else if (this.awaited == 0) {
 				this.isEnded = true;
-				this.onFailure.accept(this.reasons.toString());
+				this.onFailure
+					.accept(this.reasons.isEmpty() ? "no other instance was asked" : String.join("; ", this.reasons));
 			}
 		}
 
@@ -147,10 +148,7 @@
 
 		private void failed(InstanceId peer, TunnelFailure failure) {
 			this.awaited--;
-			if (this.asked == 1) {
-				this.reasons.setLength(0);
-			}
-			this.reasons.append(this.reasons.isEmpty() ? "" : "; ").append(failure.reason());
+			this.reasons.add(failure.reason());
 			Detours.this.peers.recordFailed(peer, failure.isPeerUnavailable(), Detours.this.clockMs.getAsLong());
 			askNext();
 		}
