Treat a response with an undefined status as broken

Cause: UpstreamConnection forwarded every final response whose head could be parsed. Netty parses any number as a status, so a response with status 000, 007, 099, 600 or 999 reached the client, also on routes whose requests may be repeated.

Change: a response with a status outside 100 to 599 fails the attempt and closes the connection, as a response that can't be parsed does. Its other fields are not used, in particular not the one that states that the request has not run. A late response to another request is skipped as before, whatever its status.

Measured: GatewayBrokenAnswersTests on the code before the change: 21 failures and 2 errors in 47 tests, among them all 17 of AnswersWhoseStatusHttpDoesNotDefine; the others are the random cases, whose errors now include such statuses. With the change 0 of 47 fail, and 0 of 51 in UpstreamConnectionTests.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/UpstreamConnection.java
@@ -260,6 +260,13 @@
 			skip(SkippedResponse.OTHER_REQUEST);
 			return;
 		}
+		if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+			// The other fields of such a response, such as that the request did not run,
+			// can't be trusted either.
+			recordUnexpected("undefined status", response);
+			fail("a status that HTTP does not define: " + response.status().code());
+			return;
+		}
 		if (metadata.attemptId() == null && expected != null && !isTrustedWithoutAttemptId(response)) {
 			recordUnexpected("response without an attempt identifier", response);
 			fail("a response without the identifier of its request");
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -82,6 +82,27 @@
 			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
 		}
 
+		// Guards against a response that reaches the client with a status that HTTP does
+		// not define, also if it names no request, and against another request on its
+		// connection.
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "007", "099", "600", "999", "1000", "000 S\r\nAttempt-Id: a-1",
+				"007 S\r\nAttempt-Id: a-1", "099 S\r\nAttempt-Id: a-1", "600 S\r\nAttempt-Id: a-1",
+				"999 S\r\nAttempt-Id: a-1", "1000 S\r\nAttempt-Id: a-1" })
+		void failsRequestWhenHttpDoesNotDefineStatus(String head) {
+			receive("HTTP/1.1 " + head + "\r\nContent-Length: 2\r\n\r\nok");
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("broken"));
+			assertThat(UpstreamConnectionTests.this.channel.isActive(), is(false));
+		}
+
+		// Guards against a request that fails because of a late response to another one.
+		@Test
+		void skipsResponseWithUndefinedStatusToOtherRequest() {
+			receive("HTTP/1.1 999 Status\r\nAttempt-Id: a-0\r\nContent-Length: 4\r\n\r\nlate");
+			receive(response("a-1", "hello"));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "completed"));
+		}
+
 		// Guards against a truncated response that looks complete to the client because
 		// the replica closed the connection early.
 		@Test
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayBrokenAnswersTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayBrokenAnswersTests.java
@@ -273,6 +273,75 @@
 
 	}
 
+	@Nested
+	class AnswersWhoseStatusHttpDoesNotDefine {
+
+		private static final String NOT_EXECUTED = "Not-Executed: 1\r\n";
+
+		// Guards against such an answer at the client, and against a repeatable request
+		// that fails although another replica answers it.
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 7, 99, 600, 999 })
+		void areReplacedByNextAnswerIfRequestIsRepeatable(int status) throws Exception {
+			for (String path : List.of("/safe/a", "/turn/a")) {
+				for (AnswerDelimiter delimiter : AnswerDelimiter.values()) {
+					ReceivedResponse response = exchange("POST", path,
+							(id) -> List.of(undefined(id, status, "", delimiter), whole(id)));
+					assertThat(path + " " + delimiter, response.status, is(200));
+					assertThat(response.isComplete, is(true));
+				}
+			}
+		}
+
+		// Guards against a request that is sent again although it may have run, and
+		// against the promise that it has not run.
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 7, 99, 600, 999 })
+		void endUnsafeRequestAsFailed(int status) throws Exception {
+			for (String fields : List.of("", NOT_EXECUTED)) {
+				for (AnswerDelimiter delimiter : AnswerDelimiter.values()) {
+					ReceivedResponse response = exchange("POST", "/once/a",
+							(id) -> List.of(undefined(id, status, fields, delimiter), whole(id)));
+					assertThat(fields + delimiter, response.status, is(502));
+				}
+			}
+		}
+
+		// Guards against the last of several such answers at the client, also to requests
+		// whose answers have no body.
+		@ParameterizedTest
+		@CsvSource({ "0, POST", "7, POST", "99, POST", "600, POST", "999, POST", "99, HEAD", "999, HEAD" })
+		void endRepeatableRequestAsFailedIfNoOtherComes(int status, String method) throws Exception {
+			for (String path : List.of("/safe/a", "/turn/a")) {
+				for (AnswerDelimiter delimiter : AnswerDelimiter.values()) {
+					ReceivedResponse response = exchange(method, path,
+							(id) -> List.of(undefined(id, status, "", delimiter)));
+					assertThat(path + " " + delimiter, response.status, is(502));
+				}
+			}
+		}
+
+		private ReceivedResponse exchange(String method, String path, Function<String, List<ScriptedReply>> replies)
+				throws IOException {
+			try (BrokenAnswerClient client = client("1.1", true)) {
+				earnRetries(client);
+				String attempt = attempt();
+				GatewayBrokenAnswersTests.this.scripts.put(attempt, replies.apply(attempt));
+				return client.exchange(method, path, attempt, 1, false);
+			}
+		}
+
+		private ScriptedReply undefined(String attempt, int status, String fields, AnswerDelimiter delimiter) {
+			String seal = GatewayBrokenAnswersTests.this.scripts.nextSeal();
+			return ScriptedReply.of(attempt, seal, status, fields, delimiter, seal + "body");
+		}
+
+		private ScriptedReply whole(String attempt) {
+			return GatewayBrokenAnswersTests.this.scripts.stream(attempt, 1, AnswerDelimiter.LENGTH);
+		}
+
+	}
+
 	@Nested
 	class AnswersWhileGatewayStops {
 
