--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -362,7 +362,7 @@
 		});
 	}
 
-	private static List<Class<? extends PeerMessage>> messageTypes() {
+	static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
 		types.addAll(TunnelMessages.types());
 		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class,
