Write the ledger's log through a shared record file

A write that failed halfway (full disk, I/O error) left a torn record in the file. Later entries were appended behind it and acknowledged, but the next start cut the file at the torn record and lost them.

After a failure the file is cut back to its last forced length; if that fails, all further writes are refused. The format of the file is unchanged. A file is recovered through a buffer instead of being read as a whole, and a budget can bound the disk space.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/FileLedgerLog.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/FileLedgerLog.java
@@ -5,44 +5,35 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
-import java.util.zip.CRC32;
-
-import org.jboss.logging.Logger;
 
 import dev.nutmegdoor.core.ledger.LedgerEntry;
 import dev.nutmegdoor.core.ledger.LedgerLog;
 import dev.nutmegdoor.core.ledger.LedgerLogException;
+import dev.nutmegdoor.node.disk.ChannelOpener;
+import dev.nutmegdoor.node.disk.DiskBudget;
+import dev.nutmegdoor.node.disk.Folders;
+import dev.nutmegdoor.node.disk.GroupCommitThread;
+import dev.nutmegdoor.node.disk.RecordFile;
+import dev.nutmegdoor.node.disk.WriteTarget;
 
 /**
- * Log in one file. A record is a length, a CRC-32 of its content, and the content: the
- * wall-clock time of its expiry and the entry. One thread writes and forces records in
- * groups. What follows the first record that is torn or missing was never acknowledged
- * and is cut off when the log is opened.
+ * Log in one {@link RecordFile}. The content of a record is the wall-clock time of its
+ * expiry and the entry.
  */
 public final class FileLedgerLog implements LedgerLog, AutoCloseable {
 
-	private static final Logger logger = Logger.getLogger(FileLedgerLog.class);
-
-	private static final String NAME = "ledger.log";
+	/** Name of the file in the folder of the log. */
+	static final String NAME = "ledger.log";
 
 	private static final String UNFINISHED = "ledger.log.new";
 
-	private static final int HEADER_BYTES = 8;
-
 	private static final int MAX_RECORD_BYTES = 65_536;
 
 	/** Records of expired entries are kept this much longer, because clocks may step. */
@@ -50,49 +41,47 @@
 
 	private final Path folder;
 
-	private final Executor control;
-
-	private final BlockingQueue<Write> queue = new LinkedBlockingQueue<>();
+	private final LongSupplier wallClockMs;
 
-	private final AtomicLong sizeBytes = new AtomicLong();
+	private final ChannelOpener opener;
 
-	private final LongSupplier wallClockMs;
+	private final DiskBudget budget;
 
 	private final List<LedgerEntry> recovered;
 
 	private final boolean isNew;
 
-	private final Thread writer;
+	private final GroupCommitThread<Write> writer;
+
+	private volatile long sizeBytes;
 
-	private FileChannel channel;
+	private RecordFile file;
 
 	/**
 	 * Opens the log and reads what it holds.
 	 * @param folder folder for data
 	 * @param control executor on which futures complete
 	 * @param wallClockMs current time in milliseconds since the epoch
+	 * @param opener opens the files
+	 * @param budget space for the logs of this process
 	 * @throws IOException if the folder can't be used
 	 */
-	public FileLedgerLog(Path folder, Executor control, LongSupplier wallClockMs) throws IOException {
+	public FileLedgerLog(Path folder, Executor control, LongSupplier wallClockMs, ChannelOpener opener,
+			DiskBudget budget) throws IOException {
 		this.folder = folder;
-		this.control = control;
 		this.wallClockMs = wallClockMs;
+		this.opener = opener;
+		this.budget = budget;
 		Files.createDirectories(folder);
-		Path file = folder.resolve(NAME);
-		this.isNew = !Files.exists(file);
-		this.channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ,
-				StandardOpenOption.WRITE);
+		Path path = folder.resolve(NAME);
+		this.isNew = !Files.exists(path);
 		RecoveredEntries entries = new RecoveredEntries();
-		long validBytes = recover(entries);
+		this.file = new RecordFile(opener, path, MAX_RECORD_BYTES, (offset, content) -> decode(content, entries));
 		this.recovered = entries.expiringAfter(wallClockMs.getAsLong() - CLOCK_MARGIN_MS);
-		this.channel.truncate(validBytes);
-		this.channel.position(validBytes);
-		this.channel.force(true);
-		forceFolder();
-		this.sizeBytes.set(validBytes);
-		this.writer = new Thread(this::write, "ledger-disk");
-		this.writer.setDaemon(true);
-		this.writer.start();
+		Folders.force(folder);
+		this.sizeBytes = this.file.sizeBytes();
+		budget.add(this.sizeBytes);
+		this.writer = new GroupCommitThread<>("ledger-disk", control, new Target(), LedgerLogException::new);
 	}
 
 	/**
@@ -123,101 +112,48 @@
 
 	@Override
 	public long sizeBytes() {
-		return this.sizeBytes.get();
+		return this.sizeBytes;
 	}
 
 	@Override
 	public void close() throws IOException {
-		this.writer.interrupt();
-		this.channel.close();
+		this.writer.close();
+		this.file.close();
 	}
 
 	private CompletableFuture<Void> submit(Write write) {
-		this.queue.add(write);
-		return write.result;
-	}
-
-	private void write() {
-		List<Write> group = new ArrayList<>();
-		try {
-			while (!Thread.currentThread().isInterrupted()) {
-				group.add(this.queue.take());
-				this.queue.drainTo(group);
-				writeGroup(group);
-				group.clear();
-			}
-		}
-		catch (InterruptedException ex) {
-			logger.debug("event=ledger.log_closed");
+		if (!this.budget.reserve(write.bytes.length, 0)) {
+			return CompletableFuture
+				.failedFuture(new LedgerLogException("the log has reached the limit of the disk space", null));
 		}
-	}
-
-	private void writeGroup(List<Write> group) {
-		try {
-			for (Write write : group) {
-				if (write.isCompaction) {
-					replace(write.bytes);
-				}
-				else {
-					writeAll(this.channel, write.bytes);
-				}
+		return this.writer.submit(write).<Void>thenApply((written) -> null).whenComplete((done, error) -> {
+			if (error != null) {
+				this.budget.add(-write.bytes.length);
 			}
-			this.channel.force(false);
-			this.sizeBytes.set(this.channel.position());
-			List<Write> written = List.copyOf(group);
-			this.control.execute(() -> written.forEach((write) -> write.result.complete(null)));
-		}
-		catch (IOException ex) {
-			logger.errorf("event=ledger.write_failed error=\"%s\"", ex.getMessage());
-			LedgerLogException failure = new LedgerLogException("the ledger's log can't be written", ex);
-			List<Write> failed = List.copyOf(group);
-			this.control.execute(() -> failed.forEach((write) -> write.result.completeExceptionally(failure)));
-		}
+		});
 	}
 
 	private void replace(byte[] bytes) throws IOException {
 		Path unfinished = this.folder.resolve(UNFINISHED);
-		FileChannel fresh = FileChannel.open(unfinished, StandardOpenOption.CREATE,
-				StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-		writeAll(fresh, bytes);
-		fresh.force(true);
-		Files.move(unfinished, this.folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE,
-				StandardCopyOption.REPLACE_EXISTING);
-		forceFolder();
-		this.channel.close();
-		this.channel = fresh;
-	}
-
-	private static void writeAll(FileChannel target, byte[] bytes) throws IOException {
-		ByteBuffer buffer = ByteBuffer.wrap(bytes);
-		while (buffer.hasRemaining()) {
-			target.write(buffer);
-		}
-	}
-
-	private void forceFolder() throws IOException {
-		try (FileChannel directory = FileChannel.open(this.folder, StandardOpenOption.READ)) {
-			directory.force(true);
+		Files.deleteIfExists(unfinished);
+		RecordFile fresh = new RecordFile(this.opener, unfinished, MAX_RECORD_BYTES, (offset, content) -> {
+		});
+		try {
+			fresh.append(bytes);
+			fresh.force();
+			Files.move(unfinished, this.folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE,
+					StandardCopyOption.REPLACE_EXISTING);
 		}
-	}
-
-	private long recover(RecoveredEntries entries) throws IOException {
-		ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(this.folder.resolve(NAME)));
-		while (bytes.remaining() >= HEADER_BYTES) {
-			int start = bytes.position();
-			int length = bytes.getInt();
-			int checksum = bytes.getInt();
-			if (length <= 0 || length > MAX_RECORD_BYTES || length > bytes.remaining()) {
-				return start;
-			}
-			byte[] content = new byte[length];
-			bytes.get(content);
-			if (checksum(content) != checksum) {
-				return start;
-			}
-			decode(content, entries);
+		catch (IOException ex) {
+			// The log in use is complete without the compaction.
+			fresh.close();
+			Files.deleteIfExists(unfinished);
+			throw ex;
 		}
-		return bytes.position();
+		this.budget.add(-this.file.sizeBytes());
+		this.file.close();
+		this.file = fresh;
+		Folders.force(this.folder);
 	}
 
 	private static void decode(byte[] content, RecoveredEntries entries) throws IOException {
@@ -241,9 +177,7 @@
 				record.writeLong(entry.reservedTokens());
 				record.writeLong(entry.releasedTokens());
 				record.writeLong(entry.retentionMs());
-				output.writeInt(content.size());
-				output.writeInt(checksum(content.toByteArray()));
-				output.write(content.toByteArray());
+				output.write(RecordFile.encode(content.toByteArray()));
 			}
 		}
 		catch (IOException ex) {
@@ -252,10 +186,30 @@
 		return bytes.toByteArray();
 	}
 
-	private static int checksum(byte[] content) {
-		CRC32 crc = new CRC32();
-		crc.update(content);
-		return (int) crc.getValue();
+	private final class Target implements WriteTarget<Write> {
+
+		@Override
+		public void write(Write write) throws IOException {
+			if (write.isCompaction) {
+				replace(write.bytes);
+			}
+			else {
+				FileLedgerLog.this.file.append(write.bytes);
+			}
+		}
+
+		@Override
+		public void force() throws IOException {
+			FileLedgerLog.this.file.force();
+			FileLedgerLog.this.sizeBytes = FileLedgerLog.this.file.sizeBytes();
+		}
+
+		@Override
+		public void rollBack() throws IOException {
+			FileLedgerLog.this.file.rollBack();
+			FileLedgerLog.this.sizeBytes = FileLedgerLog.this.file.sizeBytes();
+		}
+
 	}
 
 	private static final class Write {
@@ -264,8 +218,6 @@
 
 		private final boolean isCompaction;
 
-		private final CompletableFuture<Void> result = new CompletableFuture<>();
-
 		private Write(byte[] bytes, boolean isCompaction) {
 			this.bytes = bytes;
 			this.isCompaction = isCompaction;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -27,6 +27,8 @@
 import dev.nutmegdoor.core.store.ListWatcher;
 import dev.nutmegdoor.core.store.StoreHealth;
 import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.node.disk.ChannelOpener;
+import dev.nutmegdoor.node.disk.DiskBudget;
 import dev.nutmegdoor.node.peer.PeerTransportSettings;
 import dev.nutmegdoor.node.peer.TcpPeerTransport;
 import dev.nutmegdoor.node.process.MetricsText;
@@ -115,7 +117,8 @@
 
 	private FileLedgerLog open(Path folder) {
 		try {
-			return new FileLedgerLog(folder, this.control, System::currentTimeMillis);
+			return new FileLedgerLog(folder, this.control, System::currentTimeMillis, ChannelOpener.DEFAULT,
+					new DiskBudget(DiskBudget.UNLIMITED));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("the ledger's log in " + folder + " can't be opened", ex);
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import dev.nutmegdoor.core.ledger.LedgerEntry;
+import dev.nutmegdoor.node.disk.ChannelOpener;
+import dev.nutmegdoor.node.disk.DiskBudget;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -32,7 +34,8 @@
 	private long nowMs = 1_000_000;
 
 	private FileLedgerLog open() throws IOException {
-		return new FileLedgerLog(this.folder, Runnable::run, () -> this.nowMs);
+		return new FileLedgerLog(this.folder, Runnable::run, () -> this.nowMs, ChannelOpener.DEFAULT,
+				new DiskBudget(DiskBudget.UNLIMITED));
 	}
 
 	private Path file() {
