--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnOwners.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnOwners.java
@@ -18,6 +18,11 @@
  */
 public final class TurnOwners {
 
+	/**
+	 * Two members may fail at the same time, so that a turn must be on three.
+	 */
+	private static final int MIN_COPIES = 3;
+
 	private TurnOwners() {
 	}
 
@@ -40,6 +45,28 @@
 		return byZone;
 	}
 
+	/**
+	 * Returns the members that store the turns of a group if all are reachable: the first
+	 * one of each zone and, with fewer than three zones, the next ones of all zones in
+	 * turn.
+	 * @param group group of the turns
+	 * @param members all members
+	 * @return at least three members, or all if there are fewer
+	 */
+	public static List<LedgerMember> chosen(String group, Collection<LedgerMember> members) {
+		Collection<List<LedgerMember>> zones = byZone(group, members).values();
+		int needed = Math.min(members.size(), Math.max(MIN_COPIES, zones.size()));
+		List<LedgerMember> chosen = new ArrayList<>();
+		for (int rank = 0; chosen.size() < needed; rank++) {
+			for (List<LedgerMember> zoneMembers : zones) {
+				if (rank < zoneMembers.size() && chosen.size() < needed) {
+					chosen.add(zoneMembers.get(rank));
+				}
+			}
+		}
+		return chosen;
+	}
+
 	private static long weight(String group, LedgerMember member) {
 		return LongHashFunction.xx().hashChars(group + "/" + member.id());
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -41,7 +41,7 @@
 	 * @param members replicas in any order
 	 * @return a hash of their identifiers and addresses, never 0
 	 */
-	static long fingerprintOf(Collection<LedgerMember> members) {
+	public static long fingerprintOf(Collection<LedgerMember> members) {
 		long fingerprint = 1;
 		for (LedgerMember member : members) {
 			fingerprint += LongHashFunction.xx().hashChars(member.id() + " " + member.host() + ":" + member.port());
@@ -49,7 +49,7 @@
 		return (fingerprint != 0) ? fingerprint : 1;
 	}
 
-	long fingerprint() {
+	public long fingerprint() {
 		return this.fingerprint;
 	}
 
@@ -57,11 +57,11 @@
 		return this.members.size();
 	}
 
-	boolean isReachable(InstanceId id) {
+	public boolean isReachable(InstanceId id) {
 		return !this.unreachableSinceMs.containsKey(id);
 	}
 
-	long unreachableDurationMs(InstanceId id, long nowMs) {
+	public long unreachableDurationMs(InstanceId id, long nowMs) {
 		Long sinceMs = this.unreachableSinceMs.get(id);
 		return (sinceMs != null) ? nowMs - sinceMs : 0;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerReplica.java
@@ -69,8 +69,12 @@
 
 	private final LedgerMembers members;
 
+	private final ReplicatedState turns;
+
 	private final LedgerTable table = new LedgerTable();
 
+	private long notifiedFingerprint;
+
 	private boolean isServing;
 
 	private boolean isRegistered;
@@ -93,9 +97,12 @@
 	 * @param events log of changes to the state and the member list
 	 * @param settings timeouts and periods
 	 * @param members receives the other replicas
+	 * @param turns turns of conversations, which are copied and transferred with the
+	 * entries, or {@link ReplicatedState#NONE}
 	 */
 	public LedgerReplica(LedgerMember self, PeerTransport transport, InstanceRegistry registry, LedgerLog log,
-			TimerService timer, EventLog events, LedgerSettings settings, LedgerMembers members) {
+			TimerService timer, EventLog events, LedgerSettings settings, LedgerMembers members,
+			ReplicatedState turns) {
 		this.self = self;
 		this.transport = transport;
 		this.registry = registry;
@@ -104,6 +111,8 @@
 		this.events = events;
 		this.settings = settings;
 		this.members = members;
+		this.turns = turns;
+		this.notifiedFingerprint = members.fingerprint();
 		transport.subscribe(LedgerReserve.class, (from, message) -> reserve(message));
 		transport.subscribe(LedgerUpdate.class, (from, message) -> update(message));
 		transport.subscribe(LedgerSync.class, (from, message) -> sync(message));
@@ -158,10 +167,11 @@
 	}
 
 	/**
-	 * Transfers all entries to the other replicas and removes this replica from the
-	 * ledger.
-	 * @return completes when all reachable replicas have stored the entries and this
-	 * replica is unregistered; fails if no other replica has stored them
+	 * Transfers all entries and turns to the other replicas and removes this replica from
+	 * the ledger.
+	 * @return completes when all reachable replicas have stored the entries, the replicas
+	 * that are now chosen have stored the turns, and this replica is unregistered; fails
+	 * if no other replica has stored them
 	 */
 	public CompletableFuture<Void> leave() {
 		this.isLeaving = true;
@@ -175,6 +185,8 @@
 				return CompletableFuture.failedFuture(
 						new PeerException(PeerFailure.TIMEOUT, "no other replica of the ledger stored the entries"));
 			}
+			return this.turns.handOver();
+		}).thenCompose((ignored) -> {
 			this.isServing = false;
 			return this.registry.unregister(this.self.toEntry());
 		});
@@ -248,8 +260,9 @@
 		else {
 			recordOutcome(message.subject(), null);
 		}
+		notifyIfMembersChanged();
 		return store(message.entries()).thenApply((stored) -> new LedgerSyncAnswer(this.isServing,
-				message.isStateWanted() ? this.table.all() : List.of(), listedMembers()));
+				message.isStateWanted() ? this.table.all() : List.of(), listedMembers(), this.turns.itemCount()));
 	}
 
 	private List<LedgerMember> listedMembers() {
@@ -272,6 +285,8 @@
 				entries.stream()
 					.filter((entry) -> !entry.id().equals(this.self.id()))
 					.forEach((entry) -> this.members.add(LedgerMember.of(entry)));
+				notifyIfMembersChanged();
+				this.turns.joined();
 				this.syncStartedAtMs = this.timer.nowMs();
 				this.members.all().forEach((member) -> probe(member, true));
 				startServingIfAlone();
@@ -316,11 +331,26 @@
 	}
 
 	private void recordOutcome(LedgerMember member, @Nullable Throwable error) {
+		boolean wasReachable = this.members.isReachable(member.id());
 		this.members.recordOutcome(member.id(), error, this.timer.nowMs(), this.events);
+		if (!wasReachable && error == null) {
+			this.turns.memberRegained(member.id());
+		}
+	}
+
+	private void notifyIfMembersChanged() {
+		if (this.members.fingerprint() != this.notifiedFingerprint) {
+			this.notifiedFingerprint = this.members.fingerprint();
+			this.turns.membersChanged();
+		}
 	}
 
 	private void applySyncAnswer(LedgerMember member, boolean isStateWanted, LedgerSyncAnswer answer) {
 		answer.members().stream().filter((listed) -> !listed.id().equals(this.self.id())).forEach(this.members::add);
+		notifyIfMembersChanged();
+		if (!this.isLeaving) {
+			this.turns.memberAnswered(member, answer.turns());
+		}
 		if (!isStateWanted) {
 			return;
 		}
@@ -347,6 +377,7 @@
 
 	private void evict(LedgerMember member) {
 		this.members.remove(member.id());
+		notifyIfMembersChanged();
 		this.events.record("ledger.evicted", "replica", member.id());
 		LedgerSync notice = new LedgerSync(member, true, false, List.of());
 		this.members.all().forEach((other) -> this.transport.send(other.id(), notice));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerSyncAnswer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerSyncAnswer.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.peer.PeerMessage;
 
 /**
@@ -11,9 +13,11 @@
  * @param entries all entries of the sender if they were requested, otherwise empty
  * @param members all replicas in the member list of the sender, including itself unless
  * it is leaving
+ * @param turns number of turns of conversations that the sender has, or {@code null} if
+ * it has none or its version keeps none
  */
-public record LedgerSyncAnswer(boolean isComplete, List<LedgerEntry> entries,
-		List<LedgerMember> members) implements PeerMessage {
+public record LedgerSyncAnswer(boolean isComplete, List<LedgerEntry> entries, List<LedgerMember> members,
+		@Nullable Long turns) implements PeerMessage {
 
 	public LedgerSyncAnswer {
 		entries = List.copyOf(entries);
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerFleet.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/ledger/LedgerFleet.java
@@ -66,7 +66,7 @@
 		LedgerReplica replica = new LedgerReplica(new LedgerMember(host.id(), host.availabilityZone(), "10.0.0.1", 1),
 				this.network.join(host),
 				new StoredInstanceRegistry(this.store.clientOf(host), "ledger-replicas", EventLog.NONE), disk, host,
-				EventLog.NONE, LedgerSettings.DEFAULT, new LedgerMembers());
+				EventLog.NONE, LedgerSettings.DEFAULT, new LedgerMembers(), ReplicatedState.NONE);
 		this.replicas.put(name, replica);
 		replica.start(List.copyOf(disk.durable), isFirstStart || !isNew);
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -22,6 +22,7 @@
 import dev.nutmegdoor.core.ledger.LedgerMessages;
 import dev.nutmegdoor.core.ledger.LedgerReplica;
 import dev.nutmegdoor.core.ledger.LedgerSettings;
+import dev.nutmegdoor.core.ledger.ReplicatedState;
 import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.store.ListWatcher;
@@ -96,7 +97,7 @@
 				settings.firstPort());
 		InstanceRegistry registry = new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events);
 		this.replica = new LedgerReplica(self, this.transport, registry, this.log, this.control, events,
-				LedgerSettings.DEFAULT, this.members);
+				LedgerSettings.DEFAULT, this.members, ReplicatedState.NONE);
 		this.retirements = new ListWatcher(platform.store(), this.control, random, new StoreHealth(this.control),
 				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(), 0, new RetirementListener(
 						settings.instance(), this.replica, registry, platform.store(), this.control, events));
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RetirementListenerTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RetirementListenerTests.java
@@ -24,6 +24,7 @@
 import dev.nutmegdoor.core.ledger.LedgerMembers;
 import dev.nutmegdoor.core.ledger.LedgerReplica;
 import dev.nutmegdoor.core.ledger.LedgerSettings;
+import dev.nutmegdoor.core.ledger.ReplicatedState;
 import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.store.ObjectStore;
@@ -59,7 +60,7 @@
 		InstanceRegistry registry = new StoredInstanceRegistry(client, LedgerNode.REGISTRY_KIND, EventLog.NONE);
 		LedgerReplica replica = new LedgerReplica(new LedgerMember(host.id(), ZONE, "10.0.0.1", 1),
 				this.network.join(host), registry, new EmptyLog(), host, EventLog.NONE, LedgerSettings.DEFAULT,
-				new LedgerMembers());
+				new LedgerMembers(), ReplicatedState.NONE);
 		replica.start(List.of(), true);
 		this.timer.advance(500);
 		return new RetirementListener(host.id(), replica, registry, client, host, EventLog.NONE);
