--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -22,11 +22,14 @@
 import dev.nutmegdoor.core.ledger.LedgerMessages;
 import dev.nutmegdoor.core.ledger.LedgerReplica;
 import dev.nutmegdoor.core.ledger.LedgerSettings;
+import dev.nutmegdoor.core.ledger.ReplicatedState;
 import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.store.ListWatcher;
 import dev.nutmegdoor.core.store.StoreHealth;
 import dev.nutmegdoor.node.control.ControlThread;
+import dev.nutmegdoor.node.disk.ChannelOpener;
+import dev.nutmegdoor.node.disk.DiskBudget;
 import dev.nutmegdoor.node.peer.PeerTransportSettings;
 import dev.nutmegdoor.node.peer.TcpPeerTransport;
 import dev.nutmegdoor.node.process.MetricsText;
@@ -94,7 +97,7 @@
 				settings.firstPort());
 		InstanceRegistry registry = new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events);
 		this.replica = new LedgerReplica(self, this.transport, registry, this.log, this.control, events,
-				LedgerSettings.DEFAULT, this.members);
+				LedgerSettings.DEFAULT, this.members, ReplicatedState.NONE);
 		this.retirements = new ListWatcher(platform.store(), this.control, random, new StoreHealth(this.control),
 				events, RetirementTranslator.KIND, settings.storeWaitMaxMs(), 0, new RetirementListener(
 						settings.instance(), this.replica, registry, platform.store(), this.control, events));
@@ -115,7 +118,8 @@
 
 	private FileLedgerLog open(Path folder) {
 		try {
-			return new FileLedgerLog(folder, this.control, System::currentTimeMillis);
+			return new FileLedgerLog(folder, this.control, System::currentTimeMillis, ChannelOpener.DEFAULT,
+					new DiskBudget(DiskBudget.UNLIMITED));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("the ledger's log in " + folder + " can't be opened", ex);
