Store and read turns of conversations on ledger members

Routes with Retain carry only the new input of a turn and name the turn that they continue.

The merging of member lists moves from TokenBudgets to LedgerMembers, which both clients use.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -49,7 +49,7 @@
 		return (fingerprint != 0) ? fingerprint : 1;
 	}
 
-	long fingerprint() {
+	public long fingerprint() {
 		return this.fingerprint;
 	}
 
@@ -57,7 +57,7 @@
 		return this.members.size();
 	}
 
-	boolean isReachable(InstanceId id) {
+	public boolean isReachable(InstanceId id) {
 		return !this.unreachableSinceMs.containsKey(id);
 	}
 
@@ -74,7 +74,7 @@
 	 * @param nowMs current time in milliseconds
 	 * @param events log that receives the event
 	 */
-	void recordOutcome(InstanceId id, @Nullable Throwable error, long nowMs, EventLog events) {
+	public void recordOutcome(InstanceId id, @Nullable Throwable error, long nowMs, EventLog events) {
 		if (error == null && this.unreachableSinceMs.remove(id) != null) {
 			events.record("ledger.regained", "replica", id);
 		}
@@ -99,6 +99,32 @@
 		return isNew;
 	}
 
+	/**
+	 * Merges the list of another replica. The lists of replicas may differ, especially
+	 * after a restart. A replica is removed if the other one does not list it and this
+	 * instance has been unable to reach it for some time.
+	 * @param listedMembers replicas that the other one lists
+	 * @param nowMs current time in milliseconds
+	 * @param forgetMs time in milliseconds after which an unreachable replica is removed
+	 * @param events log that receives an event if the list changes
+	 */
+	public void merge(Collection<LedgerMember> listedMembers, long nowMs, long forgetMs, EventLog events) {
+		boolean isChanged = false;
+		for (LedgerMember member : listedMembers) {
+			isChanged |= add(member);
+		}
+		for (LedgerMember member : List.copyOf(all())) {
+			if (unreachableDurationMs(member.id(), nowMs) > forgetMs
+					&& listedMembers.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
+				remove(member.id());
+				isChanged = true;
+			}
+		}
+		if (isChanged) {
+			events.record("ledger.members", "members", all().stream().map(LedgerMember::id).toList());
+		}
+	}
+
 	void remove(InstanceId id) {
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
 		updatedMembers.remove(id);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/TokenBudgets.java
@@ -149,28 +149,10 @@
 		}
 	}
 
-	// The member lists of replicas may differ, especially after a restart. A replica is
-	// removed if another replica does not list it and this instance has been unable to
-	// reach it for the configured time (forgetMs).
 	void updateMembers(List<LedgerMember> listedMembers) {
-		boolean isChanged = false;
-		for (LedgerMember member : listedMembers) {
-			isChanged |= this.dependencies.members().add(member);
-		}
-		for (LedgerMember member : List.copyOf(this.dependencies.members().all())) {
-			if (this.dependencies.members()
-				.unreachableDurationMs(member.id(),
-						this.dependencies.timer().nowMs()) > this.dependencies.settings().forgetMs()
-					&& listedMembers.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
-				this.dependencies.members().remove(member.id());
-				isChanged = true;
-			}
-		}
-		if (isChanged) {
-			this.dependencies.events()
-				.record("ledger.members", "members",
-						this.dependencies.members().all().stream().map(LedgerMember::id).toList());
-		}
+		this.dependencies.members()
+			.merge(listedMembers, this.dependencies.timer().nowMs(), this.dependencies.settings().forgetMs(),
+					this.dependencies.events());
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestMetadata.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/RequestMetadata.java
@@ -27,10 +27,13 @@
  * @param resumedAttemptId identifier of the attempt that brought the first event of the
  * stream that the client takes up, or {@code null} if it names none
  * @param prompt parts of the prompt in order; empty for a plain request
+ * @param previousTurn identifier of the attempt that brought the turn that this one
+ * continues, as the client sent it, or {@code null} if it named none
  */
 public record RequestMetadata(@Nullable String attemptId, @Nullable Long deadlineMs, @Nullable String programId,
 		@Nullable Long finishMs, @Nullable Long tokenBudget, int maxAnswerTokens, int expectedAnswerTokens,
-		long resumeAfterEvent, @Nullable String resumedAttemptId, List<PromptPart> prompt) {
+		long resumeAfterEvent, @Nullable String resumedAttemptId, List<PromptPart> prompt,
+		@Nullable String previousTurn) {
 
 	public RequestMetadata {
 		prompt = List.copyOf(prompt);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ServiceRoute.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ServiceRoute.java
@@ -14,10 +14,13 @@
  * @param timeoutMs maximum duration of a request in milliseconds
  * @param priority priority; 0 is the most urgent
  * @param isPublic whether requests need no API key
- * @param retentionMs time in milliseconds for which the token budget of a program is kept
+ * @param retentionMs time in milliseconds for which the token budget of a program is
+ * kept, and on retained routes the turns with their chains
+ * @param isRetained whether the turns of the route are kept, so that a request carries
+ * only its new input and names the turn that it continues
  */
 public record ServiceRoute(String name, String host, String prefix, RouteKind kind, List<ServiceShare> shares,
-		int maxReplicas, long timeoutMs, int priority, boolean isPublic, long retentionMs) {
+		int maxReplicas, long timeoutMs, int priority, boolean isPublic, long retentionMs, boolean isRetained) {
 
 	public ServiceRoute {
 		if (shares.isEmpty()) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/RouteTableTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/route/RouteTableTests.java
@@ -17,7 +17,8 @@
 class RouteTableTests {
 
 	private static ServiceRoute route(String name, String prefix, ServiceShare... shares) {
-		return new ServiceRoute(name, "h.example", prefix, RouteKind.SAFE, List.of(shares), 1, 1_000, 0, false, 0);
+		return new ServiceRoute(name, "h.example", prefix, RouteKind.SAFE, List.of(shares), 1, 1_000, 0, false, 0,
+				false);
 	}
 
 	private static RouteTable table(long version, ServiceRoute... routes) {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
 
+import dev.nutmegdoor.core.conversation.FailureTolerance;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
@@ -125,7 +126,11 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, this.graceMs, 2_000);
+				5_000, this.folder, 256, this.graceMs, 2_000, tolerance());
+	}
+
+	FailureTolerance tolerance() {
+		return FailureTolerance.DEFAULT;
 	}
 
 	@AfterEach
