Report no turn as unknown by an incomplete list of members

A gateway that restarts in a zone that is cut off may know only members that restarted there and list only each other, and drops the others from its list after 1 s. All members that it knows would then lack a turn that the other zones have, and its client would get 404.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/ConversationDependencies.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/ConversationDependencies.java
@@ -1,5 +1,7 @@
 package dev.nutmegdoor.core.conversation;
 
+import java.util.function.BooleanSupplier;
+
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.invariant.InvariantRegistry;
@@ -17,8 +19,11 @@
  * @param events log of stored and read turns
  * @param zone availability zone of this process
  * @param tolerance failures that a stored turn must survive
+ * @param isMemberListRead returns whether this process has read the list of members from
+ * the platform's store, which contains all of them
  */
 public record ConversationDependencies(PeerTransport transport, LedgerMembers members, TimerService timer,
-		InvariantRegistry invariants, EventLog events, AvailabilityZone zone, FailureTolerance tolerance) {
+		InvariantRegistry invariants, EventLog events, AvailabilityZone zone, FailureTolerance tolerance,
+		BooleanSupplier isMemberListRead) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnMembers.java
@@ -32,6 +32,12 @@
 	 */
 	private static final long REFUSED_MS = 1_000;
 
+	/**
+	 * Time in milliseconds after which a member that was forgotten is gone for good; the
+	 * time after which the ledger drops an unreachable one.
+	 */
+	private static final long FORGOTTEN_MS = LedgerSettings.DEFAULT.evictMs();
+
 	private static final String UNKNOWN_TYPE = "unknown type";
 
 	/** Part of the error of another process that runs at the address of the member. */
@@ -55,6 +61,22 @@
 		return members().all().stream().filter((member) -> !isUnsupported(member.id())).toList();
 	}
 
+	/**
+	 * Returns whether the list of members is complete, so that a turn that none of them
+	 * has does not exist. Members that restart in a zone that is cut off list only each
+	 * other; a list without members of another zone, or one from which unreachable
+	 * members were removed, may come from them.
+	 * @return {@code false} if there may be members that this process does not know
+	 */
+	boolean isListComplete() {
+		long nowMs = this.dependencies.timer().nowMs();
+		if (members().hasForgottenSince(nowMs - FORGOTTEN_MS)) {
+			return false;
+		}
+		long zones = members().all().stream().map(LedgerMember::zone).distinct().count();
+		return this.dependencies.isMemberListRead().getAsBoolean() || zones > this.dependencies.tolerance().zones();
+	}
+
 	Map<AvailabilityZone, List<LedgerMember>> byZone(String group) {
 		return TurnOwners.byZone(group, all());
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnSearch.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnSearch.java
@@ -99,7 +99,7 @@
 
 	String describe() {
 		return "turn " + this.key.id() + " is not at " + this.lacking + ", no certain answer from " + this.uncertain
-				+ ", pending " + this.pending;
+				+ ", pending " + this.pending + ", list of members complete: " + this.members.isListComplete();
 	}
 
 	void start() {
@@ -174,7 +174,7 @@
 			return;
 		}
 		if (this.pending.isEmpty()) {
-			boolean isCertain = this.uncertain.isEmpty() && !this.lacking.isEmpty();
+			boolean isCertain = this.uncertain.isEmpty() && !this.lacking.isEmpty() && this.members.isListComplete();
 			fail(isCertain ? ConversationFailure.NOT_FOUND : ConversationFailure.UNCERTAIN);
 		}
 		else if (!this.isGraceStarted && this.pending.stream().noneMatch(this.members::isReachable)) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -19,6 +19,8 @@
 
 	private final Map<InstanceId, Long> unreachableSinceMs = new HashMap<>();
 
+	private final Map<InstanceId, Long> forgottenAtMs = new HashMap<>();
+
 	private volatile Map<InstanceId, LedgerMember> members = Map.of();
 
 	private long fingerprint = fingerprintOf(List.of());
@@ -93,6 +95,7 @@
 			return false;
 		}
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
+		this.forgottenAtMs.remove(member.id());
 		boolean isNew = updatedMembers.put(member.id(), member) == null;
 		replaceAll(updatedMembers);
 		this.unreachableSinceMs.remove(member.id());
@@ -117,6 +120,7 @@
 			if (unreachableDurationMs(member.id(), nowMs) > forgetMs
 					&& listedMembers.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
 				remove(member.id());
+				this.forgottenAtMs.put(member.id(), nowMs);
 				isChanged = true;
 			}
 		}
@@ -125,6 +129,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether a replica was removed because another one did not list it, and has
+	 * not been added since.
+	 * @param sinceMs time in milliseconds from which on removals count
+	 * @return {@code true} if the list may lack a replica that is only unreachable
+	 */
+	public boolean hasForgottenSince(long sinceMs) {
+		return this.forgottenAtMs.values().stream().anyMatch((forgottenMs) -> forgottenMs >= sinceMs);
+	}
+
 	void remove(InstanceId id) {
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
 		updatedMembers.remove(id);
