Keep the turns of retained routes at gateways

The body of a turn is composed from the chain that it continues before the request is scheduled, so that retries, tunnels and the quarantine use it. Events are forwarded as they arrive; the data of the events is recorded, and the end of the response is held back until the turn is stored. A turn that can't be stored ends without its last chunk.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -15,6 +15,10 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
+import dev.nutmegdoor.core.conversation.ChainMemory;
+import dev.nutmegdoor.core.conversation.ConversationClient;
+import dev.nutmegdoor.core.conversation.ConversationDependencies;
+import dev.nutmegdoor.core.conversation.TurnMessages;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.explain.DecisionIds;
 import dev.nutmegdoor.core.explain.DecisionLog;
@@ -142,6 +146,13 @@
 
 	private final LedgerMembers ledgerMembers = new LedgerMembers();
 
+	private final ConversationClient conversations;
+
+	/**
+	 * Whether the store's list of ledger replicas was read; used on the control thread.
+	 */
+	private boolean isMemberListRead;
+
 	private final TcpPeerTransport transport;
 
 	private final DeploymentExchange deploymentExchange;
@@ -236,10 +247,18 @@
 				() -> this.deployment.current().upstreams().values());
 		ControlBridge controlBridge = new ControlBridge(this.control);
 		EntryDecisions entryDecisions = new EntryDecisions(decisions, this.control);
+		ChainMemory chainMemory = new ChainMemory(ChainMemory.DEFAULT_BYTES);
+		this.conversations = new ConversationClient(
+				new ConversationDependencies(this.transport, this.ledgerMembers, this.control, this.invariants, events,
+						settings.zone(), settings.tolerance(), () -> this.isMemberListRead),
+				chainMemory);
+		this.metrics.gauge("turns.chains.bytes", () -> chainMemory::usedBytes);
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
-				events, this.quarantine, new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment,
-						this.replicaWatcher, this.control, events),
-				this.drainDeadline, replicas);
+				events, this.quarantine,
+				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.replicaWatcher,
+						this.control, events),
+				this.drainDeadline, replicas,
+				new RetainedTurns(this.conversations, chainMemory, controlBridge, eventLoop, this.metrics, events));
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
@@ -355,6 +374,7 @@
 		registry.list().whenComplete((entries, error) -> {
 			if (error == null) {
 				entries.forEach((entry) -> this.ledgerMembers.add(LedgerMember.of(entry)));
+				this.isMemberListRead = !entries.isEmpty();
 			}
 			if (this.ledgerMembers.all().isEmpty()) {
 				this.control.schedule(LEDGER_LIST_PERIOD_MS, () -> listLedgerReplicas(registry));
@@ -365,6 +385,7 @@
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
 		types.addAll(TunnelMessages.types());
+		types.addAll(TurnMessages.types());
 		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class,
 				StreamBegun.class, StreamOriginQuery.class, StreamOriginAnswer.class));
 		return types;
@@ -383,8 +404,9 @@
 				+ this.drainDeadline.isStarted() + " configuration=" + this.deployment.current().version()
 				+ " replicas=" + this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
 				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
-				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
-				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " conversations=" + this.conversations.dump()
+				+ " quarantined=" + this.quarantine.dump() + " runner=" + this.runner.dump() + " violations="
+				+ this.invariants.violations()));
 	}
 
 	/**
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -33,6 +33,7 @@
 import dev.nutmegdoor.node.entry.BodyReader;
 import dev.nutmegdoor.node.entry.ControlBridge;
 import dev.nutmegdoor.node.entry.Exchange;
+import dev.nutmegdoor.node.entry.RefusalException;
 import dev.nutmegdoor.node.entry.Route;
 import dev.nutmegdoor.node.entry.RoutedRequest;
 
@@ -76,6 +77,8 @@
 
 	private final ReplicaList replicas;
 
+	private final RetainedTurns retainedTurns;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -89,10 +92,11 @@
 	 * @param origins knows where streams began; used on the control thread
 	 * @param drainDeadline limits the time of requests while the instance stops
 	 * @param replicas is told of replicas that leave; used on the control thread
+	 * @param retainedTurns reads and stores the turns of retained routes
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
 			EventLog events, RequestQuarantine quarantine, StreamOrigins origins, DrainDeadline drainDeadline,
-			ReplicaList replicas) {
+			ReplicaList replicas, RetainedTurns retainedTurns) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
@@ -103,6 +107,7 @@
 		this.origins = origins;
 		this.drainDeadline = drainDeadline;
 		this.replicas = replicas;
+		this.retainedTurns = retainedTurns;
 	}
 
 	@Override
@@ -113,14 +118,25 @@
 	@Override
 	public Mono<Void> run(Exchange exchange) {
 		RoutedRequest routed = exchange.routed();
-		return BodyReader
-			.readBytes(exchange, routed.table().limits().maxBodyBytes(), Duration.ofMillis(routed.timeoutMs()))
-			.flatMap((body) -> relay(exchange, routed, body));
+		if (!routed.route().isRetained()) {
+			return readBody(exchange, routed).flatMap((body) -> relay(exchange, routed, body, null));
+		}
+		Refusal refusal = RetainedTurns.check(routed.facts());
+		if (refusal != null) {
+			return Mono.error(new RefusalException(refusal));
+		}
+		return readBody(exchange, routed).flatMap((input) -> this.retainedTurns.compose(exchange, input))
+			.flatMap((turn) -> relay(exchange, routed, turn.body(), turn).doFinally((signal) -> turn.release().run()));
 	}
 
-	private Mono<Void> relay(Exchange exchange, RoutedRequest routed, byte[] body) {
+	private static Mono<byte[]> readBody(Exchange exchange, RoutedRequest routed) {
+		return BodyReader.readBytes(exchange, routed.table().limits().maxBodyBytes(),
+				Duration.ofMillis(routed.timeoutMs()));
+	}
+
+	private Mono<Void> relay(Exchange exchange, RoutedRequest routed, byte[] body, @Nullable RetainedTurn turn) {
 		RelayResponse response = new RelayResponse(exchange);
-		RelayStart start = new RelayStart(exchange, body, routed.route().selectService(this.random.nextDouble()),
+		RelayStart start = new RelayStart(exchange, body, turn, routed.route().selectService(this.random.nextDouble()),
 				RequestFingerprint.of(exchange.method(), exchange.path(), exchange.request().uri(),
 						exchange.workspaceOrNull(), body),
 				response, new RelayCallListener(exchange, response, this.pool.eventLoop(), this.control));
@@ -144,6 +160,8 @@
 
 		private final byte[] body;
 
+		private final @Nullable RetainedTurn turn;
+
 		private final String selectedService;
 
 		private final RequestFingerprint fingerprint;
@@ -156,10 +174,11 @@
 
 		private boolean isEnded;
 
-		private RelayStart(Exchange exchange, byte[] body, String selectedService, RequestFingerprint fingerprint,
-				RelayResponse response, CallListener listener) {
+		private RelayStart(Exchange exchange, byte[] body, @Nullable RetainedTurn turn, String selectedService,
+				RequestFingerprint fingerprint, RelayResponse response, CallListener listener) {
 			this.exchange = exchange;
 			this.body = body;
+			this.turn = turn;
 			this.selectedService = selectedService;
 			this.fingerprint = fingerprint;
 			this.response = response;
@@ -259,7 +278,8 @@
 					: 0;
 			RelayTransfer transfer = new RelayTransfer(this.exchange, this.body, this.response, RelayRoute.this.pool,
 					RelayRoute.this.control, RelayRoute.this.events, tokensPerEvent, this.fingerprint,
-					RelayRoute.this.quarantine, RelayRoute.this.crashWatch, RelayRoute.this.replicas);
+					RelayRoute.this.quarantine, RelayRoute.this.crashWatch, RelayRoute.this.replicas,
+					RelayRoute.this.retainedTurns, this.turn);
 			String attemptId = routed().facts().attemptId();
 			if (route.kind() != RouteKind.RESUMABLE_STREAM || attemptId == null) {
 				return transfer;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -69,6 +69,10 @@
 
 	private final ReplicaList replicas;
 
+	private final RetainedTurns retainedTurns;
+
+	private final @Nullable RetainedTurn turn;
+
 	private final Set<UpstreamConnection> usedConnections = new HashSet<>(2);
 
 	private volatile long sentMs;
@@ -87,10 +91,12 @@
 	 * @param quarantine knows the requests that must not be sent
 	 * @param crashWatch is told of connections that are lost
 	 * @param replicas is told of replicas that leave; used on the control thread
+	 * @param retainedTurns stores turns whose response has ended
+	 * @param turn the turn to store, or {@code null} on a route that keeps none
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
 			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine,
-			CrashWatch crashWatch, ReplicaList replicas) {
+			CrashWatch crashWatch, ReplicaList replicas, RetainedTurns retainedTurns, @Nullable RetainedTurn turn) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
@@ -102,6 +108,8 @@
 		this.quarantine = quarantine;
 		this.crashWatch = crashWatch;
 		this.replicas = replicas;
+		this.retainedTurns = retainedTurns;
+		this.turn = turn;
 	}
 
 	@Override
@@ -149,6 +157,9 @@
 
 		private RelayEnd.@Nullable ReportedLoad reportedLoad;
 
+		/** Records the output of a turn that is to be stored. */
+		private @Nullable EventDataRecorder recorder;
+
 		private boolean isEndedByClose;
 
 		private boolean isHeadForwarded;
@@ -285,6 +296,20 @@
 			this.isEndedByClose = !receivedHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)
 					&& !receivedHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING);
 			this.headers = HopByHopHeaders.without(receivedHeaders);
+			RetainedTurn retained = RelayTransfer.this.turn;
+			if (retained != null && this.outcome == RelayOutcome.ANSWERED && hasOutput(receivedStatus)) {
+				this.recorder = RetainedTurns.recorderFor(retained);
+				// A client that knows the length would see the end with the last byte,
+				// before the turn is stored.
+				this.headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+			}
+		}
+
+		private boolean hasOutput(HttpResponseStatus receivedStatus) {
+			return receivedStatus.codeClass() == HttpStatusClass.SUCCESS
+					&& !receivedStatus.equals(HttpResponseStatus.NO_CONTENT)
+					&& !receivedStatus.equals(HttpResponseStatus.RESET_CONTENT)
+					&& !RelayTransfer.this.exchange.request().method().equals(HttpMethod.HEAD);
 		}
 
 		// These statuses guarantee to a client that the request did not run. A replica
@@ -309,6 +334,9 @@
 			if (routed().route().kind().isStream()) {
 				this.eventCounter.add(chunk);
 			}
+			if (this.recorder != null && isEventStream()) {
+				this.recorder.add(chunk);
+			}
 			RelayTransfer.this.response.writeChunk(chunk);
 			UpstreamConnection current = this.connection;
 			if (current != null && RelayTransfer.this.response.isFull()) {
@@ -344,7 +372,7 @@
 			}
 			if (this.outcome == RelayOutcome.ANSWERED) {
 				forwardHead();
-				RelayTransfer.this.response.complete();
+				completeResponse();
 				if (!isServerError(this.status)) {
 					RelayTransfer.this.control
 						.execute(() -> RelayTransfer.this.quarantine.completed(RelayTransfer.this.fingerprint));
@@ -353,6 +381,24 @@
 			end(this.outcome, "status " + this.status);
 		}
 
+		// The end of a turn that is kept is held back until the turn is stored.
+		private void completeResponse() {
+			RetainedTurn retained = RelayTransfer.this.turn;
+			EventDataRecorder output = this.recorder;
+			if (retained == null || output == null) {
+				RelayTransfer.this.response.complete();
+				return;
+			}
+			RelayTransfer.this.retainedTurns.store(retained, output, (isStored) -> {
+				if (isStored) {
+					RelayTransfer.this.response.complete();
+				}
+				else {
+					RelayTransfer.this.response.abort();
+				}
+			});
+		}
+
 		@Override
 		public void failed(String reason, boolean isConnectionLost) {
 			if (this.isEnded) {
