--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/ledger/LedgerMembers.java
@@ -19,6 +19,8 @@
 
 	private final Map<InstanceId, Long> unreachableSinceMs = new HashMap<>();
 
+	private final Map<InstanceId, Long> forgottenAtMs = new HashMap<>();
+
 	private volatile Map<InstanceId, LedgerMember> members = Map.of();
 
 	private long fingerprint = fingerprintOf(List.of());
@@ -74,7 +76,7 @@
 	 * @param nowMs current time in milliseconds
 	 * @param events log that receives the event
 	 */
-	void recordOutcome(InstanceId id, @Nullable Throwable error, long nowMs, EventLog events) {
+	public void recordOutcome(InstanceId id, @Nullable Throwable error, long nowMs, EventLog events) {
 		if (error == null && this.unreachableSinceMs.remove(id) != null) {
 			events.record("ledger.regained", "replica", id);
 		}
@@ -93,12 +95,50 @@
 			return false;
 		}
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
+		this.forgottenAtMs.remove(member.id());
 		boolean isNew = updatedMembers.put(member.id(), member) == null;
 		replaceAll(updatedMembers);
 		this.unreachableSinceMs.remove(member.id());
 		return isNew;
 	}
 
+	/**
+	 * Merges the list of another replica. The lists of replicas may differ, especially
+	 * after a restart. A replica is removed if the other one does not list it and this
+	 * instance has been unable to reach it for some time.
+	 * @param listedMembers replicas that the other one lists
+	 * @param nowMs current time in milliseconds
+	 * @param forgetMs time in milliseconds after which an unreachable replica is removed
+	 * @param events log that receives an event if the list changes
+	 */
+	public void merge(Collection<LedgerMember> listedMembers, long nowMs, long forgetMs, EventLog events) {
+		boolean isChanged = false;
+		for (LedgerMember member : listedMembers) {
+			isChanged |= add(member);
+		}
+		for (LedgerMember member : List.copyOf(all())) {
+			if (unreachableDurationMs(member.id(), nowMs) > forgetMs
+					&& listedMembers.stream().noneMatch((listed) -> listed.id().equals(member.id()))) {
+				remove(member.id());
+				this.forgottenAtMs.put(member.id(), nowMs);
+				isChanged = true;
+			}
+		}
+		if (isChanged) {
+			events.record("ledger.members", "members", all().stream().map(LedgerMember::id).toList());
+		}
+	}
+
+	/**
+	 * Returns whether a replica was removed because another one did not list it, and has
+	 * not been added since.
+	 * @param sinceMs time in milliseconds from which on removals count
+	 * @return {@code true} if the list may lack a replica that is only unreachable
+	 */
+	public boolean hasForgottenSince(long sinceMs) {
+		return this.forgottenAtMs.values().stream().anyMatch((forgottenMs) -> forgottenMs >= sinceMs);
+	}
+
 	void remove(InstanceId id) {
 		Map<InstanceId, LedgerMember> updatedMembers = new HashMap<>(this.members);
 		updatedMembers.remove(id);
