--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RecordedStorageTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RecordedStorageTests.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import dev.nutmegdoor.core.conversation.FailureTolerance;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.fake.FakeHost;
 import dev.nutmegdoor.core.fake.FakeObjectStore;
@@ -35,6 +36,8 @@
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoredObject;
 import dev.nutmegdoor.core.time.VirtualTimerService;
+import dev.nutmegdoor.node.disk.ChannelOpener;
+import dev.nutmegdoor.node.disk.DiskBudget;
 import dev.nutmegdoor.platform.ProcessSettings;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -88,7 +91,8 @@
 		}
 
 		private FileLedgerLog open() throws IOException {
-			return new FileLedgerLog(folder(), Runnable::run, () -> this.nowMs);
+			return new FileLedgerLog(folder(), Runnable::run, () -> this.nowMs, ChannelOpener.DEFAULT,
+					new DiskBudget(DiskBudget.UNLIMITED));
 		}
 
 		@BeforeEach
@@ -144,7 +148,8 @@
 		void areFoundInFolderOfOlderVersion() throws IOException {
 			InetSocketAddress store = new InetSocketAddress("127.0.0.1", 1);
 			ProcessSettings settings = new ProcessSettings(new InstanceId("i-1"), new AvailabilityZone("a"),
-					"127.0.0.1", null, null, null, 1, 1, List.of(), false, store, 1_000, this.data, 256, 1_000, 2_000);
+					"127.0.0.1", null, null, null, 1, 1, List.of(), false, store, 1_000, this.data, 256, 1_000, 2_000,
+					FailureTolerance.DEFAULT);
 			LedgerNode node = new LedgerNode(settings, 0, EventLog.NONE);
 			try {
 				assertThat(Files.size(folder().resolve("ledger.log")), is((long) VALID_BYTES));
