--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/FileLedgerLogTests.java
@@ -5,20 +5,23 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.CompletionException;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 import dev.nutmegdoor.core.ledger.LedgerEntry;
-import dev.nutmegdoor.node.disk.ChannelOpener;
 import dev.nutmegdoor.node.disk.DiskBudget;
+import dev.nutmegdoor.node.disk.FailingDisk;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class FileLedgerLogTests {
 
@@ -33,9 +36,14 @@
 
 	private long nowMs = 1_000_000;
 
+	private final FailingDisk disk = new FailingDisk();
+
 	private FileLedgerLog open() throws IOException {
-		return new FileLedgerLog(this.folder, Runnable::run, () -> this.nowMs, ChannelOpener.DEFAULT,
-				new DiskBudget(DiskBudget.UNLIMITED));
+		return open(new DiskBudget(DiskBudget.UNLIMITED));
+	}
+
+	private FileLedgerLog open(DiskBudget budget) throws IOException {
+		return new FileLedgerLog(this.folder, Runnable::run, () -> this.nowMs, this.disk, budget);
 	}
 
 	private Path file() {
@@ -122,6 +130,111 @@
 
 	}
 
+	@Nested
+	class FailuresOfTheDisk {
+
+		// Guards against acknowledged entries that a restart does not read, because an
+		// earlier write to a full disk left a torn record before them.
+		@Test
+		void readsEntriesThatFollowAFailedWrite() throws IOException {
+			try (FileLedgerLog log = open()) {
+				FileLedgerLogTests.this.disk.isFull = true;
+				assertThrows(CompletionException.class, () -> log.append(List.of(ONE)).join());
+				FileLedgerLogTests.this.disk.isFull = false;
+				log.append(List.of(TWO)).join();
+			}
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(TWO));
+			}
+		}
+
+		// Guards against entries that are acknowledged although the data before them may
+		// not be on the disk.
+		@Test
+		void readsEntriesThatFollowAFailedForce() throws IOException {
+			try (FileLedgerLog log = open()) {
+				FileLedgerLogTests.this.disk.failsToForce = true;
+				assertThrows(CompletionException.class, () -> log.append(List.of(ONE)).join());
+				FileLedgerLogTests.this.disk.failsToForce = false;
+				log.append(List.of(TWO)).join();
+			}
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(TWO));
+			}
+		}
+
+		// Guards against acknowledged entries behind a torn record that can't be cut off.
+		@Test
+		void refusesEntriesAfterATornRecordThatCannotBeCutOff() throws IOException {
+			try (FileLedgerLog log = open()) {
+				log.append(List.of(ONE)).join();
+				FileLedgerLogTests.this.disk.isFull = true;
+				FileLedgerLogTests.this.disk.failsToTruncate = true;
+				assertThrows(CompletionException.class, () -> log.append(List.of(TWO)).join());
+				FileLedgerLogTests.this.disk.isFull = false;
+				assertThrows(CompletionException.class, () -> log.append(List.of(TWO)).join());
+			}
+			FileLedgerLogTests.this.disk.failsToTruncate = false;
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE));
+			}
+		}
+
+		// Guards against a compaction that fails on a full disk and takes the log with
+		// it.
+		@Test
+		void keepsTheLogWhenACompactionFails() throws IOException {
+			try (FileLedgerLog log = open()) {
+				log.append(List.of(ONE)).join();
+				FileLedgerLogTests.this.disk.isFull = true;
+				assertThrows(CompletionException.class, () -> log.compact(List.of(ONE, TWO)).join());
+				FileLedgerLogTests.this.disk.isFull = false;
+				log.append(List.of(TWO)).join();
+			}
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE, TWO));
+			}
+		}
+
+		// Guards against a log that exceeds the space of its machine.
+		@Test
+		void refusesEntriesBeyondTheLimitOfTheSpace() throws IOException {
+			try (FileLedgerLog log = open(new DiskBudget(100))) {
+				log.append(List.of(ONE)).join();
+				assertThrows(CompletionException.class, () -> log.append(List.of(TWO)).join());
+			}
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE));
+			}
+		}
+
+	}
+
+	@Nested
+	class FilesOfEarlierVersions {
+
+		/** Bytes of a file that commit 491f599 wrote for the entry {@link #ONE}. */
+		private static final String HEX = "0000002b35cf3fd40000000000102ca00004772f70310003677e3100000000000000840000000000000000000000000000ea60";
+
+		// Guards against a format that changes without notice, so that an update forgets
+		// what has been spent.
+		@Test
+		void areRead() throws IOException {
+			Files.write(file(), HexFormat.of().parseHex(HEX));
+			try (FileLedgerLog log = open()) {
+				assertThat(log.recovered(), contains(ONE));
+			}
+		}
+
+		// Guards against files that the earlier version can't read after a step back.
+		@Test
+		void areWrittenTheSame() throws IOException {
+			write(ONE);
+			assertThat(HexFormat.of().formatHex(Files.readAllBytes(file())), is(HEX));
+		}
+
+	}
+
 	@Nested
 	class Compaction {
 
