Refuse kept turns before any member is known

A gateway that has just started would send the turn to a replica and then cut its response off, because there is nowhere to store it; it now responds 503 (turn-uncertain), not run. While a chain is read, the next member is asked after 120 ms instead of 60 ms: a chain of 200 KB takes 110 ms on the slowest links (15.4 Mbit/s), and a second answer would compete with the first.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnSearch.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnSearch.java
@@ -20,8 +20,11 @@
  */
 final class TurnSearch {
 
-	/** Time in milliseconds after which the next member is asked, too. */
-	static final long NEXT_MS = 60;
+	/**
+	 * Time in milliseconds after which the next member is asked, too. 200 KB take 110 ms
+	 * on the slowest links, and a second answer would slow down the first one.
+	 */
+	static final long NEXT_MS = 120;
 
 	/** Maximum wait for an answer of up to 1 MiB on a slow link in milliseconds. */
 	static final long ANSWER_TIMEOUT_MS = 1_000;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -257,8 +257,8 @@
 				events, this.quarantine,
 				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.replicaWatcher,
 						this.control, events),
-				this.drainDeadline, replicas,
-				new RetainedTurns(this.conversations, chainMemory, controlBridge, eventLoop, this.metrics, events));
+				this.drainDeadline, replicas, new RetainedTurns(this.conversations, chainMemory, controlBridge,
+						eventLoop, this.metrics, events, () -> !this.ledgerMembers.all().isEmpty()));
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RetainedTurns.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RetainedTurns.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
@@ -63,6 +64,8 @@
 
 	private final EventLog events;
 
+	private final BooleanSupplier hasMembers;
+
 	/**
 	 * Creates the component.
 	 * @param client stores and reads turns; used on the control thread
@@ -71,15 +74,17 @@
 	 * @param eventLoop event loop of the connections
 	 * @param metrics receives counts and durations
 	 * @param events receives an event for each turn that is not stored
+	 * @param hasMembers returns whether a member is known; called on the event loop
 	 */
 	RetainedTurns(ConversationClient client, ChainMemory memory, ControlBridge control, Executor eventLoop,
-			MetricRegistry metrics, EventLog events) {
+			MetricRegistry metrics, EventLog events, BooleanSupplier hasMembers) {
 		this.client = client;
 		this.memory = memory;
 		this.control = control;
 		this.eventLoop = eventLoop;
 		this.metrics = metrics;
 		this.events = events;
+		this.hasMembers = hasMembers;
 	}
 
 	/**
@@ -112,6 +117,10 @@
 			return refuse(RefusalReason.REQUEST_TOO_LARGE, "an input may have at most " + MAX_INPUT_BYTES + " bytes",
 					0);
 		}
+		// The replica's work would be lost, because the turn could not be stored.
+		if (!this.hasMembers.getAsBoolean()) {
+			return refuse(RefusalReason.TURN_UNCERTAIN, "no member that keeps turns is known yet", RETRY_AFTER_MS);
+		}
 		String previous = routed.facts().previousTurn();
 		if (previous == null) {
 			String program = routed.facts().programId();
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/TurnMemberServer.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/TurnMemberServer.java
@@ -76,6 +76,9 @@
 	}
 
 	private CompletableFuture<TurnChain> query(TurnKey key) {
+		if (this.isHolding) {
+			return new CompletableFuture<>();
+		}
 		List<StoredTurn> chain = new ArrayList<>();
 		String nextId = key.id();
 		for (StoredTurn turn = this.turns.get(key); turn != null; turn = (nextId != null)
