--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/upstream/UpstreamHttp.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/upstream/UpstreamHttp.java
@@ -11,12 +11,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
 import dev.nutmegdoor.core.call.RunState;
@@ -70,7 +72,8 @@
 	 * @param headers additional header fields
 	 * @param body JSON body, or {@code null}
 	 * @param timeoutMs longest wait in milliseconds
-	 * @return the answer, whatever its status; completes on the control thread
+	 * @return the answer, whatever its status; completes on the control thread, and fails
+	 * if HTTP does not define the status
 	 */
 	CompletableFuture<ServiceResponse> exchange(Upstream upstream, HttpMethod method, String uri,
 			Map<String, String> headers, @Nullable String body, long timeoutMs) {
@@ -81,7 +84,7 @@
 			.responseSingle((response, content) -> limited(content.asByteArray().flux()).reduce((a, b) -> join(a, b))
 				.map((bytes) -> new String(bytes, StandardCharsets.UTF_8))
 				.defaultIfEmpty("")
-				.map((text) -> new ServiceResponse(response.status().code(), text)))
+				.map((text) -> new ServiceResponse(definedStatus(response), text)))
 			.timeout(Duration.ofMillis(Math.max(1, timeoutMs)));
 		CompletableFuture<ServiceResponse> result = new CompletableFuture<>();
 		answer.subscribe((value) -> onControl(() -> result.complete(value)),
@@ -140,6 +143,13 @@
 		});
 	}
 
+	private static int definedStatus(HttpClientResponse response) {
+		if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+			throw new IllegalStateException("HTTP does not define the status " + response.status().code());
+		}
+		return response.status().code();
+	}
+
 	private static String uri(Upstream upstream, String path) {
 		String host = (upstream.host().indexOf(':') >= 0) ? "[" + upstream.host() + "]" : upstream.host();
 		return "http://" + host + ":" + upstream.port() + path;
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/upstream/HttpServiceClientTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/upstream/HttpServiceClientTests.java
@@ -8,6 +8,8 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
@@ -92,6 +94,24 @@
 		assertThat(this.requests.get(), is(1));
 	}
 
+	// Guards against such a status at the caller, and against an operation that counts as
+	// settled because of it.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 7, 99, 600, 999 })
+	void reportsStatusThatHttpDoesNotDefineAsUnknown(int status) {
+		DisposableServer broken = HttpServer.create()
+			.host("127.0.0.1")
+			.port(0)
+			.handle((request, response) -> response.status(status).sendString(Mono.just("{}")))
+			.bindNow();
+		try {
+			assertThat(runStateOf(broken.port(), "{}"), is(RunState.UNKNOWN));
+		}
+		finally {
+			broken.disposeNow();
+		}
+	}
+
 	// Guards against giving up a call as unknown although no replica can have received
 	// it.
 	@Test
