Set no timer without work to do

The runner swept its queues every 100 ms also while nothing waited, and the timeout of each request to another process stayed queued after the answer and woke the control thread for nothing.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -80,9 +80,11 @@
 
 	private boolean isDispatching;
 
+	private boolean isSweepScheduled;
+
 	/**
 	 * Creates the runner, applies the current configuration and subscribes to new
-	 * versions and to a periodic sweep.
+	 * versions.
 	 * @param settings settings of queueing and dispatch
 	 * @param costs cost model of the replicas
 	 * @param index state of the replicas; the caller reports their load and cache events
@@ -110,7 +112,6 @@
 		this.retryBudget = new RetryBudget(settings.retryShare());
 		apply(configuration.current());
 		configuration.subscribe(this::apply);
-		timer.subscribe(SWEEP_PERIOD_MS, this::sweep);
 	}
 
 	@Override
@@ -138,6 +139,7 @@
 				this.nextSequence++, nowMs);
 		queue.add(call);
 		dispatchQueued(pool);
+		scheduleSweepIfNeeded();
 		return () -> cancel(call);
 	}
 
@@ -167,6 +169,7 @@
 	public void programEnded(ProgramId program) {
 		this.accounts.remove(program.toString());
 		this.cacheReleaser.release(program);
+		scheduleSweepIfNeeded();
 	}
 
 	/**
@@ -270,7 +273,27 @@
 		this.drainChecker.apply(current.upstreams(), this.timer.nowMs());
 	}
 
+	// An instance without waiting calls needs no timer.
+	private void scheduleSweepIfNeeded() {
+		boolean isNeeded = this.cacheReleaser.pendingReleaseCount() > 0
+				|| this.queuesByPool.values().stream().anyMatch((queue) -> queue.size() > 0);
+		if (isNeeded && !this.isSweepScheduled) {
+			this.isSweepScheduled = true;
+			this.timer.schedule(SWEEP_PERIOD_MS, this::sweep);
+		}
+	}
+
 	private void sweep() {
+		this.isSweepScheduled = false;
+		try {
+			sweepQueues();
+		}
+		finally {
+			scheduleSweepIfNeeded();
+		}
+	}
+
+	private void sweepQueues() {
 		long nowMs = this.timer.nowMs();
 		this.queuesByPool.forEach((pool, queue) -> {
 			// The replicas of an old software version leave for good.
@@ -294,6 +317,7 @@
 		if (!call.isEnded) {
 			queueOf(call).add(call);
 			dispatchQueued(call.pool);
+			scheduleSweepIfNeeded();
 		}
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/ScheduledCallRunnerTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/schedule/ScheduledCallRunnerTests.java
@@ -101,6 +101,24 @@
 	@Nested
 	class Queueing {
 
+		// Guards against a timer that wakes an instance without waiting calls.
+		@Test
+		void runsNoTimerWithoutWaitingCalls() {
+			assertThat(ScheduledCallRunnerTests.this.timer.runNext(), is(false));
+		}
+
+		// Guards against waiting calls that are no longer checked against their deadline
+		// after the first check.
+		@Test
+		void checksDeadlinesWhileCallsWait() {
+			for (int i = 0; i < TOTAL_CAPACITY; i++) {
+				runModelCall("running" + i, "a");
+			}
+			run("waiting", "a", new ModelCall("m", "[]", 100, 10), 5_000);
+			ScheduledCallRunnerTests.this.timer.advance(6_000);
+			assertThat(ScheduledCallRunnerTests.this.outcomes.toString().contains("waiting"), is(true));
+		}
+
 		// Guards against a workspace whose calls wait behind the backlog of another.
 		@Test
 		void servesIdleWorkspaceBeforeBackloggedWorkspace() {
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/control/ControlThread.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/control/ControlThread.java
@@ -86,6 +86,14 @@
 				TimeUnit.MILLISECONDS));
 	}
 
+	/**
+	 * Returns the number of tasks that wait for their time, periodic ones included.
+	 * @return 0 if nothing will wake the thread by itself
+	 */
+	public int queuedTasks() {
+		return this.executor.getQueue().size();
+	}
+
 	@Override
 	public void close() {
 		this.executor.shutdownNow();
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/peer/TcpPeerTransport.java
@@ -34,6 +34,7 @@
 import dev.nutmegdoor.core.peer.PeerHandler;
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.time.Subscription;
 import dev.nutmegdoor.core.tunnel.TunnelRequest;
 import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.protocol.Frame;
@@ -161,7 +162,7 @@
 		long id = this.correlationIds.incrementAndGet();
 		PendingRequest<A> request = new PendingRequest<>(to, answerType);
 		this.pending.put(id, request);
-		this.control.schedule(timeoutMs,
+		request.timeout = this.control.schedule(timeoutMs,
 				() -> fail(id, PeerFailure.TIMEOUT, "no answer from " + to + " within " + timeoutMs + " ms"));
 		if (!transmit(to, this.codec.encode(this.codec.frame(FrameKind.REQUEST, message, id, timeoutMs)))) {
 			this.control.execute(() -> fail(id, PeerFailure.NOT_SENT, "no connection to " + to));
@@ -258,6 +259,7 @@
 			Map.Entry<Long, PendingRequest<?>> entry = iterator.next();
 			if (entry.getValue().to.equals(to)) {
 				iterator.remove();
+				entry.getValue().cancelTimeout();
 				// The request may have been written before the connection broke.
 				entry.getValue().result.completeExceptionally(
 						new PeerException(PeerFailure.TIMEOUT, "connection to " + to + " was closed or not made"));
@@ -268,6 +270,7 @@
 	private void fail(long correlationId, PeerFailure failure, String message) {
 		PendingRequest<?> request = this.pending.remove(correlationId);
 		if (request != null) {
+			request.cancelTimeout();
 			request.result.completeExceptionally(new PeerException(failure, message));
 		}
 	}
@@ -327,6 +330,7 @@
 		if (request == null) {
 			return;
 		}
+		request.cancelTimeout();
 		if (frame.kind() == FrameKind.ERROR || message == null) {
 			request.result.completeExceptionally(new PeerException(PeerFailure.REMOTE_ERROR,
 					request.to + " answered: " + new String(frame.body(), StandardCharsets.UTF_8)));
@@ -343,11 +347,21 @@
 
 		private final CompletableFuture<A> result = new CompletableFuture<>();
 
+		private volatile @Nullable Subscription timeout;
+
 		private PendingRequest(InstanceId to, Class<A> answerType) {
 			this.to = to;
 			this.answerType = answerType;
 		}
 
+		// A timer that is left behind wakes the control thread for nothing.
+		private void cancelTimeout() {
+			Subscription current = this.timeout;
+			if (current != null) {
+				current.cancel();
+			}
+		}
+
 		private void complete(PeerMessage message) {
 			if (this.answerType.isInstance(message)) {
 				this.result.complete(this.answerType.cast(message));
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/peer/TcpPeerTransportTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/peer/TcpPeerTransportTests.java
@@ -105,6 +105,18 @@
 		}
 	}
 
+	// Guards against timers of answered requests that stay until the timeout and wake the
+	// control thread for nothing.
+	@Test
+	void leavesNoTimerAfterAnswers() throws Exception {
+		for (int i = 0; i < 10; i++) {
+			this.one.request(TWO, new Ask(i), Answer.class, 10_000).get();
+		}
+		assertThat(failureOf(this.one.request(new InstanceId("i-9"), new Ask(1), Answer.class, 10_000)),
+				is(PeerFailure.NOT_SENT));
+		assertThat(this.control.call(this.control::queuedTasks).get(), is(0));
+	}
+
 	// Guards against a request to an unknown instance that never ends.
 	@Test
 	void reportsThatNothingWasSentToAnUnknownInstance() {
