Start with a list that may be stale where a watch follows

Cause: each list at the start of a process costs a full call, although the watch that follows at once brings what a list of a few seconds ago lacks.

Change: the first list of a ListWatcher asks for a stale answer, which the platform charges a tenth for and doesn't count toward the rate. Lists after a lost history stay current, because they may not be older than what has been applied. The fake store counts calls by operation and gained faults of single hosts.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -74,6 +74,8 @@
 
 	private boolean isConfirmationFailed;
 
+	private boolean isEverListed;
+
 	private int consecutiveFailures;
 
 	/**
@@ -109,8 +111,12 @@
 		list();
 	}
 
+	// The watch that follows brings what a stale first list lacks. A later list may not be
+	// older than what has been applied already.
 	private void list() {
-		this.store.list(this.kind, "").whenComplete((page, error) -> {
+		CompletableFuture<StorePage> call = this.isEverListed ? this.store.list(this.kind, "")
+				: this.store.listStale(this.kind, "");
+		call.whenComplete((page, error) -> {
 			if (error != null) {
 				onFailure(error);
 				return;
@@ -118,6 +124,7 @@
 			onSuccess();
 			this.lastVersion = page.version();
 			this.isListed = true;
+			this.isEverListed = true;
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
 			notifyListener(() -> this.listener.listed(page.objects()));
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakeObjectStore.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.id.AvailabilityZone;
+import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.store.ObjectStore;
 import dev.nutmegdoor.core.store.StoreEvent;
 import dev.nutmegdoor.core.store.StoreException;
@@ -53,8 +54,20 @@
 
 	private final Set<AvailabilityZone> partitionedZones = new HashSet<>();
 
+	private final Set<InstanceId> rejectedInstances = new HashSet<>();
+
+	private final Set<InstanceId> unansweredInstances = new HashSet<>();
+
+	private final SortedMap<Long, Long> timesByVersion = new TreeMap<>();
+
+	private final Map<String, Long> callsByOperation = new TreeMap<>();
+
 	private StoreFaults faults;
 
+	private long staleMs;
+
+	private boolean areDeletionsReportedWithOldVersion;
+
 	private boolean available = true;
 
 	private long version;
@@ -156,6 +169,61 @@
 		return this.writes;
 	}
 
+	/**
+	 * Returns the number of calls of an operation.
+	 * @param operation {@code list}, {@code listStale} or {@code watch}
+	 * @return calls that reached the store
+	 */
+	public long calls(String operation) {
+		return this.callsByOperation.getOrDefault(operation, 0L);
+	}
+
+	/**
+	 * Sets how old the objects of a stale list are.
+	 * @param staleMs age in milliseconds
+	 */
+	public void setStaleMs(long staleMs) {
+		this.staleMs = staleMs;
+	}
+
+	/**
+	 * Sets whether the event of a deletion has the version of the deleted object instead
+	 * of its own.
+	 * @param isReported whether it has the old version
+	 */
+	public void setDeletionsReportedWithOldVersion(boolean isReported) {
+		this.areDeletionsReportedWithOldVersion = isReported;
+	}
+
+	/**
+	 * Starts or ends the rejection of all calls of one host, pending watches included.
+	 * @param id host
+	 * @param isRejected whether its calls fail
+	 */
+	public void setRejected(InstanceId id, boolean isRejected) {
+		if (isRejected) {
+			this.rejectedInstances.add(id);
+		}
+		else {
+			this.rejectedInstances.remove(id);
+		}
+	}
+
+	/**
+	 * Starts or ends that calls of one host are not answered. They fail when the client
+	 * stops waiting.
+	 * @param id host
+	 * @param isUnanswered whether its calls hang, pending watches included
+	 */
+	public void setUnanswered(InstanceId id, boolean isUnanswered) {
+		if (isUnanswered) {
+			this.unansweredInstances.add(id);
+		}
+		else {
+			this.unansweredInstances.remove(id);
+		}
+	}
+
 	private boolean tryAcquireCall() {
 		long nowMs = this.timer.nowMs();
 		if (nowMs - this.rateWindowStartMs >= 1000) {
@@ -189,9 +257,20 @@
 		return object;
 	}
 
+	private long versionAt(long timeMs) {
+		long found = 0;
+		for (Map.Entry<Long, Long> recorded : this.timesByVersion.entrySet()) {
+			if (recorded.getValue() <= timeMs) {
+				found = recorded.getKey();
+			}
+		}
+		return found;
+	}
+
 	private void record(StoreEvent event) {
 		this.writes++;
 		this.events.add(event);
+		this.timesByVersion.put(event.version(), this.timer.nowMs());
 		if (this.events.size() > MAX_RETAINED_EVENTS) {
 			this.lastDiscardedVersion = this.events.remove(0).version();
 		}
@@ -219,6 +298,7 @@
 
 		@Override
 		public CompletableFuture<StorePage> list(String kind, String prefix) {
+			count("list");
 			return call(false, () -> {
 				List<StoredObject> found = new ArrayList<>();
 				for (StoredObject object : kind(kind).tailMap(prefix).values()) {
@@ -231,6 +311,35 @@
 			});
 		}
 
+		@Override
+		public CompletableFuture<StorePage> listStale(String kind, String prefix) {
+			if (FakeObjectStore.this.lastDiscardedVersion > 0) {
+				return list(kind, prefix);
+			}
+			count("listStale");
+			return call(false, () -> {
+				long listedVersion = versionAt(FakeObjectStore.this.timer.nowMs() - FakeObjectStore.this.staleMs);
+				SortedMap<String, StoredObject> objects = new TreeMap<>();
+				for (StoreEvent event : FakeObjectStore.this.events) {
+					String value = event.value();
+					if (event.version() > listedVersion) {
+						break;
+					}
+					if (event.kind().equals(kind) && value != null) {
+						objects.put(event.name(), new StoredObject(kind, event.name(), event.version(), value));
+					}
+					else if (event.kind().equals(kind)) {
+						objects.remove(event.name());
+					}
+				}
+				return new StorePage(List.copyOf(objects.values()), listedVersion);
+			});
+		}
+
+		private void count(String operation) {
+			FakeObjectStore.this.callsByOperation.merge(operation, 1L, Long::sum);
+		}
+
 		@Override
 		public CompletableFuture<StoredObject> create(String kind, String name, String value) {
 			return call(true, () -> {
@@ -273,6 +382,7 @@
 			long deadlineMs = FakeObjectStore.this.timer.nowMs() + timeoutMs;
 			CompletableFuture<StoreWatchResult> result = new CompletableFuture<>();
 			long openedAfter = FakeObjectStore.this.interruptedWatches;
+			count("watch");
 			call(false, () -> {
 				poll(kind, afterVersion, deadlineMs, openedAfter, result);
 				return null;
@@ -286,6 +396,16 @@
 
 		private void poll(String kind, long afterVersion, long deadlineMs, long openedAfter,
 				CompletableFuture<StoreWatchResult> result) {
+			if (isUnanswered()) {
+				this.host.schedule(
+						Math.max(0, deadlineMs - FakeObjectStore.this.timer.nowMs()) + LOST_RESPONSE_TIMEOUT_MS,
+						() -> fail(result, StoreFailure.UNAVAILABLE, 0));
+				return;
+			}
+			if (isRejected()) {
+				fail(result, StoreFailure.UNAVAILABLE, delayMs());
+				return;
+			}
 			if (!isReachable()) {
 				fail(result, StoreFailure.UNAVAILABLE);
 				return;
@@ -314,7 +434,8 @@
 				return;
 			}
 			if (!found.isEmpty() || FakeObjectStore.this.timer.nowMs() >= deadlineMs) {
-				respond(result, new StoreWatchResult(found, FakeObjectStore.this.version, false));
+				respond(result, new StoreWatchResult(found.stream().map(this::reported).toList(),
+						FakeObjectStore.this.version, false));
 				return;
 			}
 			FakeObjectStore.this.timer.schedule(WATCH_POLL_INTERVAL_MS, () -> {
@@ -324,6 +445,27 @@
 			});
 		}
 
+		private StoreEvent reported(StoreEvent event) {
+			if (event.value() != null || !FakeObjectStore.this.areDeletionsReportedWithOldVersion) {
+				return event;
+			}
+			long oldVersion = FakeObjectStore.this.events.stream()
+				.filter((earlier) -> earlier.kind().equals(event.kind()) && earlier.name().equals(event.name())
+						&& earlier.version() < event.version())
+				.mapToLong(StoreEvent::version)
+				.max()
+				.orElse(0);
+			return new StoreEvent(event.kind(), event.name(), oldVersion, null);
+		}
+
+		private boolean isUnanswered() {
+			return FakeObjectStore.this.unansweredInstances.contains(this.host.id());
+		}
+
+		private boolean isRejected() {
+			return FakeObjectStore.this.rejectedInstances.contains(this.host.id());
+		}
+
 		private boolean isReachable() {
 			return FakeObjectStore.this.available
 					&& !FakeObjectStore.this.partitionedZones.contains(this.host.availabilityZone());
@@ -356,6 +498,15 @@
 		}
 
 		private <T> void execute(boolean isWrite, Supplier<T> effect, CompletableFuture<T> result) {
+			if (isUnanswered()) {
+				fail(result, isWrite ? StoreFailure.OUTCOME_UNKNOWN : StoreFailure.UNAVAILABLE,
+						LOST_RESPONSE_TIMEOUT_MS);
+				return;
+			}
+			if (isRejected()) {
+				fail(result, StoreFailure.UNAVAILABLE, delayMs());
+				return;
+			}
 			if (!isReachable()) {
 				fail(result, StoreFailure.UNAVAILABLE);
 				return;
