--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -111,7 +111,8 @@
 		list();
 	}
 
-	// The watch that follows brings what a stale first list lacks. A later list may not be
+	// The watch that follows brings what a stale first list lacks. A later list may not
+	// be
 	// older than what has been applied already.
 	private void list() {
 		CompletableFuture<StorePage> call = this.isEverListed ? this.store.list(this.kind, "")
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RecordedStorageTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/ledger/RecordedStorageTests.java
@@ -148,8 +148,8 @@
 		void areFoundInFolderOfOlderVersion() throws IOException {
 			InetSocketAddress store = new InetSocketAddress("127.0.0.1", 1);
 			ProcessSettings settings = new ProcessSettings(new InstanceId("i-1"), new AvailabilityZone("a"),
-					"127.0.0.1", null, null, null, 1, 1, List.of(), false, store, 1_000, this.data, 256, 1_000, 2_000, 0,
-					FailureTolerance.DEFAULT);
+					"127.0.0.1", null, null, null, 1, 1, List.of(), false, store, 1_000, this.data, 256, 1_000, 2_000,
+					0, FailureTolerance.DEFAULT);
 			LedgerNode node = new LedgerNode(settings, 0, EventLog.NONE);
 			try {
 				assertThat(Files.size(folder().resolve("ledger.log")), is((long) VALID_BYTES));
