--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationClientTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationClientTests.java
@@ -351,6 +351,17 @@
 			assertThat(body("t"), is("in-t;out-t\nnew"));
 		}
 
+		// Guards against a sub-agent that can't continue a turn of its parent, which has
+		// another program and so another group.
+		@Test
+		void findTurnsOfOtherGroup() {
+			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenA);
+			CompletableFuture<Chain> chain = ConversationClientTests.this.client
+				.read(new TurnKey(TurnFleet.WORKSPACE, "t"), "program of a sub-agent", 10_000);
+			advance(200);
+			assertThat(chain.join().group(), is("g"));
+		}
+
 		// Guards against a client that loses a conversation because its turn is reported
 		// as unknown by members that have lost it or not yet received it.
 		@Test
