--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationClientTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationClientTests.java
@@ -22,7 +22,7 @@
 
 class ConversationClientTests {
 
-	private final TurnFleet fleet = new TurnFleet(3, 3, 2);
+	private final ConversationFleet fleet = new ConversationFleet(3, 3, 2);
 
 	private final ConversationClient client = this.fleet.client("gateway-a", "a");
 
@@ -35,7 +35,7 @@
 	}
 
 	private CompletableFuture<Void> store(String id) {
-		return this.client.store(TurnFleet.turn(id, null));
+		return this.client.store(ConversationFleet.turn(id, null));
 	}
 
 	private void advance(long ms) {
@@ -142,7 +142,7 @@
 			advance(999);
 			assertThat(stored.isDone(), is(false));
 			advance(2);
-			assertThat(TurnFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
+			assertThat(ConversationFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
 			assertThat(ConversationClientTests.this.fleet.events, hasItem(startsWith("turn.not-stored")));
 		}
 
@@ -152,7 +152,7 @@
 			ConversationClientTests.this.fleet.members.values().forEach((member) -> member.isConfirmationLost = true);
 			CompletableFuture<Void> stored = store("t");
 			advance(1_100);
-			assertThat(TurnFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
+			assertThat(ConversationFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
 		}
 
 		// Guards against turns that fail until all members are back after all were
@@ -184,12 +184,12 @@
 		// Guards against a deployment with few members that can't store any turn.
 		@Test
 		void needsNoMoreCopiesThanMembers() {
-			TurnFleet small = new TurnFleet(1, 1);
-			CompletableFuture<Void> stored = small.client("g", "a").store(TurnFleet.turn("t", null));
+			ConversationFleet small = new ConversationFleet(1, 1);
+			CompletableFuture<Void> stored = small.client("g", "a").store(ConversationFleet.turn("t", null));
 			small.timer.advance(20);
 			assertThat(stored.isDone(), is(true));
-			TurnFleet single = new TurnFleet(1);
-			CompletableFuture<Void> storedOnce = single.client("g", "a").store(TurnFleet.turn("t", null));
+			ConversationFleet single = new ConversationFleet(1);
+			CompletableFuture<Void> storedOnce = single.client("g", "a").store(ConversationFleet.turn("t", null));
 			single.timer.advance(20);
 			assertThat(storedOnce.isDone(), is(true));
 		}
@@ -198,9 +198,9 @@
 		@Test
 		void failsWithoutMembers() {
 			CompletableFuture<Void> stored = ConversationClientTests.this.fleet.client("new", "a", List.of())
-				.store(TurnFleet.turn("t", null));
+				.store(ConversationFleet.turn("t", null));
 			advance(1_100);
-			assertThat(TurnFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
+			assertThat(ConversationFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
 		}
 
 	}
@@ -230,14 +230,14 @@
 		void needAllMembersIfTheyHaveTwo() {
 			ConversationClientTests.this.fleet.setCutOff("c", true);
 			ConversationClient inZoneC = ConversationClientTests.this.fleet.client("gateway-c", "c");
-			CompletableFuture<Void> stored = inZoneC.store(TurnFleet.turn("t", null));
+			CompletableFuture<Void> stored = inZoneC.store(ConversationFleet.turn("t", null));
 			advance(1_000);
 			assertThat(stored.isDone() && !stored.isCompletedExceptionally(), is(true));
 			assertThat(ConversationClientTests.this.fleet.holders("t"), containsInAnyOrder("c1", "c2"));
 			ConversationClientTests.this.fleet.members.get("c1").host.crash();
-			CompletableFuture<Void> failed = inZoneC.store(TurnFleet.turn("t2", null));
+			CompletableFuture<Void> failed = inZoneC.store(ConversationFleet.turn("t2", null));
 			advance(1_100);
-			assertThat(TurnFleet.failureOf(failed), is(ConversationFailure.NOT_STORED));
+			assertThat(ConversationFleet.failureOf(failed), is(ConversationFailure.NOT_STORED));
 		}
 
 		// Guards against a lenient rule where one other zone is still in reach.
@@ -250,7 +250,7 @@
 			});
 			CompletableFuture<Void> stored = store("t");
 			advance(1_100);
-			assertThat(TurnFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
+			assertThat(ConversationFleet.failureOf(stored), is(ConversationFailure.NOT_STORED));
 		}
 
 		// Guards against a zone that stays alone with its turns after it is back.
@@ -275,7 +275,7 @@
 	@Nested
 	class ReadingChains {
 
-		private final TurnFleet fleet = ConversationClientTests.this.fleet;
+		private final ConversationFleet fleet = ConversationClientTests.this.fleet;
 
 		private final FakeTurnMember chosenA = ConversationClientTests.this.chosen.get(0);
 
@@ -290,7 +290,7 @@
 		private ConversationFailure failureOf(String id) {
 			CompletableFuture<Chain> chain = this.fleet.read(ConversationClientTests.this.client, id);
 			advance(3_000);
-			return TurnFleet.failureOf(chain);
+			return ConversationFleet.failureOf(chain);
 		}
 
 		private int queries() {
@@ -302,8 +302,8 @@
 		// zones without need.
 		@Test
 		void asksChosenMemberOfOwnZoneOnly() {
-			this.fleet.storeAt(TurnFleet.turn("t1", null), this.chosenA);
-			this.fleet.storeAt(TurnFleet.turn("t2", "t1"), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t1", null), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t2", "t1"), this.chosenA);
 			assertThat(body("t2"), is("in-t1;out-t1\nin-t2;out-t2\nnew"));
 			assertThat(queries(), is(1));
 		}
@@ -311,9 +311,9 @@
 		// Guards against a chain that can't be read because no member has all of it.
 		@Test
 		void continuesAtOtherMembers() {
-			this.fleet.storeAt(TurnFleet.turn("t1", null), this.chosenB);
-			this.fleet.storeAt(TurnFleet.turn("t2", "t1"), this.fleet.ordered("g", "c").get(1));
-			this.fleet.storeAt(TurnFleet.turn("t3", "t2"), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t1", null), this.chosenB);
+			this.fleet.storeAt(ConversationFleet.turn("t2", "t1"), this.fleet.ordered("g", "c").get(1));
+			this.fleet.storeAt(ConversationFleet.turn("t3", "t2"), this.chosenA);
 			assertThat(body("t3"), is("in-t1;out-t1\nin-t2;out-t2\nin-t3;out-t3\nnew"));
 		}
 
@@ -324,7 +324,7 @@
 			this.chosenB.maxTurns = 1;
 			for (String id : List.of("t1", "t2", "t3")) {
 				String previous = id.equals("t1") ? null : "t" + (id.charAt(1) - '1');
-				this.fleet.storeAt(TurnFleet.turn(id, previous), this.chosenA, this.chosenB);
+				this.fleet.storeAt(ConversationFleet.turn(id, previous), this.chosenA, this.chosenB);
 			}
 			assertThat(body("t3"), is("in-t1;out-t1\nin-t2;out-t2\nin-t3;out-t3\nnew"));
 		}
@@ -332,7 +332,7 @@
 		// Guards against reads that wait for a member that is frozen or was killed.
 		@Test
 		void asksNextMemberAfterShortWait() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenA, this.chosenB, this.chosenC);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.chosenA, this.chosenB, this.chosenC);
 			this.chosenA.host.pause();
 			CompletableFuture<Chain> chain = this.fleet.read(ConversationClientTests.this.client, "t");
 			advance(119);
@@ -347,7 +347,7 @@
 		// or because its group is not known.
 		@Test
 		void asksAllMembers() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.fleet.ordered("g", "c").get(1));
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.fleet.ordered("g", "c").get(1));
 			assertThat(body("t"), is("in-t;out-t\nnew"));
 		}
 
@@ -355,9 +355,9 @@
 		// another program and so another group.
 		@Test
 		void findTurnsOfOtherGroup() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.chosenA);
 			CompletableFuture<Chain> chain = ConversationClientTests.this.client
-				.read(new TurnKey(TurnFleet.WORKSPACE, "t"), "program of a sub-agent", 10_000);
+				.read(new TurnKey(ConversationFleet.WORKSPACE, "t"), "program of a sub-agent", 10_000);
 			advance(200);
 			assertThat(chain.join().group(), is("g"));
 		}
@@ -384,14 +384,14 @@
 			// Known to be unreachable by now.
 			CompletableFuture<Chain> chain = this.fleet.read(ConversationClientTests.this.client, "t");
 			advance(200);
-			assertThat(TurnFleet.failureOf(chain), is(ConversationFailure.UNCERTAIN));
+			assertThat(ConversationFleet.failureOf(chain), is(ConversationFailure.UNCERTAIN));
 		}
 
 		// Guards against a gateway in a zone that is cut off and reports turns of other
 		// zones as unknown.
 		@Test
 		void areUncertainInZoneThatIsCutOff() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenB, this.chosenC);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.chosenB, this.chosenC);
 			this.fleet.setCutOff("a", true);
 			assertThat(failureOf("t"), is(ConversationFailure.UNCERTAIN));
 			this.fleet.setCutOff("a", false);
@@ -405,7 +405,7 @@
 			FakeTurnMember unknown = this.fleet.addMember("b", 9);
 			known.listedMembers = List.of(known.member, unknown.member);
 			ConversationClient started = this.fleet.client("started", "a", List.of(known.member));
-			this.fleet.storeAt(TurnFleet.turn("t", null), unknown);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), unknown);
 			assertThat(this.fleet.body(started, "t"), is("in-t;out-t\nnew"));
 		}
 
@@ -419,16 +419,16 @@
 			ConversationClient reader = this.fleet.client("reader", "a", List.of(known.member, old));
 			CompletableFuture<Chain> first = this.fleet.read(reader, "t");
 			advance(3_000);
-			assertThat(TurnFleet.failureOf(first), is(ConversationFailure.UNCERTAIN));
+			assertThat(ConversationFleet.failureOf(first), is(ConversationFailure.UNCERTAIN));
 			CompletableFuture<Chain> second = this.fleet.read(reader, "t");
 			advance(3_000);
-			assertThat("the member may only be unreachable", TurnFleet.failureOf(second),
+			assertThat("the member may only be unreachable", ConversationFleet.failureOf(second),
 					is(ConversationFailure.UNCERTAIN));
 			advance(20_000);
 			this.fleet.isMemberListRead = true;
 			CompletableFuture<Chain> third = this.fleet.read(reader, "t");
 			advance(3_000);
-			assertThat("a member that nobody lists is forgotten", TurnFleet.failureOf(third),
+			assertThat("a member that nobody lists is forgotten", ConversationFleet.failureOf(third),
 					is(ConversationFailure.NOT_FOUND));
 		}
 
@@ -442,11 +442,11 @@
 			ConversationClient reader = this.fleet.client("reader", "a", zoneMembers);
 			CompletableFuture<Chain> unlisted = this.fleet.read(reader, "t");
 			advance(3_000);
-			assertThat(TurnFleet.failureOf(unlisted), is(ConversationFailure.UNCERTAIN));
+			assertThat(ConversationFleet.failureOf(unlisted), is(ConversationFailure.UNCERTAIN));
 			this.fleet.isMemberListRead = true;
 			CompletableFuture<Chain> listed = this.fleet.read(reader, "t");
 			advance(3_000);
-			assertThat(TurnFleet.failureOf(listed), is(ConversationFailure.NOT_FOUND));
+			assertThat(ConversationFleet.failureOf(listed), is(ConversationFailure.NOT_FOUND));
 		}
 
 		// Guards against 404 in a zone that is cut off, after a member there has
@@ -454,7 +454,7 @@
 		// and lists only itself.
 		@Test
 		void areUncertainAfterUnreachableMembersWereForgotten() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenB, this.chosenC);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.chosenB, this.chosenC);
 			this.fleet.setCutOff("a", true);
 			assertThat(failureOf("t"), is(ConversationFailure.UNCERTAIN));
 			List<FakeTurnMember> zoneMembers = this.fleet.ordered("g", "a");
@@ -478,33 +478,33 @@
 		void areUncertainWithoutMembers() {
 			CompletableFuture<Chain> chain = this.fleet.read(this.fleet.client("new", "a", List.of()), "t");
 			advance(10);
-			assertThat(TurnFleet.failureOf(chain), is(ConversationFailure.UNCERTAIN));
+			assertThat(ConversationFleet.failureOf(chain), is(ConversationFailure.UNCERTAIN));
 		}
 
 		// Guards against a turn that exists and is reported as unknown because an earlier
 		// one can't be found.
 		@Test
 		void areUncertainIfChainHasGap() {
-			this.fleet.storeAt(TurnFleet.turn("t2", "t1"), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t2", "t1"), this.chosenA);
 			assertThat(failureOf("t2"), is(ConversationFailure.UNCERTAIN));
 		}
 
 		// Guards against a workspace that reads the turns of another one.
 		@Test
 		void findNoTurnOfOtherWorkspace() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenA, this.chosenB, this.chosenC);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.chosenA, this.chosenB, this.chosenC);
 			CompletableFuture<Chain> chain = ConversationClientTests.this.client.read(new TurnKey("other", "t"), "g",
 					10_000);
 			advance(3_000);
-			assertThat(TurnFleet.failureOf(chain), is(ConversationFailure.NOT_FOUND));
+			assertThat(ConversationFleet.failureOf(chain), is(ConversationFailure.NOT_FOUND));
 		}
 
 		// Guards against one of two turns that continue the same turn and gets the input
 		// of the other.
 		@Test
 		void keepsBranchesApart() {
-			for (StoredTurn turn : List.of(TurnFleet.turn("t1", null), TurnFleet.turn("t2", "t1"),
-					TurnFleet.turn("t3", "t1"))) {
+			for (StoredTurn turn : List.of(ConversationFleet.turn("t1", null), ConversationFleet.turn("t2", "t1"),
+					ConversationFleet.turn("t3", "t1"))) {
 				ConversationClientTests.this.client.store(turn);
 			}
 			advance(1_000);
@@ -516,7 +516,7 @@
 		// a cache that answers after the retention time.
 		@Test
 		void useRecentTurnsWithoutAsking() {
-			ConversationClientTests.this.client.store(TurnFleet.turn("t", null));
+			ConversationClientTests.this.client.store(ConversationFleet.turn("t", null));
 			advance(100);
 			assertThat(body("t"), is("in-t;out-t\nnew"));
 			assertThat(queries(), is(0));
@@ -529,15 +529,15 @@
 		// that is never returned.
 		@Test
 		void refuseChainsThatAreTooLarge() {
-			this.fleet.storeAt(TurnFleet.turn("t1", null), this.chosenA);
-			this.fleet.storeAt(TurnFleet.turn("t2", "t1"), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t1", null), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t2", "t1"), this.chosenA);
 			CompletableFuture<Chain> chain = ConversationClientTests.this.client
-				.read(new TurnKey(TurnFleet.WORKSPACE, "t2"), "g", 25);
+				.read(new TurnKey(ConversationFleet.WORKSPACE, "t2"), "g", 25);
 			advance(10);
-			assertThat(TurnFleet.failureOf(chain), is(ConversationFailure.TOO_LARGE));
+			assertThat(ConversationFleet.failureOf(chain), is(ConversationFailure.TOO_LARGE));
 			assertThat(this.fleet.memory.usedBytes(), is(0L));
 			CompletableFuture<Chain> fitting = ConversationClientTests.this.client
-				.read(new TurnKey(TurnFleet.WORKSPACE, "t2"), "g", 26);
+				.read(new TurnKey(ConversationFleet.WORKSPACE, "t2"), "g", 26);
 			advance(10);
 			assertThat(fitting.join().bytes(), is(26));
 			assertThat(this.fleet.memory.usedBytes(), is(26L));
@@ -547,7 +547,7 @@
 		// read at the same time.
 		@Test
 		void refuseChainsWhenMemoryIsInUse() {
-			this.fleet.storeAt(TurnFleet.turn("t", null), this.chosenA);
+			this.fleet.storeAt(ConversationFleet.turn("t", null), this.chosenA);
 			this.fleet.memory.reserve(99_995);
 			assertThat(failureOf("t"), is(ConversationFailure.NO_MEMORY));
 			assertThat(this.fleet.memory.usedBytes(), is(99_995L));
@@ -563,12 +563,12 @@
 		void areEvictedLeastRecentlyUsedFirst() {
 			TurnCache cache = new TurnCache(3 * (256 + 13));
 			for (int i = 1; i <= 3; i++) {
-				cache.put(TurnFleet.turn("t" + i, null), 0);
+				cache.put(ConversationFleet.turn("t" + i, null), 0);
 			}
-			cache.get(new TurnKey(TurnFleet.WORKSPACE, "t1"), 1);
-			cache.put(TurnFleet.turn("t4", null), 1);
-			assertThat(cache.get(new TurnKey(TurnFleet.WORKSPACE, "t2"), 1) == null, is(true));
-			assertThat(cache.get(new TurnKey(TurnFleet.WORKSPACE, "t1"), 1) == null, is(false));
+			cache.get(new TurnKey(ConversationFleet.WORKSPACE, "t1"), 1);
+			cache.put(ConversationFleet.turn("t4", null), 1);
+			assertThat(cache.get(new TurnKey(ConversationFleet.WORKSPACE, "t2"), 1) == null, is(true));
+			assertThat(cache.get(new TurnKey(ConversationFleet.WORKSPACE, "t1"), 1) == null, is(false));
 			assertThat(cache.usedBytes(), is(3L * (256 + 13)));
 		}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnFleet.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationFleet.java
@@ -25,7 +25,7 @@
 /**
  * Members in three zones and the clients of gateways, on virtual time.
  */
-final class TurnFleet {
+final class ConversationFleet {
 
 	static final String WORKSPACE = "w";
 
@@ -49,7 +49,7 @@
 	 * Creates members.
 	 * @param perZone number of members in zones a, b and c
 	 */
-	TurnFleet(int... perZone) {
+	ConversationFleet(int... perZone) {
 		for (int zone = 0; zone < perZone.length; zone++) {
 			for (int i = 1; i <= perZone[zone]; i++) {
 				addMember(String.valueOf((char) ('a' + zone)), i);
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationSimulationTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/ConversationSimulationTests.java
@@ -63,7 +63,7 @@
 
 		private final UniformRandomProvider random;
 
-		private final TurnFleet fleet;
+		private final ConversationFleet fleet;
 
 		private final List<ConversationClient> clients = new ArrayList<>();
 
@@ -79,7 +79,7 @@
 		private Run(long seed) {
 			this.name = "seed " + seed;
 			this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
-			this.fleet = new TurnFleet(2 + this.random.nextInt(3), 2 + this.random.nextInt(3),
+			this.fleet = new ConversationFleet(2 + this.random.nextInt(3), 2 + this.random.nextInt(3),
 					2 + this.random.nextInt(3));
 			this.fleet.network.setSettings(new LinkSettings(1, 5, 3, 0.01, 0.01));
 			this.fleet.isMemberListRead = true;
@@ -127,7 +127,7 @@
 			String previous = (ids.isEmpty() || this.random.nextInt(3) == 0) ? null
 					: ids.get(this.random.nextInt(ids.size()));
 			String id = "t" + this.nextId++;
-			CompletableFuture<Void> result = anyClient().store(TurnFleet.turn(id, previous));
+			CompletableFuture<Void> result = anyClient().store(ConversationFleet.turn(id, previous));
 			this.fleet.timer.advance(1_001);
 			assertThat(this.name + ": the decision is made in time", result.isDone(), is(true));
 			if (!result.isCompletedExceptionally()) {
