Find status lines with an undefined status within other responses

Cause: StatusLine looked only for statuses from 100 to 599. A response that ended early and was filled up with one whose status HTTP does not define looked complete, or had the other response as a part of its body.

Change: any three digits count as a status.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/StatusLine.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/StatusLine.java
@@ -10,7 +10,7 @@
 
 /**
  * Finds the status line of a response within the bytes of another one: a replica wrote a
- * part of one response and then another.
+ * part of one response and then another. Statuses that HTTP does not define are included.
  */
 final class StatusLine {
 
@@ -66,7 +66,7 @@
 	private static boolean isStatusLine(String text, int index) {
 		int position = index + PREFIX.length();
 		return index + LENGTH <= text.length() && isBetween(text.charAt(position), '0', '1')
-				&& text.charAt(position + 1) == ' ' && isBetween(text.charAt(position + 2), '1', '5')
+				&& text.charAt(position + 1) == ' ' && isBetween(text.charAt(position + 2), '0', '9')
 				&& isBetween(text.charAt(position + 3), '0', '9') && isBetween(text.charAt(position + 4), '0', '9');
 	}
 
--- a/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
+++ b/nutmegdoor-node/src/test/java/dev/nutmegdoor/node/relay/UpstreamConnectionTests.java
@@ -295,6 +295,26 @@
 			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "broken"));
 		}
 
+		// Guards against a response that ends early and is filled up with one whose
+		// status HTTP does not define.
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "099", "600", "999" })
+		void doNotCompleteResponseThatEndsEarlyIfTheirStatusIsUndefined(String status) {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: 12\r\n\r\nhel");
+			receive("HTTP/1.1 " + status + " Status\r\nAttempt-Id: a-1\r\nContent-Length: 2\r\n\r\nno");
+			assertThat(UpstreamConnectionTests.this.exchange.events(), not(hasItem("completed")));
+			assertThat(UpstreamConnectionTests.this.exchange.events(), hasItem("broken"));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "099", "600", "999" })
+		void doNotExtendResponseWithoutLengthIfTheirStatusIsUndefined(String status) {
+			receive("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\nhello");
+			receive("HTTP/1.1 " + status + " Status\r\nAttempt-Id: a-1\r\nContent-Length: 2\r\n\r\nno");
+			UpstreamConnectionTests.this.channel.close();
+			assertThat(UpstreamConnectionTests.this.exchange.events(), contains("200", "hello", "broken"));
+		}
+
 		// Guards against a caller that waits until its deadline for a response that was
 		// taken for a part of a repetition.
 		@ParameterizedTest
