Measure the processor time of real processes

No command measured what a process costs before and beside its requests, so the cost of a start grew unnoticed.

--- a/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
+++ b/nutmegdoor-cli/src/main/java/dev/nutmegdoor/cli/Commands.java
@@ -42,6 +42,7 @@
 		commands.add(new ExperimentMembershipCommand());
 		commands.add(new ExperimentSchedulingCommand());
 		commands.add(new ExperimentCapacityCommand());
+		commands.add(new ExperimentProcessorCommand());
 		commands.addAll(OperatorCommands.create(System.getenv()));
 		return commands;
 	}
