Decide who watches the store and who follows in large deployments

Cause: each gateway lists and watches servers and config by itself. Each call is priced, and each response is decoded by each gateway.

Change: SharedWatches (core.watch) chooses two watching instances per zone in deployments of more than 16 instances. The others subscribe to them, apply their changes by revision, and watch the store from their last revision if they hear no healthy one for 1,000 ms or lack a change. ListWatcher can rest and takes changes from other instances; changes whose revision is not certain (deletions reported with the revision of the deleted object, unreadable entries) get that of the next certain change. StoreHealth takes outages that all heard watching instances observed.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -12,7 +12,8 @@
 /**
  * Tracks all objects of one kind: lists them once, then watches for changes, and lists
  * them again when the store no longer has the history that a watch needs. Failed calls
- * are retried with jittered backoff. Runs on the control thread.
+ * are retried with jittered backoff. The changes may come from other instances instead.
+ * Runs on the control thread.
  */
 public final class ListWatcher implements FollowedList {
 
@@ -60,6 +61,8 @@
 
 	private final KindListener listener;
 
+	private final WatchSharing sharing;
+
 	private final Confirmations confirmations;
 
 	private final List<InterruptionListener> interruptionListeners = new ArrayList<>();
@@ -76,6 +79,10 @@
 
 	private boolean isEverListed;
 
+	private boolean isPaused;
+
+	private boolean isProbing;
+
 	private int consecutiveFailures;
 
 	/**
@@ -94,6 +101,26 @@
 	 */
 	public ListWatcher(ObjectStore store, TimerService timer, UniformRandomProvider random, StoreHealth health,
 			EventLog events, String kind, long watchTimeoutMs, long batchDelayMs, KindListener listener) {
+		this(store, timer, random, health, events, kind, watchTimeoutMs, batchDelayMs, listener, WatchSharing.NONE);
+	}
+
+	/**
+	 * Creates a watcher that also takes changes from other instances.
+	 * @param store store that holds the objects
+	 * @param timer source of time
+	 * @param random source of backoff jitter
+	 * @param health records failed and successful calls
+	 * @param events receives {@code store.lost} and {@code store.regained}
+	 * @param kind kind of the objects
+	 * @param watchTimeoutMs maximum wait of one watch in milliseconds
+	 * @param batchDelayMs delay in milliseconds between a watch that returned changes and
+	 * the next one, or 0
+	 * @param listener receives the objects and their changes
+	 * @param sharing decides whether this instance has to watch the store itself
+	 */
+	public ListWatcher(ObjectStore store, TimerService timer, UniformRandomProvider random, StoreHealth health,
+			EventLog events, String kind, long watchTimeoutMs, long batchDelayMs, KindListener listener,
+			WatchSharing sharing) {
 		this.store = store;
 		this.timer = timer;
 		this.random = random;
@@ -103,6 +130,7 @@
 		this.watchTimeoutMs = watchTimeoutMs;
 		this.batchDelayMs = batchDelayMs;
 		this.listener = listener;
+		this.sharing = sharing;
 		this.confirmations = new Confirmations(timer, this::callToConfirm);
 	}
 
@@ -111,7 +139,8 @@
 		list();
 	}
 
-	// The watch that follows brings what a stale first list lacks. A later list may not be
+	// The watch that follows brings what a stale first list lacks. A later list may not
+	// be
 	// older than what has been applied already.
 	private void list() {
 		CompletableFuture<StorePage> call = this.isEverListed ? this.store.list(this.kind, "")
@@ -125,6 +154,7 @@
 			this.lastVersion = page.version();
 			this.isListed = true;
 			this.isEverListed = true;
+			this.sharing.listed(this.kind, page.version());
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
 			notifyListener(() -> this.listener.listed(page.objects()));
@@ -134,6 +164,85 @@
 		});
 	}
 
+	public String kind() {
+		return this.kind;
+	}
+
+	/**
+	 * Returns whether the objects have been listed, so that changes can be applied.
+	 * @return {@code false} before the first list and while a lost history is listed
+	 * again
+	 */
+	public boolean isListed() {
+		return this.isListed;
+	}
+
+	/**
+	 * Returns whether the watch rests because it is not needed.
+	 * @return {@code true} until {@link #resume()}
+	 */
+	public boolean isPaused() {
+		return this.isPaused;
+	}
+
+	/**
+	 * Returns whether this instance watches the store itself and the last calls
+	 * succeeded.
+	 * @return {@code false} also if the changes are received from other instances
+	 */
+	public boolean isWatching() {
+		return !this.isPaused && isFollowed();
+	}
+
+	/**
+	 * Watches the store again after {@link WatchSharing#isWatchNeeded} has interrupted
+	 * the watch. Continues from the last applied revision, so no list is needed unless
+	 * the store has dropped its history.
+	 */
+	public void resume() {
+		if (this.isPaused) {
+			this.isPaused = false;
+			this.isProbing = true;
+			changeState(() -> this.isConnected = false);
+			watch();
+		}
+	}
+
+	/**
+	 * Applies changes that another instance has received from the store.
+	 * @param afterRevision revision after which the changes are complete
+	 * @param revision revision up to which they are complete
+	 * @param changes changes with their revisions, oldest first; those that have been
+	 * applied already are skipped
+	 * @return {@code false} if changes between the last applied revision and the first
+	 * one are missing; nothing has been applied then
+	 */
+	public boolean applyShared(long afterRevision, long revision, List<StoreEvent> changes) {
+		if (!this.isListed || afterRevision > this.lastVersion) {
+			return false;
+		}
+		if (revision > this.lastVersion) {
+			long appliedRevision = this.lastVersion;
+			List<StoreEvent> missing = changes.stream().filter((change) -> change.version() > appliedRevision).toList();
+			apply(new StoreWatchResult(missing, revision, false), this.lastResponseMs);
+			this.lastVersion = Math.max(this.lastVersion, revision);
+		}
+		return true;
+	}
+
+	/**
+	 * Records that another instance watches the store successfully, and that what it
+	 * received has been applied here.
+	 */
+	public void recordSharedSuccess() {
+		this.isConfirmationFailed = false;
+		if (this.isPaused && !this.isConnected) {
+			this.consecutiveFailures = 0;
+			this.isConnected = true;
+			this.health.recordSuccess();
+		}
+	}
+
 	@Override
 	public boolean isFollowed() {
 		return this.isListed && this.isConnected && !this.isConfirmationFailed;
@@ -181,10 +290,14 @@
 	}
 
 	private void watch() {
+		if (!this.sharing.isWatchNeeded(this.kind)) {
+			this.isPaused = true;
+			return;
+		}
 		long openedMs = this.timer.nowMs();
 		long afterVersion = this.lastVersion;
-		long timeoutMs = (this.consecutiveFailures > 0) ? Math.min(PROBE_TIMEOUT_MS, this.watchTimeoutMs)
-				: this.watchTimeoutMs;
+		long timeoutMs = (this.consecutiveFailures > 0 || this.isProbing)
+				? Math.min(PROBE_TIMEOUT_MS, this.watchTimeoutMs) : this.watchTimeoutMs;
 		this.store.watch(this.kind, afterVersion, timeoutMs).whenComplete((result, error) -> {
 			if (error != null) {
 				onFailure(error);
@@ -197,11 +310,16 @@
 				list();
 				return;
 			}
-			// A confirmation may have applied these changes and later ones.
+			// A confirmation or another instance may have brought these changes and later
+			// ones.
 			boolean isOutdated = this.lastVersion != afterVersion;
-			if (!isOutdated) {
-				this.lastVersion = Math.max(this.lastVersion, result.version());
+			if (isOutdated) {
+				applyShared(afterVersion, result.version(),
+						ChangeRevisions.of(result.events(), afterVersion, result.version()));
+			}
+			else {
 				apply(result, openedMs);
+				this.lastVersion = Math.max(this.lastVersion, result.version());
 			}
 			this.lastResponseMs = this.timer.nowMs();
 			if (this.batchDelayMs == 0 || (result.events().isEmpty() && !isOutdated)) {
@@ -216,10 +334,13 @@
 	private void apply(StoreWatchResult result, long openedMs) {
 		List<StoreEvent> changes = result.events();
 		if (!changes.isEmpty()) {
+			long afterVersion = this.lastVersion;
 			this.lastVersion = Math.max(this.lastVersion, result.version());
 			this.events.record("store.changed", "kind", this.kind, "revision", this.lastVersion, "changes",
 					changes.size(), "unwatchedMs", openedMs - this.lastResponseMs);
 			notifyListener(() -> this.listener.changed(changes));
+			this.sharing.changed(this.kind, ChangeRevisions.of(changes, afterVersion, this.lastVersion),
+					this.lastVersion);
 		}
 	}
 
@@ -245,6 +366,7 @@
 	private void onSuccess() {
 		this.consecutiveFailures = 0;
 		this.isConfirmationFailed = false;
+		this.isProbing = false;
 		this.health.recordSuccess();
 		if (!this.isConnected) {
 			this.isConnected = true;
@@ -254,6 +376,11 @@
 	}
 
 	private void onFailure(Throwable error) {
+		// The others show that the store answers; only this instance doesn't reach it.
+		if (this.isListed && !this.sharing.isWatchNeeded(this.kind)) {
+			this.isPaused = true;
+			return;
+		}
 		Throwable cause = StoreException.causeOf(error);
 		if (this.isConnected || this.consecutiveFailures == 0) {
 			this.events.record("store.lost", "kind", this.kind, "error", String.valueOf(cause.getMessage()));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
@@ -68,6 +68,14 @@
 		return isOutage() ? 0 : this.timer.nowMs() - this.lastOutageEndMs;
 	}
 
+	/**
+	 * Records an outage that others have observed while this process made no calls.
+	 * @param ageMs time since its end in milliseconds; 0 if it continues
+	 */
+	public void recordOutageElsewhere(long ageMs) {
+		this.lastOutageEndMs = Math.max(this.lastOutageEndMs, this.timer.nowMs() - ageMs);
+	}
+
 	private boolean isOutage() {
 		return this.isFailing && this.timer.nowMs() - this.failingSinceMs >= MIN_OUTAGE_MS;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsagePeers.java
@@ -88,7 +88,11 @@
 		return this.entries.keySet();
 	}
 
-	Collection<DirectoryEntry> entries() {
+	/**
+	 * Returns the other instances with their addresses. May be called from any thread.
+	 * @return entries without that of this instance
+	 */
+	public Collection<DirectoryEntry> entries() {
 		return this.entries.values();
 	}
 
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
@@ -0,0 +1,73 @@
+package dev.nutmegdoor.core.watch;
+
+import java.util.List;
+
+import dev.nutmegdoor.core.store.ListWatcher;
+import dev.nutmegdoor.core.store.StoreEvent;
+
+/**
+ * One kind whose changes are shared.
+ */
+final class SharedList {
+
+	private final ListWatcher watcher;
+
+	private final ChangeBuffer buffer;
+
+	private long jitterMs;
+
+	private long fallbacks;
+
+	SharedList(ListWatcher watcher, SharedWatchSettings settings) {
+		this.watcher = watcher;
+		this.buffer = new ChangeBuffer(settings);
+	}
+
+	ListWatcher watcher() {
+		return this.watcher;
+	}
+
+	ChangeBuffer buffer() {
+		return this.buffer;
+	}
+
+	long jitterMs() {
+		return this.jitterMs;
+	}
+
+	void setJitterMs(long jitterMs) {
+		this.jitterMs = jitterMs;
+	}
+
+	long fallbacks() {
+		return this.fallbacks;
+	}
+
+	void countFallback() {
+		this.fallbacks++;
+	}
+
+	KindUpdate state() {
+		return update(this.buffer.lastRevision(), List.of());
+	}
+
+	KindUpdate change(long afterRevision, List<StoreEvent> changes) {
+		return update(afterRevision, changes.stream().map(WatchedChange::of).toList());
+	}
+
+	/**
+	 * Returns what a subscriber lacks, as far as it is remembered.
+	 * @param revision revision up to which the subscriber has applied changes
+	 * @return changes, or the state without changes if some are no longer remembered
+	 */
+	KindUpdate since(long revision) {
+		return (revision >= this.buffer.baseRevision() && revision < this.buffer.lastRevision())
+				? update(revision, this.buffer.after(revision)) : state();
+	}
+
+	private KindUpdate update(long afterRevision, List<WatchedChange> changes) {
+		return new KindUpdate(this.watcher.kind(), this.watcher.isWatching(), this.buffer.baseRevision(), afterRevision,
+				this.watcher.revision(), changes);
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -0,0 +1,379 @@
+package dev.nutmegdoor.core.watch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.membership.DirectoryEntry;
+import dev.nutmegdoor.core.peer.PeerTransport;
+import dev.nutmegdoor.core.store.ListWatcher;
+import dev.nutmegdoor.core.store.StoreEvent;
+import dev.nutmegdoor.core.store.StoreHealth;
+import dev.nutmegdoor.core.store.WatchSharing;
+import dev.nutmegdoor.core.time.Subscription;
+import dev.nutmegdoor.core.time.TimerService;
+
+/**
+ * Shares the watches on the platform's store in large deployments. Two instances of each
+ * zone watch the store; the others subscribe to them and receive the changes. A follower
+ * that hears no healthy watching instance, or lacks a change, watches the store itself
+ * from the last revision that it has applied. In a small deployment there are no timers
+ * and no messages. Runs on the control thread.
+ */
+public final class SharedWatches implements WatchSharing {
+
+	/** Age in milliseconds from which an outage elsewhere has no effect here. */
+	private static final long MAX_OUTAGE_AGE_MS = 60_000;
+
+	private static final long MIN_TICK_MS = 10;
+
+	private final PeerTransport transport;
+
+	private final DirectoryEntry self;
+
+	private final Supplier<? extends Collection<DirectoryEntry>> others;
+
+	private final Consumer<DirectoryEntry> introductionListener;
+
+	private final TimerService timer;
+
+	private final UniformRandomProvider random;
+
+	private final StoreHealth health;
+
+	private final EventLog events;
+
+	private final SharedWatchSettings settings;
+
+	private final String run;
+
+	private final WatchSources sources;
+
+	private final WatchSubscribers subscribers = new WatchSubscribers();
+
+	private final Map<String, SharedList> lists = new LinkedHashMap<>();
+
+	private long sequence;
+
+	private long heartbeatMs = WatchSource.NEVER_MS;
+
+	private @Nullable Subscription tick;
+
+	private volatile WatchRole role = WatchRole.DIRECT;
+
+	private volatile long oldestFreshMs;
+
+	private volatile long fallbacks;
+
+	/**
+	 * Creates an instance without lists and subscribes it to messages.
+	 * @param transport sends changes to other instances
+	 * @param self zone and address of this instance
+	 * @param others returns the other instances
+	 * @param introductionListener receives the address of each subscriber
+	 * @param timer clock
+	 * @param random source of jitter and of the identifier of this run
+	 * @param health receives outages that watching instances have observed
+	 * @param events log of events
+	 * @param settings periods and limits
+	 */
+	public SharedWatches(PeerTransport transport, DirectoryEntry self,
+			Supplier<? extends Collection<DirectoryEntry>> others, Consumer<DirectoryEntry> introductionListener,
+			TimerService timer, UniformRandomProvider random, StoreHealth health, EventLog events,
+			SharedWatchSettings settings) {
+		this.transport = transport;
+		this.self = self;
+		this.others = others;
+		this.introductionListener = introductionListener;
+		this.timer = timer;
+		this.random = random;
+		this.health = health;
+		this.events = events;
+		this.settings = settings;
+		this.run = Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
+		this.sources = new WatchSources(self.id(), self.availabilityZone(), settings, events);
+		transport.subscribe(WatchSubscription.class, (from, subscription) -> {
+			receive(from, subscription);
+			return null;
+		});
+		transport.subscribe(WatchUpdate.class, (from, update) -> {
+			receive(from, update);
+			return null;
+		});
+	}
+
+	/**
+	 * Adds a list. Must be called before the list is started.
+	 * @param watcher list that asks this object whether it has to watch the store
+	 */
+	public void add(ListWatcher watcher) {
+		this.lists.put(watcher.kind(), new SharedList(watcher, this.settings));
+	}
+
+	@Override
+	public boolean isWatchNeeded(String kind) {
+		if (!isInUse()) {
+			return true;
+		}
+		if (this.tick == null) {
+			scheduleTick(0);
+		}
+		return isWatcher() || !isFresh(kind);
+	}
+
+	@Override
+	public void listed(String kind, long revision) {
+		SharedList list = this.lists.get(kind);
+		if (list != null) {
+			list.buffer().reset(revision);
+		}
+	}
+
+	@Override
+	public void changed(String kind, List<StoreEvent> changes, long revision) {
+		SharedList list = this.lists.get(kind);
+		if (list == null) {
+			return;
+		}
+		long afterRevision = list.buffer().lastRevision();
+		list.buffer().add(changes);
+		Set<InstanceId> receivers = this.subscribers.current(this.timer.nowMs());
+		// A change that is too long to be remembered is not sent either: followers notice
+		// at once that they lack it.
+		if (!receivers.isEmpty()) {
+			boolean isRemembered = list.buffer().baseRevision() <= afterRevision;
+			this.transport.sendAll(receivers,
+					message(List.of(isRemembered ? list.change(afterRevision, changes) : list.state())));
+		}
+	}
+
+	private boolean isInUse() {
+		return 1 + this.others.get().size() > this.settings.directInstances()
+				|| !this.subscribers.current(this.timer.nowMs()).isEmpty();
+	}
+
+	private boolean isWatcher() {
+		return this.sources.isSelfChosen() || !this.subscribers.current(this.timer.nowMs()).isEmpty();
+	}
+
+	private boolean isFresh(String kind) {
+		return this.timer.nowMs() - this.sources.freshMs(kind) < this.settings.freshMs();
+	}
+
+	private WatchUpdate message(List<KindUpdate> kinds) {
+		long sinceOutageMs = this.health.timeSinceOutageMs();
+		return new WatchUpdate(this.run, ++this.sequence, (sinceOutageMs <= MAX_OUTAGE_AGE_MS) ? sinceOutageMs : null,
+				kinds);
+	}
+
+	private void receive(InstanceId from, WatchSubscription subscription) {
+		long nowMs = this.timer.nowMs();
+		boolean isNew = !this.subscribers.current(nowMs).contains(from);
+		this.introductionListener
+			.accept(new DirectoryEntry(from, subscription.zone(), subscription.host(), subscription.port(), false));
+		this.subscribers.add(from, nowMs + this.settings.leaseMs());
+		updateRole();
+		resumeWatches();
+		List<KindUpdate> kinds = new ArrayList<>();
+		boolean isBehind = false;
+		for (SharedList list : this.lists.values()) {
+			Long revision = subscription.revisions().get(list.watcher().kind());
+			if (list.watcher().isListed() && revision != null) {
+				isBehind |= revision < list.buffer().lastRevision();
+				kinds.add(list.since(revision));
+			}
+		}
+		if ((isNew || isBehind) && !kinds.isEmpty()) {
+			this.transport.send(from, message(kinds));
+		}
+		scheduleTick(Math.max(0, this.heartbeatMs + this.settings.heartbeatMs() - nowMs));
+	}
+
+	private void receive(InstanceId from, WatchUpdate update) {
+		long nowMs = this.timer.nowMs();
+		WatchSource source = this.sources.source(from);
+		if (!source.accept(update, nowMs)) {
+			return;
+		}
+		Long sinceOutageMs = this.sources.sinceOutageMs(nowMs);
+		if (sinceOutageMs != null) {
+			this.health.recordOutageElsewhere(sinceOutageMs);
+		}
+		boolean isBehind = false;
+		for (KindUpdate kind : update.kinds()) {
+			SharedList list = this.lists.get(kind.kind());
+			if (list != null && kind.isHealthy()) {
+				isBehind |= !apply(source, list, kind, nowMs);
+			}
+		}
+		if (isBehind) {
+			subscribe(from, nowMs);
+		}
+		updateRole();
+		resumeWatches();
+	}
+
+	// Returns false if changes are missing that the source remembers.
+	private boolean apply(WatchSource source, SharedList list, KindUpdate update, long nowMs) {
+		ListWatcher watcher = list.watcher();
+		String kind = watcher.kind();
+		boolean isTrusted = source.isTrusted(update, watcher.revision(), nowMs, this.settings.aheadMs());
+		if (isTrusted && watcher.applyShared(update.afterRevision(), update.revision(), update.toEvents())) {
+			source.setFresh(kind, nowMs);
+			watcher.recordSharedSuccess();
+			return true;
+		}
+		boolean isRemembered = isTrusted && watcher.isListed() && watcher.revision() >= update.baseRevision();
+		if (!isRemembered) {
+			source.setNotFresh(kind);
+		}
+		return !isRemembered;
+	}
+
+	private void onTick() {
+		this.tick = null;
+		long nowMs = this.timer.nowMs();
+		if (!isInUse()) {
+			updateRole();
+			resumeWatches();
+			return;
+		}
+		boolean isOwnWatchHealthy = this.lists.values().stream().allMatch((list) -> list.watcher().isWatching());
+		this.sources.choose(this.others.get(), isOwnWatchHealthy, nowMs);
+		for (InstanceId target : this.sources.targets(nowMs)) {
+			if (nowMs - this.sources.source(target).subscribedMs() >= this.settings.renewMs()) {
+				subscribe(target, nowMs);
+			}
+		}
+		Set<InstanceId> receivers = this.subscribers.current(nowMs);
+		if (!receivers.isEmpty() && nowMs - this.heartbeatMs >= this.settings.heartbeatMs()) {
+			this.heartbeatMs = nowMs;
+			this.transport.sendAll(receivers, message(this.lists.values().stream().map(SharedList::state).toList()));
+		}
+		updateRole();
+		resumeWatches();
+		scheduleTick(receivers.isEmpty() ? followerDelayMs(nowMs) : this.settings.heartbeatMs());
+	}
+
+	private void subscribe(InstanceId target, long nowMs) {
+		this.sources.source(target).setSubscribed(nowMs);
+		Map<String, Long> revisions = new HashMap<>();
+		this.lists.forEach((kind, list) -> {
+			if (list.watcher().isListed()) {
+				revisions.put(kind, list.watcher().revision());
+			}
+		});
+		this.transport.send(target,
+				new WatchSubscription(this.self.availabilityZone(), this.self.host(), this.self.port(), revisions));
+	}
+
+	// Until the first of the lists may have to be watched, or the choice may change.
+	private long followerDelayMs(long nowMs) {
+		long delayMs = this.settings.silentMs();
+		for (Map.Entry<String, SharedList> list : this.lists.entrySet()) {
+			long deadlineMs = this.sources.freshMs(list.getKey()) + this.settings.freshMs()
+					+ list.getValue().jitterMs();
+			if (deadlineMs > nowMs) {
+				delayMs = Math.min(delayMs, deadlineMs - nowMs);
+			}
+		}
+		return (this.role == WatchRole.FALLBACK) ? Math.min(delayMs, this.settings.freshMs() / 2)
+				: Math.max(MIN_TICK_MS, delayMs);
+	}
+
+	// An earlier tick replaces a later one.
+	private void scheduleTick(long delayMs) {
+		if (this.tick != null) {
+			this.tick.cancel();
+		}
+		this.tick = this.timer.schedule(delayMs, this::onTick);
+	}
+
+	private void resumeWatches() {
+		long nowMs = this.timer.nowMs();
+		this.lists.forEach((kind, list) -> {
+			long freshMs = this.sources.freshMs(kind);
+			boolean isDue = !isInUse() || isWatcher() || nowMs - freshMs >= this.settings.freshMs() + list.jitterMs();
+			if (isDue && list.watcher().isPaused()) {
+				list.setJitterMs(this.random.nextLong(this.settings.jitterMs() + 1));
+				if (this.role == WatchRole.FALLBACK) {
+					list.countFallback();
+					this.fallbacks = this.lists.values().stream().mapToLong(SharedList::fallbacks).sum();
+					this.events.record("watch.fallback", "kind", kind, "ageMs",
+							Math.min(nowMs - freshMs, MAX_OUTAGE_AGE_MS), "revision", list.watcher().revision(),
+							"chosen", this.sources.chosen());
+				}
+				list.watcher().resume();
+			}
+		});
+	}
+
+	private void updateRole() {
+		WatchRole current = WatchRole.DIRECT;
+		if (isInUse()) {
+			boolean areAllFresh = this.lists.keySet().stream().allMatch(this::isFresh);
+			current = isWatcher() ? WatchRole.WATCHER : areAllFresh ? WatchRole.FOLLOWER : WatchRole.FALLBACK;
+		}
+		if (current != this.role) {
+			this.events.record("watch.role", "role", current, "before", this.role, "chosen", this.sources.chosen(),
+					"subscribers", this.subscribers.current(this.timer.nowMs()).size());
+			this.role = current;
+		}
+		this.oldestFreshMs = this.lists.keySet().stream().mapToLong(this.sources::freshMs).min().orElse(0);
+	}
+
+	/**
+	 * Returns the role of this instance. May be called from any thread.
+	 * @return the current role
+	 */
+	public WatchRole role() {
+		return this.role;
+	}
+
+	/**
+	 * Returns the number of times that this instance had to watch the store although it
+	 * was a follower. May be called from any thread.
+	 * @return count since the start, all kinds together
+	 */
+	public long fallbacks() {
+		return this.fallbacks;
+	}
+
+	/**
+	 * Returns the age of the last message of a healthy watching instance. May be called
+	 * from any thread.
+	 * @return milliseconds for the kind that waits longest, 0 unless this instance is a
+	 * follower
+	 */
+	public long ageMs() {
+		return (this.role != WatchRole.FOLLOWER) ? 0 : this.timer.nowMs() - this.oldestFreshMs;
+	}
+
+	/**
+	 * Describes the state in one line.
+	 * @return role, chosen instances, subscribers and the state of each kind
+	 */
+	public String dump() {
+		long nowMs = this.timer.nowMs();
+		List<String> kinds = new ArrayList<>();
+		this.lists.forEach((kind,
+				list) -> kinds.add(kind + "@" + list.watcher().revision()
+						+ (list.watcher().isPaused() ? " ageMs=" + (nowMs - this.sources.freshMs(kind))
+								: " watched=" + list.watcher().isWatching())
+						+ " remembered=" + list.buffer().size() + " fallbacks=" + list.fallbacks()));
+		return this.role + " chosen=" + this.sources.chosen() + " subscribers=" + this.subscribers.current(nowMs).size()
+				+ " kinds=" + kinds;
+	}
+
+}
--- /dev/null
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
@@ -0,0 +1,176 @@
+package dev.nutmegdoor.core.watch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What is known of an instance that watches the store, or is expected to.
+ */
+final class WatchSource {
+
+	static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+	private static final int MAX_DOUBLINGS = 10;
+
+	private final Map<String, KindState> kinds = new HashMap<>();
+
+	private String run = "";
+
+	private long sequence;
+
+	private @Nullable Long sinceOutageMs;
+
+	private long heardMs = NEVER_MS;
+
+	private long healthyMs = NEVER_MS;
+
+	private long awaitedSinceMs = NEVER_MS;
+
+	private long subscribedMs = NEVER_MS;
+
+	private long suspectedUntilMs = NEVER_MS;
+
+	private int suspicions;
+
+	/**
+	 * Records the arrival of a message.
+	 * @param update the message
+	 * @param nowMs current time in milliseconds
+	 * @return {@code false} if a later message has arrived before
+	 */
+	boolean accept(WatchUpdate update, long nowMs) {
+		if (!update.run().equals(this.run)) {
+			this.run = update.run();
+			this.kinds.clear();
+		}
+		else if (update.sequence() <= this.sequence) {
+			return false;
+		}
+		this.sequence = update.sequence();
+		this.sinceOutageMs = update.sinceOutageMs();
+		this.heardMs = nowMs;
+		if (update.kinds().stream().allMatch(KindUpdate::isHealthy)) {
+			recordHealthy(nowMs);
+		}
+		return true;
+	}
+
+	void recordHealthy(long nowMs) {
+		this.healthyMs = nowMs;
+		this.suspectedUntilMs = NEVER_MS;
+		this.suspicions = 0;
+	}
+
+	/**
+	 * Returns whether the changes of a kind may be applied. A store that was restored
+	 * from an older state counts its revisions from there, and changes that it reports
+	 * then would be taken for old ones.
+	 * @param update state of the source
+	 * @param appliedRevision revision up to which changes have been applied here
+	 * @param nowMs current time in milliseconds
+	 * @param aheadMs time for which the source may be behind in milliseconds
+	 * @return {@code false} if the revision of the source went back or stays behind
+	 */
+	boolean isTrusted(KindUpdate update, long appliedRevision, long nowMs, long aheadMs) {
+		KindState state = kind(update.kind());
+		if (update.revision() >= appliedRevision) {
+			state.behindSinceMs = Long.MAX_VALUE;
+		}
+		else if (update.revision() < state.revision) {
+			state.behindSinceMs = NEVER_MS;
+		}
+		else if (state.behindSinceMs == Long.MAX_VALUE) {
+			state.behindSinceMs = nowMs;
+		}
+		state.revision = update.revision();
+		return state.behindSinceMs == Long.MAX_VALUE || nowMs - state.behindSinceMs <= aheadMs;
+	}
+
+	void setFresh(String kind, long nowMs) {
+		kind(kind).freshMs = nowMs;
+	}
+
+	void setNotFresh(String kind) {
+		kind(kind).freshMs = NEVER_MS;
+	}
+
+	/**
+	 * Returns when the source last stated that it is healthy while everything before had
+	 * been applied here.
+	 * @param kind kind of the objects
+	 * @return time in milliseconds
+	 */
+	long freshMs(String kind) {
+		KindState state = this.kinds.get(kind);
+		return (state != null) ? state.freshMs : NEVER_MS;
+	}
+
+	long sinceOutageMs(long nowMs) {
+		Long reported = this.sinceOutageMs;
+		return (reported != null) ? reported + nowMs - this.heardMs : Long.MAX_VALUE;
+	}
+
+	long heardMs() {
+		return this.heardMs;
+	}
+
+	boolean isHealthy(long nowMs, long maxAgeMs) {
+		return nowMs - this.healthyMs <= maxAgeMs;
+	}
+
+	boolean isSuspected(long nowMs) {
+		return nowMs < this.suspectedUntilMs;
+	}
+
+	long subscribedMs() {
+		return this.subscribedMs;
+	}
+
+	void setSubscribed(long nowMs) {
+		this.subscribedMs = nowMs;
+	}
+
+	/**
+	 * Suspects the source if it has not been healthy for too long since it was chosen.
+	 * @param nowMs current time in milliseconds
+	 * @param isUnhealthyAccepted whether messages suffice that state it is not healthy
+	 * @param settings times
+	 * @return {@code true} if it is suspected from now on
+	 */
+	boolean suspectIfSilent(long nowMs, boolean isUnhealthyAccepted, SharedWatchSettings settings) {
+		if (this.awaitedSinceMs == NEVER_MS) {
+			this.awaitedSinceMs = nowMs;
+		}
+		long lastMs = Math.max(this.awaitedSinceMs, isUnhealthyAccepted ? this.heardMs : this.healthyMs);
+		if (nowMs - lastMs <= settings.silentMs()) {
+			return false;
+		}
+		long durationMs = Math.min(settings.maxSuspectMs(),
+				settings.suspectMs() << Math.min(this.suspicions, MAX_DOUBLINGS));
+		this.suspicions++;
+		this.suspectedUntilMs = nowMs + durationMs;
+		setNotChosen();
+		return true;
+	}
+
+	void setNotChosen() {
+		this.awaitedSinceMs = NEVER_MS;
+	}
+
+	private KindState kind(String kind) {
+		return this.kinds.computeIfAbsent(kind, (key) -> new KindState());
+	}
+
+	private static final class KindState {
+
+		private long revision;
+
+		private long freshMs = NEVER_MS;
+
+		private long behindSinceMs = Long.MAX_VALUE;
+
+	}
+
+}
