Share watches between gateways

Cause: a deployment of 72 gateways makes the watches of 72.

Change: GatewayNode connects its two lists to SharedWatches, with metrics (watch.role, watch.age.ms, watch.fallbacks) and a part of the dump.

GatewaySharedWatchTests passes over real connections. The names of the new messages are not in outer-names.txt yet.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -58,6 +58,10 @@
 import dev.nutmegdoor.core.usage.UsagePeers;
 import dev.nutmegdoor.core.usage.UsageReport;
 import dev.nutmegdoor.core.usage.UsageSettings;
+import dev.nutmegdoor.core.watch.SharedWatchSettings;
+import dev.nutmegdoor.core.watch.SharedWatches;
+import dev.nutmegdoor.core.watch.WatchMessages;
+import dev.nutmegdoor.core.watch.WatchRole;
 import dev.nutmegdoor.node.control.ControlThread;
 import dev.nutmegdoor.node.entry.AuthenticationFilter;
 import dev.nutmegdoor.node.entry.ControlBridge;
@@ -146,6 +150,8 @@
 
 	private final DeploymentExchange deploymentExchange;
 
+	private final SharedWatches sharedWatches;
+
 	private final ListWatcher configurationWatcher;
 
 	private final ListWatcher replicaWatcher;
@@ -186,16 +192,11 @@
 		StoreHealth health = new StoreHealth(this.control);
 		ConfigurationListener configurations = new ConfigurationListener(this.deployment, new ConfigurationDecoder(),
 				events);
-		this.configurationWatcher = new ListWatcher(this.store, this.control, random, health, events,
-				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations);
 		this.peers = new UsagePeers(settings.instance());
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
 				random, events, new RateShares(settings.instance(), this.peers::instanceIds));
 		ReplicaList replicas = new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode,
 				health, index::resetReplica);
-		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
-				settings.storeWaitMaxMs(),
-				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS), replicas);
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_LOG_BYTES);
 		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
@@ -212,6 +213,25 @@
 		this.tunnels = new ReplicaTunnelServer((id) -> this.deployment.current().upstreams().get(id), this.loops, codec,
 				this::isTunnelAvailable, events);
 		this.transport.acceptTunnels(this.tunnels);
+		this.sharedWatches = new SharedWatches(this.transport,
+				new DirectoryEntry(settings.instance(), settings.zone(), peerAddress.getHostString(),
+						peerAddress.getPort(), false),
+				this.peers::entries, (subscriber) -> this.peers.addListed(List.of(subscriber)), this.control, random,
+				health, events, SharedWatchSettings.forWatchesOf(settings.storeWaitMaxMs()));
+		this.configurationWatcher = new ListWatcher(this.store, this.control, random, health, events,
+				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations, this.sharedWatches);
+		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
+				settings.storeWaitMaxMs(),
+				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS), replicas,
+				this.sharedWatches);
+		this.sharedWatches.add(this.configurationWatcher);
+		this.sharedWatches.add(this.replicaWatcher);
+		for (WatchRole role : WatchRole.values()) {
+			this.metrics.gauge("watch.role{role=\"" + role + "\"}",
+					() -> () -> (this.sharedWatches.role() == role) ? 1 : 0);
+		}
+		this.metrics.gauge("watch.age.ms", () -> this.sharedWatches::ageMs);
+		this.metrics.gauge("watch.fallbacks", () -> this.sharedWatches::fallbacks);
 		this.deploymentExchange = new DeploymentExchange(this.transport, this.deployment, this.ledgerMembers,
 				configurations, this.control, events, settings.seeds(), peerAddress);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
@@ -365,6 +385,7 @@
 	private static List<Class<? extends PeerMessage>> messageTypes() {
 		List<Class<? extends PeerMessage>> types = new ArrayList<>(LedgerMessages.types());
 		types.addAll(TunnelMessages.types());
+		types.addAll(WatchMessages.types());
 		types.addAll(List.of(UsageReport.class, UsageDigest.class, DeploymentRequest.class, DeploymentAnswer.class,
 				StreamBegun.class, StreamOriginQuery.class, StreamOriginAnswer.class));
 		return types;
@@ -384,7 +405,8 @@
 				+ " replicas=" + this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
 				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
 				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
-				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
+				+ " watches=" + this.sharedWatches.dump() + " runner=" + this.runner.dump() + " violations="
+				+ this.invariants.violations()));
 	}
 
 	/**
