Test that followers learn short outages from watching instances

Cause: a mutation that ignored outages observed by watching instances only was not found.

Change: the test rejects both watching instances of a zone for 600 ms.

--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/SharedWatchesTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/SharedWatchesTests.java
@@ -209,6 +209,24 @@
 			assertThat(SharedWatchesTests.this.fleet.instance(6).health().timeSinceOutageMs(), greaterThan(60_000L));
 		}
 
+		// Guards against replicas that followers remove after an outage which was too
+		// short
+		// for them to make calls themselves.
+		@Test
+		void learnsShortOutageFromWatchers() {
+			for (int watcher : List.of(0, 3)) {
+				SharedWatchesTests.this.fleet.store.setRejected(SharedWatchesTests.this.fleet.instance(watcher).id(),
+						true);
+			}
+			SharedWatchesTests.this.fleet.advance(600);
+			for (int watcher : List.of(0, 3)) {
+				SharedWatchesTests.this.fleet.store.setRejected(SharedWatchesTests.this.fleet.instance(watcher).id(),
+						false);
+			}
+			SharedWatchesTests.this.fleet.advance(1_500);
+			assertThat(SharedWatchesTests.this.fleet.instance(6).health().timeSinceOutageMs(), lessThan(2_000L));
+		}
+
 		// Guards against a watching instance that is heard but gets no answer from the
 		// store.
 		@Test
