--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -427,8 +427,7 @@
 				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
 				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " conversations=" + this.conversations.dump()
 				+ " quarantined=" + this.quarantine.dump() + " watches=" + this.sharedWatches.dump() + " runner="
-				+ this.runner.dump() + " violations="
-				+ this.invariants.violations()));
+				+ this.runner.dump() + " violations=" + this.invariants.violations()));
 	}
 
 	/**
