--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnIndex.java
@@ -114,6 +114,17 @@
 		return expired;
 	}
 
+	/**
+	 * Returns whether a turn that this member has continues one of the given turns.
+	 * @param keys turns that have been removed
+	 * @return {@code true} if a chain has lost its beginning
+	 */
+	boolean continuesAnyOf(Collection<TurnKey> keys) {
+		return !keys.isEmpty() && this.entries.values()
+			.stream()
+			.anyMatch((entry) -> entry.isPresent && entry.previous != null && keys.contains(entry.previous));
+	}
+
 	Collection<Entry> all() {
 		return this.entries.values().stream().filter((entry) -> entry.isPresent).toList();
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnReplica.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnReplica.java
@@ -14,6 +14,7 @@
 
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.ledger.LedgerMember;
 import dev.nutmegdoor.core.ledger.LedgerMembers;
 import dev.nutmegdoor.core.ledger.ReplicatedState;
@@ -58,14 +59,15 @@
 	 * @param log durable log of this member
 	 * @param timer clock and scheduler
 	 * @param events log of copies, losses and refused turns
+	 * @param invariants checks that no chain loses its beginning
 	 */
 	public TurnReplica(LedgerMember self, PeerTransport transport, LedgerMembers members, TurnLog log,
-			TimerService timer, EventLog events) {
+			TimerService timer, EventLog events, InvariantRegistry invariants) {
 		this.self = self;
 		this.members = members;
 		this.timer = timer;
 		this.events = events;
-		this.storage = new TurnStorage(log, timer, events);
+		this.storage = new TurnStorage(log, timer, events, invariants);
 		this.copier = new TurnCopier(self, transport, members, this.storage, timer, events);
 		this.handOver = new TurnHandOver(transport, members, this.storage);
 		this.storage.setLossListener(this.copier::turnsLost);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnStorage.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnStorage.java
@@ -14,6 +14,8 @@
 import org.jspecify.annotations.Nullable;
 
 import dev.nutmegdoor.core.event.EventLog;
+import dev.nutmegdoor.core.invariant.Invariant;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -59,6 +61,8 @@
 
 	private final EventLog events;
 
+	private final InvariantRegistry invariants;
+
 	private Runnable lossListener = () -> {
 	};
 
@@ -70,10 +74,11 @@
 
 	private boolean isExpiring;
 
-	TurnStorage(TurnLog log, TimerService timer, EventLog events) {
+	TurnStorage(TurnLog log, TimerService timer, EventLog events, InvariantRegistry invariants) {
 		this.log = log;
 		this.timer = timer;
 		this.events = events;
+		this.invariants = invariants;
 	}
 
 	/**
@@ -83,7 +88,7 @@
 	void recover(List<TurnSummary> recovered) {
 		long nowMs = this.timer.nowMs();
 		recovered.forEach((turn) -> this.index.add(turn, nowMs));
-		this.log.remove(this.index.expire(nowMs));
+		expire();
 		expireRegularly();
 	}
 
@@ -239,8 +244,15 @@
 	private void expireRegularly() {
 		if (!this.isExpiring && this.index.size() > 0) {
 			this.isExpiring = true;
-			this.timer.subscribe(EXPIRY_PERIOD_MS, () -> this.log.remove(this.index.expire(this.timer.nowMs())));
+			this.timer.subscribe(EXPIRY_PERIOD_MS, this::expire);
 		}
 	}
 
+	private void expire() {
+		Set<TurnKey> expired = Set.copyOf(this.index.expire(this.timer.nowMs()));
+		this.invariants.check(Invariant.HISTORY_INTEGRITY, !this.index.continuesAnyOf(expired),
+				() -> "turns expired that a kept turn continues: " + expired);
+		this.log.remove(expired);
+	}
+
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnFaultSequenceTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnFaultSequenceTests.java
@@ -12,6 +12,7 @@
 
 import static dev.nutmegdoor.core.conversation.TurnFleet.turn;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
@@ -47,6 +48,7 @@
 			}
 			check(fleet);
 		}
+		assertThat(fleet.invariants.violations(), is(empty()));
 	}
 
 	private void storeNext(TurnFleet fleet, String group) {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnFleet.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnFleet.java
@@ -20,6 +20,7 @@
 import dev.nutmegdoor.core.fake.StoreFaults;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.invariant.InvariantRegistry;
 import dev.nutmegdoor.core.ledger.LedgerEntry;
 import dev.nutmegdoor.core.ledger.LedgerLog;
 import dev.nutmegdoor.core.ledger.LedgerMember;
@@ -60,6 +61,8 @@
 
 	final Map<String, LedgerMembers> members = new HashMap<>();
 
+	final InvariantRegistry invariants = new InvariantRegistry();
+
 	private final FakeObjectStore store;
 
 	private final PeerTransport client;
@@ -83,7 +86,8 @@
 		this.disks.put(name, disk);
 		PeerTransport transport = this.network.join(host);
 		LedgerMembers listed = new LedgerMembers();
-		TurnReplica replica = new TurnReplica(member(host), transport, listed, disk, host, EventLog.NONE);
+		TurnReplica replica = new TurnReplica(member(host), transport, listed, disk, host, EventLog.NONE,
+				this.invariants);
 		this.replicas.put(name, replica);
 		startLedger(host, transport, listed, replica);
 		replica.start(disk.recovered(), disk.isComplete);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/LedgerNode.java
@@ -118,7 +118,8 @@
 		LedgerMember self = new LedgerMember(settings.instance(), settings.zone(), settings.host(),
 				settings.firstPort());
 		InstanceRegistry registry = new StoredInstanceRegistry(platform.store(), REGISTRY_KIND, events);
-		this.turns = new TurnReplica(self, this.transport, this.members, this.turnLog, this.control, events);
+		this.turns = new TurnReplica(self, this.transport, this.members, this.turnLog, this.control, events,
+				this.invariants);
 		this.replica = new LedgerReplica(self, this.transport, registry, this.log, this.control, events,
 				LedgerSettings.DEFAULT, this.members, this.turns);
 		this.retirements = new ListWatcher(platform.store(), this.control, random, new StoreHealth(this.control),
