Serve one deployment with real processes of two builds

Cause: no run replaced machines of one version by those of another under load.

Lab can change the build that it starts.

--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -59,7 +59,8 @@
 
 	final boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
 
-	private final Path root;
+	/** Folder of the build whose processes are started. */
+	private volatile Path root;
 
 	private final Path folder;
 
@@ -222,6 +223,11 @@
 		return route;
 	}
 
+	/** Starts processes of another build from now on. */
+	void useBuild(Path buildFolder) {
+		this.root = buildFolder.toAbsolutePath().normalize();
+	}
+
 	void addSeed(int host) {
 		this.seeds.add(new InetSocketAddress(address(host), CONTROL));
 	}
