Move the run of two builds to the examples

The build whose processes are started is switched by a link instead of a change to Lab. Compiled, not run again since the move.

--- a/review/standins/TwoVersions.java
+++ b/examples/two-versions/TwoVersions.java
@@ -53,18 +53,28 @@
 	/** Gateways that get new connections, as the platform's entry would arrange. */
 	private final List<String> entries = new CopyOnWriteArrayList<>();
 
+	/** Link to the folder of the build whose processes are started. */
+	private final Path currentBuild;
+
 	private final Map<String, Integer> turnResults = new TreeMap<>();
 
 	private final Map<String, Integer> orderResults = new TreeMap<>();
 
-	private TwoVersions(Lab lab) {
+	private TwoVersions(Lab lab, Path currentBuild) {
 		this.lab = lab;
+		this.currentBuild = currentBuild;
 		this.olderBuild = Path.of(Objects.requireNonNull(System.getenv("OLD"), "OLD"));
 		this.newerBuild = Path.of(Objects.requireNonNull(System.getenv("NEW"), "NEW"));
 	}
 
 	public static void main(String[] arguments) {
-		Lab.main(arguments[0], (lab) -> new TwoVersions(lab).run());
+		Lab.main(arguments[0], (lab) -> new TwoVersions(lab, Path.of(arguments[0]).getParent().getParent()).run());
+	}
+
+	// The lab starts processes in the folder that this link points to.
+	private void useBuild(Path build) throws IOException {
+		Files.deleteIfExists(this.currentBuild);
+		Files.createSymbolicLink(this.currentBuild, build.toAbsolutePath().normalize());
 	}
 
 	private int run() throws Exception {
@@ -77,7 +87,7 @@
 			this.hosts.put(storage(i), 21 + i);
 		}
 		this.lab.configure(7, List.of(Lab.streamRoute(), Lab.unsafeRoute("order", 6_000, 2)));
-		this.lab.useBuild(this.olderBuild);
+		useBuild(this.olderBuild);
 		for (int i = 0; i < 3; i++) {
 			this.lab.startLedger(storage(i), ZONES.get(i), 21 + i, true);
 			this.lab.startGateway(gateway(i), ZONES.get(i), 11 + i, true);
@@ -106,7 +116,7 @@
 	}
 
 	private void replaceAll() throws Exception {
-		this.lab.useBuild(this.newerBuild);
+		useBuild(this.newerBuild);
 		this.phase = "storage machines are upgraded";
 		for (int i = 0; i < 3; i++) {
 			replaceLedger(i, i == 1);
@@ -120,7 +130,7 @@
 		replaceGateway(2);
 		this.phase = "newer";
 		Lab.sleep(5_000);
-		this.lab.useBuild(this.olderBuild);
+		useBuild(this.olderBuild);
 		this.phase = "gateways go back";
 		for (int i = 0; i < 3; i++) {
 			replaceGateway(i);
@@ -196,12 +206,12 @@
 		}
 		long killedMs = this.lab.nowMs();
 		for (int i = 0; i < 3; i++) {
-			this.lab.useBuild(this.newerBuild);
+			useBuild(this.newerBuild);
 			this.lab.startLedger(storage(i), ZONES.get(i), 21 + i, false);
-			this.lab.useBuild((i == 0) ? this.newerBuild : this.olderBuild);
+			useBuild((i == 0) ? this.newerBuild : this.olderBuild);
 			this.lab.startGateway(gateway(i), ZONES.get(i), 11 + i, false);
 		}
-		this.lab.useBuild(this.newerBuild);
+		useBuild(this.newerBuild);
 		this.lab.awaitReady(gateways(), 25_000);
 		this.lab.record("all gateways are ready " + (this.lab.nowMs() - killedMs) + " ms after all were killed");
 		this.entries.addAll(gateways());
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -59,8 +59,7 @@
 
 	final boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
 
-	/** Folder of the build whose processes are started. */
-	private volatile Path root;
+	private final Path root;
 
 	private final Path folder;
 
@@ -223,11 +222,6 @@
 		return route;
 	}
 
-	/** Starts processes of another build from now on. */
-	void useBuild(Path buildFolder) {
-		this.root = buildFolder.toAbsolutePath().normalize();
-	}
-
 	void addSeed(int host) {
 		this.seeds.add(new InetSocketAddress(address(host), CONTROL));
 	}
