--- a/nutmegdoor-cli/src/test/java/dev/nutmegdoor/cli/logging/LoggingConfiguratorTests.java
+++ b/nutmegdoor-cli/src/test/java/dev/nutmegdoor/cli/logging/LoggingConfiguratorTests.java
@@ -59,4 +59,17 @@
 		this.context.stop();
 	}
 
+	// Guards against a provider that reports debug events of all libraries, or none.
+	@Test
+	void providerStartsTheSameLog() {
+		DirectLoggingProvider provider = new DirectLoggingProvider();
+		provider.initialize();
+		LoggerContext started = (LoggerContext) provider.getLoggerFactory();
+		Logger root = started.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		assertThat(root.getLevel(), is(Level.INFO));
+		assertThat(root.iteratorForAppenders().next().getName(), is("ASYNC"));
+		assertThat(started.isStarted(), is(true));
+		started.stop();
+	}
+
 }
