--- a/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/processor/ProcessorExperiment.java
+++ b/nutmegdoor-experiment/src/main/java/dev/nutmegdoor/experiment/processor/ProcessorExperiment.java
@@ -86,7 +86,8 @@
 				runs.forEach(BuildRun::measureStarts);
 			}
 			progress.accept("without traffic");
-			runs.forEach((run) -> run.grow(options.gateways(), options.ledgers()));
+			// A deployment that started earlier has compiled more of its code.
+			inParallel(runs, (run) -> run.grow(options.gateways(), options.ledgers()));
 			BuildRun.sleep(SETTLE_MS);
 			inParallel(runs, (run) -> run.measureIdle(options.idleMs()));
 			progress.accept("requests");
