Evacuate availability zones

Cause: nothing recognized the objects evacuations/ZONE, with which operators ask that nothing more is sent to the replicas of a zone.

The send itself and the opening of a tunnel check again. Usage reports, digests and the answer for a started instance carry the zones with the revision of the store; the higher revision wins. An instance routes only once it knows the evacuations, or after the bound if nobody does.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayOutcome.java
@@ -22,6 +22,9 @@
 	 */
 	WITHHELD(RunState.NOT_RUN, false, false),
 
+	/** The request was not sent, because the zone of the replica is evacuated. */
+	EVACUATED(RunState.NOT_RUN, false, false),
+
 	/** The connection failed before any part of a response was forwarded. */
 	BROKEN(RunState.UNKNOWN, true, true),
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/Deployment.java
@@ -1,6 +1,7 @@
 package dev.nutmegdoor.core.route;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -17,8 +18,9 @@
 
 /**
  * Holds the state of the deployment as this process has received it: the newest
- * configuration and the list of replicas. Updated on the control thread, read from any
- * thread.
+ * configuration, the list of replicas and the evacuated zones. Replicas of evacuated
+ * zones are published as leaving, so that they receive nothing more on any path. Updated
+ * on the control thread, read from any thread.
  */
 public final class Deployment implements ConfigurationView {
 
@@ -36,6 +38,8 @@
 
 	private boolean hasReplicaList;
 
+	private volatile @Nullable EvacuatedZones evacuations = EvacuatedZones.UNCONFIRMED;
+
 	public Deployment(InvariantRegistry invariants, EventLog events) {
 		this.invariants = invariants;
 		this.events = events;
@@ -71,6 +75,60 @@
 		publish();
 	}
 
+	/**
+	 * Declares that requests must not be routed before the evacuated zones are known.
+	 */
+	public void awaitEvacuations() {
+		this.evacuations = null;
+	}
+
+	/**
+	 * Applies evacuated zones and notifies the listeners. Zones of a revision that is not
+	 * higher than the known one are ignored.
+	 * @param received zones to apply
+	 * @param source where the zones were received from, for the event log
+	 */
+	public void accept(EvacuatedZones received, String source) {
+		EvacuatedZones known = this.evacuations;
+		if (known != null && received.revision() <= known.revision()) {
+			return;
+		}
+		this.evacuations = received;
+		if (known == null || !known.zones().equals(received.zones())) {
+			this.events.record("evacuations.applied", "revision", received.revision(), "zones", received.zones(),
+					"before", (known != null) ? known.zones() : List.of(), "source", source);
+			publish();
+		}
+	}
+
+	/**
+	 * Returns the evacuated zones if they have been read from the platform's store, by
+	 * this instance or another one.
+	 * @return the zones, or {@code null} if no instance is known to have read them
+	 */
+	public @Nullable EvacuatedZones confirmedEvacuations() {
+		EvacuatedZones known = this.evacuations;
+		return (known != null && known.revision() > 0) ? known : null;
+	}
+
+	/**
+	 * Returns whether nothing may be sent to a replica because its zone is evacuated.
+	 * @param replica replica as it was selected, possibly some time ago
+	 * @return {@code true} if its zone is evacuated now
+	 */
+	public boolean isEvacuated(Upstream replica) {
+		EvacuatedZones known = this.evacuations;
+		return known != null && known.zones().contains(replica.availabilityZone());
+	}
+
+	/**
+	 * Returns the replicas as they are listed, regardless of evacuations.
+	 * @return replicas that are ready or leaving
+	 */
+	public List<Upstream> listedReplicas() {
+		return List.copyOf(this.replicas.values());
+	}
+
 	/**
 	 * Returns the active version of the configuration.
 	 * @return the routes, or {@code null} if no configuration has been received yet
@@ -91,10 +149,11 @@
 
 	/**
 	 * Returns whether requests can be routed.
-	 * @return {@code true} once a configuration and a list of replicas have been received
+	 * @return {@code true} once a configuration and a list of replicas have been
+	 * received, and the evacuated zones if they are awaited
 	 */
 	public boolean isReadyToRoute() {
-		return this.routes != null && this.hasReplicaList;
+		return this.routes != null && this.hasReplicaList && this.evacuations != null;
 	}
 
 	@Override
@@ -110,8 +169,28 @@
 	private void publish() {
 		RouteTable table = this.routes;
 		this.configuration = new Configuration((table != null) ? table.version() : 0,
-				(table != null) ? table.workspaces() : Map.of(), Map.of(), Map.of(), Map.of(), this.replicas);
+				(table != null) ? table.workspaces() : Map.of(), Map.of(), Map.of(), Map.of(), usableReplicas());
 		this.listeners.forEach((listener) -> listener.accept(this.configuration));
 	}
 
+	private Map<UpstreamId, Upstream> usableReplicas() {
+		EvacuatedZones known = this.evacuations;
+		if (known == null || known.zones().isEmpty()) {
+			return this.replicas;
+		}
+		Map<UpstreamId, Upstream> usable = new HashMap<>(this.replicas);
+		usable.replaceAll(
+				(id, replica) -> (isEvacuated(replica) && !replica.isLeaving()) ? replica.asLeaving() : replica);
+		return usable;
+	}
+
+	/**
+	 * Describes the evacuated zones for {@code dump}.
+	 * @return the zones with their revision, or that they are not known
+	 */
+	public String dumpEvacuations() {
+		EvacuatedZones known = this.evacuations;
+		return (known != null) ? known.zones() + "@" + known.revision() : "awaited";
+	}
+
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/DeploymentAnswer.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/DeploymentAnswer.java
@@ -16,15 +16,18 @@
  * @param replicas replicas that are ready or leaving
  * @param ledgerReplicas known replicas of the token ledger; {@code null}, which is read
  * as none, from an instance of an older version
+ * @param evacuations evacuated zones, or {@code null} from an instance that does not know
+ * them
  */
 public record DeploymentAnswer(@Nullable String configuration, List<Upstream> replicas,
-		List<LedgerMember> ledgerReplicas) implements PeerMessage {
+		List<LedgerMember> ledgerReplicas, @Nullable EvacuatedZones evacuations) implements PeerMessage {
 
 	public DeploymentAnswer(@Nullable String configuration, List<Upstream> replicas,
-			@Nullable List<LedgerMember> ledgerReplicas) {
+			@Nullable List<LedgerMember> ledgerReplicas, @Nullable EvacuatedZones evacuations) {
 		this.configuration = configuration;
 		this.replicas = List.copyOf(replicas);
 		this.ledgerReplicas = (ledgerReplicas != null) ? List.copyOf(ledgerReplicas) : List.of();
+		this.evacuations = evacuations;
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageDigest.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageDigest.java
@@ -8,6 +8,7 @@
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.quarantine.SuspectRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
 
 /**
  * Passes on what a relay has learned from others since its last digest. Counts are
@@ -25,14 +26,16 @@
  * @param loads latest loads of replicas that were observed since the last digest
  * @param suspects requests that replicas had when they crashed; {@code null}, which is
  * read as none, from an instance of an older version
+ * @param evacuations evacuated zones, or {@code null} from an instance that does not know
+ * them
  */
 public record UsageDigest(AvailabilityZone zone, String host, int port, int knownInstances, int reachableInstances,
 		List<AvailabilityZone> resumedZones, List<UsageEntry> entries, List<ObservedLoad> loads,
-		List<SuspectRequest> suspects) implements PeerMessage {
+		List<SuspectRequest> suspects, @Nullable EvacuatedZones evacuations) implements PeerMessage {
 
 	public UsageDigest(AvailabilityZone zone, String host, int port, int knownInstances, int reachableInstances,
 			List<AvailabilityZone> resumedZones, List<UsageEntry> entries, List<ObservedLoad> loads,
-			@Nullable List<SuspectRequest> suspects) {
+			@Nullable List<SuspectRequest> suspects, @Nullable EvacuatedZones evacuations) {
 		this.zone = zone;
 		this.host = host;
 		this.port = port;
@@ -42,6 +45,7 @@
 		this.entries = List.copyOf(entries);
 		this.loads = List.copyOf(loads);
 		this.suspects = (suspects != null) ? List.copyOf(suspects) : List.of();
+		this.evacuations = evacuations;
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageExchange.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.id.WorkspaceId;
@@ -14,6 +16,7 @@
 import dev.nutmegdoor.core.placement.ObservedLoads;
 import dev.nutmegdoor.core.quarantine.RequestQuarantine;
 import dev.nutmegdoor.core.quarantine.SuspectRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
@@ -46,6 +49,8 @@
 
 	private final RequestQuarantine quarantine;
 
+	private final EvacuationSharing evacuationSharing;
+
 	private final UsageRelays relays;
 
 	private final long startedMs;
@@ -77,10 +82,11 @@
 	 * @param loadSharing supplies and receives loads of replicas
 	 * @param quarantine supplies and receives requests that replicas had when they
 	 * crashed
+	 * @param evacuationSharing supplies and receives evacuated zones
 	 */
 	UsageExchange(PeerTransport transport, UsagePeers peers, TimerService timer, EventLog eventLog,
 			UsageSettings settings, LocalUsageEndpoint endpoint, boolean isFirstStart, UsageListener listener,
-			LoadSharing loadSharing, RequestQuarantine quarantine) {
+			LoadSharing loadSharing, RequestQuarantine quarantine, EvacuationSharing evacuationSharing) {
 		this.transport = transport;
 		this.peers = peers;
 		this.timer = timer;
@@ -91,6 +97,7 @@
 		this.listener = listener;
 		this.loadSharing = loadSharing;
 		this.quarantine = quarantine;
+		this.evacuationSharing = evacuationSharing;
 		this.startedMs = timer.nowMs();
 		this.relays = new UsageRelays(transport, peers, settings, endpoint, this.startedMs, isFirstStart);
 		transport.subscribe(UsageReport.class, (from, report) -> {
@@ -144,7 +151,7 @@
 		this.isUrgent |= !suspects.isEmpty();
 		sendReportIfDue(suspects, nowMs);
 		if (this.relays.areInUse()) {
-			this.relays.sendDigestsIfDue(this.isUrgent, suspects, nowMs);
+			this.relays.sendDigestsIfDue(this.isUrgent, suspects, this.evacuationSharing.confirmed(), nowMs);
 		}
 		this.isUrgent = false;
 	}
@@ -195,7 +202,8 @@
 	private UsageReport report(Map<String, Long> totals, Map<String, Long> levels, boolean isStarting,
 			List<ObservedLoad> loads, List<SuspectRequest> suspects) {
 		return new UsageReport(this.endpoint.incarnation(), this.endpoint.zone(), this.endpoint.host(),
-				this.endpoint.port(), isStarting, totals, levels, this.timer.nowMs() - this.startedMs, loads, suspects);
+				this.endpoint.port(), isStarting, totals, levels, this.timer.nowMs() - this.startedMs, loads, suspects,
+				this.evacuationSharing.confirmed());
 	}
 
 	private void receive(InstanceId from, UsageReport report) {
@@ -206,6 +214,7 @@
 		peer.recordReport(report, nowMs);
 		this.loadSharing.loadsObservedElsewhere(report.loads());
 		this.quarantine.observedElsewhere(report.suspects(), this.relays.areInUse());
+		evacuationsReceived(from, report.evacuations());
 		if (this.relays.areInUse()) {
 			deduct(this.relays.addReport(from, report, nowMs));
 		}
@@ -226,9 +235,16 @@
 		this.peers.recordContact(from, digest, nowMs);
 		this.loadSharing.loadsObservedElsewhere(digest.loads());
 		this.quarantine.observedElsewhere(digest.suspects(), this.relays.areInUse());
+		evacuationsReceived(from, digest.evacuations());
 		deduct(this.relays.addDigest(from, digest, nowMs));
 	}
 
+	private void evacuationsReceived(InstanceId from, @Nullable EvacuatedZones evacuations) {
+		if (evacuations != null) {
+			this.evacuationSharing.receivedFrom(from, evacuations);
+		}
+	}
+
 	private void deduct(Map<String, Long> increases) {
 		increases.forEach((name, increase) -> {
 			if (increase > 0) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageLimiter.java
@@ -71,12 +71,39 @@
 	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
 			UniformRandomProvider random, EventLog eventLog, UsageSettings settings, LocalUsageEndpoint self,
 			boolean isFirstStart, LoadSharing loadSharing, RequestQuarantine quarantine) {
+		this(transport, peers, configuration, timer, random, eventLog, settings, self, isFirstStart, loadSharing,
+				quarantine, EvacuationSharing.NONE);
+	}
+
+	/**
+	 * Creates a limiter and subscribes it to the timer and to reports of other instances.
+	 * @param transport sends reports and receives those of other instances
+	 * @param peers tracks which other instances are reachable; updated by the limiter
+	 * @param configuration rates and bursts by workspace
+	 * @param timer runs the limiter on the control thread
+	 * @param random spreads retries of clients and rounds token counts at random
+	 * @param eventLog receives changes of the reachable fraction
+	 * @param settings periods and timeouts of the reports
+	 * @param self address of this instance, included in its reports
+	 * @param isFirstStart whether the entire system starts for the first time, so that no
+	 * instance can have admitted anything
+	 * @param loadSharing supplies and receives loads of replicas, which travel with the
+	 * reports
+	 * @param quarantine supplies and receives requests that replicas had when they
+	 * crashed, which travel with the reports as well
+	 * @param evacuationSharing supplies and receives evacuated zones, which travel with
+	 * the reports as well
+	 */
+	public UsageLimiter(PeerTransport transport, UsagePeers peers, ConfigurationView configuration, TimerService timer,
+			UniformRandomProvider random, EventLog eventLog, UsageSettings settings, LocalUsageEndpoint self,
+			boolean isFirstStart, LoadSharing loadSharing, RequestQuarantine quarantine,
+			EvacuationSharing evacuationSharing) {
 		this.configuration = configuration;
 		this.timer = timer;
 		this.random = random;
 		this.isFirstStart = isFirstStart;
 		this.exchange = new UsageExchange(transport, peers, timer, eventLog, settings, self, isFirstStart,
-				new BucketListener(), loadSharing, quarantine);
+				new BucketListener(), loadSharing, quarantine, evacuationSharing);
 		timer.subscribe(settings.reportPeriodMs(), () -> {
 			this.exchange.sendIfDue();
 			processWaitQueues();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageRelays.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageRelays.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
 import dev.nutmegdoor.core.membership.DirectoryEntry;
@@ -16,6 +18,7 @@
 import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.placement.ObservedLoads;
 import dev.nutmegdoor.core.quarantine.SuspectRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
 
 /**
  * Passes usage on in large deployments. Each instance reports to the relays of its zone;
@@ -207,9 +210,11 @@
 	 * Sends digests if this instance is a relay and one is due.
 	 * @param isUrgent whether a bucket with changes is low or there are suspects
 	 * @param suspects requests that replicas had when they crashed, to pass on
+	 * @param evacuations evacuated zones to pass on, or {@code null}
 	 * @param nowMs current time in milliseconds
 	 */
-	void sendDigestsIfDue(boolean isUrgent, List<SuspectRequest> suspects, long nowMs) {
+	void sendDigestsIfDue(boolean isUrgent, List<SuspectRequest> suspects, @Nullable EvacuatedZones evacuations,
+			long nowMs) {
 		if (!isRelay(nowMs)) {
 			this.pendingForZone.drain((instance, workspaces) -> null);
 			this.pendingForOtherZones.drain((instance, workspaces) -> null);
@@ -227,20 +232,20 @@
 		Collection<InstanceId> otherRelays = otherRelays(nowMs);
 		otherRelays.forEach((relay) -> this.choice.sent(relay, nowMs));
 		this.transport.sendAll(otherRelays, digest(knownInZone(nowMs), reachableInZone(nowMs), List.of(),
-				this.pendingForOtherZones, this.loadsForOtherZones, suspects, nowMs));
+				this.pendingForOtherZones, this.loadsForOtherZones, suspects, evacuations, nowMs));
 		this.transport.sendAll(this.peers.recent(this.endpoint.zone(), nowMs, this.settings),
 				digest(knownInstances(nowMs), reachableInstances(nowMs), resumedZones(nowMs), this.pendingForZone,
-						this.loadsForZone, suspects, nowMs));
+						this.loadsForZone, suspects, evacuations, nowMs));
 	}
 
 	private UsageDigest digest(int known, int reachable, List<AvailabilityZone> resumedZones, PendingCounts pending,
-			ObservedLoads loads, List<SuspectRequest> suspects, long nowMs) {
+			ObservedLoads loads, List<SuspectRequest> suspects, @Nullable EvacuatedZones evacuations, long nowMs) {
 		List<UsageEntry> entries = pending.drain((instance, workspaces) -> {
 			UsageOrigin origin = this.origins.get(instance);
 			return (origin != null) ? origin.toEntry(instance, workspaces, nowMs) : null;
 		});
 		return new UsageDigest(this.endpoint.zone(), this.endpoint.host(), this.endpoint.port(), known, reachable,
-				resumedZones, entries, loads.drain(nowMs), suspects);
+				resumedZones, entries, loads.drain(nowMs), suspects, evacuations);
 	}
 
 	private List<AvailabilityZone> resumedZones(long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/usage/UsageReport.java
@@ -9,6 +9,7 @@
 import dev.nutmegdoor.core.peer.PeerMessage;
 import dev.nutmegdoor.core.placement.ObservedLoad;
 import dev.nutmegdoor.core.quarantine.SuspectRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
 
 /**
  * Reports what an instance has admitted since its start. It is sent several times a
@@ -30,14 +31,16 @@
  * {@code null}, which is read as none, from an instance of an older version
  * @param suspects requests that replicas had when they crashed; {@code null}, which is
  * read as none, from an instance of an older version
+ * @param evacuations evacuated zones, or {@code null} from an instance that does not know
+ * them
  */
 public record UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
 		Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs, List<ObservedLoad> loads,
-		List<SuspectRequest> suspects) implements PeerMessage {
+		List<SuspectRequest> suspects, @Nullable EvacuatedZones evacuations) implements PeerMessage {
 
 	public UsageReport(String incarnation, AvailabilityZone zone, String host, int port, boolean isStarting,
 			Map<String, Long> admitted, Map<String, Long> levels, long uptimeMs, @Nullable List<ObservedLoad> loads,
-			@Nullable List<SuspectRequest> suspects) {
+			@Nullable List<SuspectRequest> suspects, @Nullable EvacuatedZones evacuations) {
 		this.incarnation = incarnation;
 		this.zone = zone;
 		this.host = host;
@@ -48,6 +51,7 @@
 		this.uptimeMs = uptimeMs;
 		this.loads = (loads != null) ? List.copyOf(loads) : List.of();
 		this.suspects = (suspects != null) ? List.copyOf(suspects) : List.of();
+		this.evacuations = evacuations;
 	}
 
 }
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/usage/UsageLimiterTests.java
@@ -273,7 +273,7 @@
 
 		private void report(PeerTransport peer, long requests) {
 			peer.send(new InstanceId("i-0"), new UsageReport("run-p", zone(1), "10.0.0.9", 1, false,
-					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000, List.of(), List.of()));
+					Map.of(WORKSPACE.value(), requests), Map.of(), 10_000, List.of(), List.of(), null));
 		}
 
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/DeploymentExchange.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/DeploymentExchange.java
@@ -18,6 +18,7 @@
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
 import dev.nutmegdoor.core.route.RouteTable;
 import dev.nutmegdoor.core.time.TimerService;
 
@@ -72,9 +73,9 @@
 			.forEach((seed) -> this.seeds.put(new InstanceId("seed-" + seed.getHostString() + ":" + seed.getPort()),
 					seed));
 		transport.subscribe(DeploymentRequest.class,
-				(from, request) -> CompletableFuture
-					.completedFuture(new DeploymentAnswer(configurations.activeConfiguration(),
-							List.copyOf(deployment.current().upstreams().values()), List.copyOf(ledgerMembers.all()))));
+				(from, request) -> CompletableFuture.completedFuture(
+						new DeploymentAnswer(configurations.activeConfiguration(), deployment.listedReplicas(),
+								List.copyOf(ledgerMembers.all()), deployment.confirmedEvacuations())));
 	}
 
 	void start() {
@@ -114,6 +115,10 @@
 
 	private void acceptAnswer(InstanceId from, DeploymentAnswer answer) {
 		answer.ledgerReplicas().forEach(this.ledgerMembers::add);
+		EvacuatedZones evacuations = answer.evacuations();
+		if (evacuations != null) {
+			this.deployment.accept(evacuations, from.value());
+		}
 		String configuration = answer.configuration();
 		if (this.deployment.isReadyToRoute() || configuration == null || answer.replicas().isEmpty()) {
 			return;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -39,6 +39,7 @@
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
+import dev.nutmegdoor.core.route.EvacuationList;
 import dev.nutmegdoor.core.route.ReplicaList;
 import dev.nutmegdoor.core.schedule.Observers;
 import dev.nutmegdoor.core.schedule.ProgramSchedulingInfoSource;
@@ -52,6 +53,7 @@
 import dev.nutmegdoor.core.stream.StreamOriginQuery;
 import dev.nutmegdoor.core.stream.StreamOrigins;
 import dev.nutmegdoor.core.tunnel.TunnelMessages;
+import dev.nutmegdoor.core.usage.EvacuationSharing;
 import dev.nutmegdoor.core.usage.LocalUsageEndpoint;
 import dev.nutmegdoor.core.usage.UsageDigest;
 import dev.nutmegdoor.core.usage.UsageLimiter;
@@ -75,6 +77,7 @@
 import dev.nutmegdoor.node.process.ObservationServer;
 import dev.nutmegdoor.node.process.PlatformConnection;
 import dev.nutmegdoor.platform.ConfigurationDecoder;
+import dev.nutmegdoor.platform.EvacuationTranslator;
 import dev.nutmegdoor.platform.ProcessSettings;
 import dev.nutmegdoor.platform.ReplicaDecoder;
 import dev.nutmegdoor.platform.RequestTranslator;
@@ -150,6 +153,8 @@
 
 	private final ListWatcher replicaWatcher;
 
+	private final @Nullable ListWatcher evacuationWatcher;
+
 	private final ScheduledCallRunner runner;
 
 	private final GatewayServer server;
@@ -179,7 +184,7 @@
 				"the gateway requires an address for readiness checks, but the settings have none");
 		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
 		this.store = new PlatformConnection(settings, this.control, this.loops, random, events,
-				Set.of(ConfigurationDecoder.KIND))
+				Set.of(ConfigurationDecoder.KIND, EvacuationTranslator.KIND))
 			.store();
 		this.deployment = new Deployment(this.invariants, events);
 		this.quarantine = new RequestQuarantine(this.control, events);
@@ -196,6 +201,8 @@
 		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
 				settings.storeWaitMaxMs(),
 				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS), replicas);
+		this.evacuationWatcher = (settings.evacuationMs() != null) ? followEvacuations(random, settings.evacuationMs())
+				: null;
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_LOG_BYTES);
 		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
@@ -216,9 +223,11 @@
 				configurations, this.control, events, settings.seeds(), peerAddress);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
 		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
-				events, UsageSettings.DEFAULT, new LocalUsageEndpoint(incarnation, settings.zone(),
-						peerAddress.getHostString(), peerAddress.getPort()),
-				settings.isFirstStart(), new IndexLoadSharing(index), this.quarantine);
+				events, UsageSettings.DEFAULT,
+				new LocalUsageEndpoint(incarnation, settings.zone(), peerAddress.getHostString(),
+						peerAddress.getPort()),
+				settings.isFirstStart(), new IndexLoadSharing(index), this.quarantine, (settings.evacuationMs() != null)
+						? new DeploymentEvacuationSharing(this.deployment) : EvacuationSharing.NONE);
 		TokenBudgets budgets = new TokenBudgets(new LedgerDependencies(this.transport, this.ledgerMembers,
 				() -> this.peers.reachable(settings.zone(), this.control.nowMs(), UsageSettings.DEFAULT), this.control,
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
@@ -239,7 +248,7 @@
 		RelayRoute relayRoute = new RelayRoute(this.runner, pool, controlBridge, RandomSource.XO_SHI_RO_256_PP.create(),
 				events, this.quarantine, new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment,
 						this.replicaWatcher, this.control, events),
-				this.drainDeadline, replicas);
+				this.drainDeadline, replicas, this.deployment::isEvacuated);
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
@@ -267,6 +276,9 @@
 		this.control.execute(() -> {
 			this.configurationWatcher.start();
 			this.replicaWatcher.start();
+			if (this.evacuationWatcher != null) {
+				this.evacuationWatcher.start();
+			}
 			this.deploymentExchange.start();
 			register(new StoredInstanceRegistry(this.store, REGISTRY_KIND, this.events));
 			listLedgerReplicas(new StoredInstanceRegistry(this.store, LedgerNode.REGISTRY_KIND, this.events));
@@ -323,6 +335,14 @@
 		this.loops.dispose();
 	}
 
+	private ListWatcher followEvacuations(UniformRandomProvider random, long evacuationMs) {
+		EvacuationList evacuations = new EvacuationList(this.deployment, this.control, this.events,
+				() -> (this.evacuationWatcher != null) ? this.evacuationWatcher.revision() : 0);
+		evacuations.awaitFirst(evacuationMs);
+		return new ListWatcher(this.store, this.control, random, new StoreHealth(this.control), this.events,
+				EvacuationTranslator.KIND, this.settings.storeWaitMaxMs(), 0, evacuations);
+	}
+
 	private void register(InstanceRegistry registry) {
 		InetSocketAddress peerAddress = Objects.requireNonNull(this.settings.control());
 		registry
@@ -381,7 +401,8 @@
 	private Mono<String> dump() {
 		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
 				+ this.drainDeadline.isStarted() + " configuration=" + this.deployment.current().version()
-				+ " replicas=" + this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
+				+ " evacuated=" + this.deployment.dumpEvacuations() + " replicas="
+				+ this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
 				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
 				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " quarantined=" + this.quarantine.dump()
 				+ " runner=" + this.runner.dump() + " violations=" + this.invariants.violations()));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -15,6 +16,7 @@
 import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.Relay;
 import dev.nutmegdoor.core.call.RelayedCall;
+import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.id.WorkspaceId;
@@ -76,6 +78,8 @@
 
 	private final ReplicaList replicas;
 
+	private final Predicate<Upstream> isEvacuated;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -89,10 +93,12 @@
 	 * @param origins knows where streams began; used on the control thread
 	 * @param drainDeadline limits the time of requests while the instance stops
 	 * @param replicas is told of replicas that leave; used on the control thread
+	 * @param isEvacuated whether nothing may be sent to a replica now, because its zone
+	 * is evacuated; called on the event loop
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
 			EventLog events, RequestQuarantine quarantine, StreamOrigins origins, DrainDeadline drainDeadline,
-			ReplicaList replicas) {
+			ReplicaList replicas, Predicate<Upstream> isEvacuated) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
@@ -103,6 +109,7 @@
 		this.origins = origins;
 		this.drainDeadline = drainDeadline;
 		this.replicas = replicas;
+		this.isEvacuated = isEvacuated;
 	}
 
 	@Override
@@ -259,7 +266,8 @@
 					: 0;
 			RelayTransfer transfer = new RelayTransfer(this.exchange, this.body, this.response, RelayRoute.this.pool,
 					RelayRoute.this.control, RelayRoute.this.events, tokensPerEvent, this.fingerprint,
-					RelayRoute.this.quarantine, RelayRoute.this.crashWatch, RelayRoute.this.replicas);
+					RelayRoute.this.quarantine, RelayRoute.this.crashWatch, RelayRoute.this.replicas,
+					RelayRoute.this.isEvacuated);
 			String attemptId = routed().facts().attemptId();
 			if (route.kind() != RouteKind.RESUMABLE_STREAM || attemptId == null) {
 				return transfer;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -69,6 +70,8 @@
 
 	private final ReplicaList replicas;
 
+	private final Predicate<Upstream> isEvacuated;
+
 	private final Set<UpstreamConnection> usedConnections = new HashSet<>(2);
 
 	private volatile long sentMs;
@@ -87,10 +90,12 @@
 	 * @param quarantine knows the requests that must not be sent
 	 * @param crashWatch is told of connections that are lost
 	 * @param replicas is told of replicas that leave; used on the control thread
+	 * @param isEvacuated whether nothing may be sent to a replica now, because its zone
+	 * is evacuated
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
 			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine,
-			CrashWatch crashWatch, ReplicaList replicas) {
+			CrashWatch crashWatch, ReplicaList replicas, Predicate<Upstream> isEvacuated) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
@@ -102,6 +107,7 @@
 		this.quarantine = quarantine;
 		this.crashWatch = crashWatch;
 		this.replicas = replicas;
+		this.isEvacuated = isEvacuated;
 	}
 
 	@Override
@@ -195,6 +201,14 @@
 				RelayTransfer.this.pool.release(acquiredConnection);
 				return;
 			}
+			// The wait for a connection may outlast the time in which an evacuation must
+			// take
+			// effect.
+			if (RelayTransfer.this.isEvacuated.test(this.upstream)) {
+				RelayTransfer.this.pool.release(acquiredConnection);
+				end(RelayOutcome.EVACUATED, "zone " + this.upstream.availabilityZone() + " is evacuated");
+				return;
+			}
 			this.connection = acquiredConnection;
 			RelayTransfer.this.usedConnections.add(acquiredConnection);
 			acquiredConnection.send(this);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaTunnel.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaTunnel.java
@@ -97,6 +97,12 @@
 			refuse(context, TunnelOutcome.REPLICA_UNREACHABLE, String.valueOf(error.getMessage()));
 			return;
 		}
+		if (this.server.replica(this.request.replica()) == null) {
+			// An evacuation or the start of a drain may have arrived during the connect.
+			refuse(context, TunnelOutcome.UNKNOWN_REPLICA, "");
+			closeReplica();
+			return;
+		}
 		this.isConnected = true;
 		context.writeAndFlush(answer(TunnelOutcome.CONNECTED));
 		this.server.events()
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaTunnelServer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/ReplicaTunnelServer.java
@@ -88,7 +88,8 @@
 	/**
 	 * Finds a replica that accepts new work.
 	 * @param id identifier as it was received
-	 * @return the replica, or {@code null} if it isn't listed or is leaving
+	 * @return the replica, or {@code null} if it isn't listed, is leaving or belongs to
+	 * an evacuated zone
 	 */
 	@Nullable Upstream replica(String id) {
 		try {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -88,6 +88,9 @@
 
 	long graceMs = 8_000;
 
+	/** Bound of evacuations, or {@code null} if the feature is off. */
+	Long evacuationMs;
+
 	@BeforeEach
 	void start() throws Exception {
 		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
@@ -125,7 +128,7 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, this.graceMs, 2_000);
+				5_000, this.folder, 256, this.graceMs, 2_000, this.evacuationMs);
 	}
 
 	@AfterEach
@@ -164,6 +167,16 @@
 		assertThat(this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(), is(200));
 	}
 
+	void remove(String kind, String name) throws Exception {
+		HttpRequest request = HttpRequest
+			.newBuilder(URI
+				.create("http://" + HOST + ":" + this.platform.address().getPort() + "/objects/" + kind + "/" + name))
+			.timeout(Duration.ofMillis(LIMIT_MS))
+			.DELETE()
+			.build();
+		assertThat(this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(), is(200));
+	}
+
 	/** Copies the objects of a kind to the platform that is used now. */
 	void copy(PlatformStandin from, String kind) throws Exception {
 		HttpRequest request = HttpRequest
