Limit requests to cold replicas

Cause: a replica that is slow after its start crashes if all instances together send it more than ColdPerS x ColdOver + ColdSlack requests in a second, and nothing limited them.

Change: with the setting Bounds.ColdOver, each instance may have a fixed number of requests under way to a cold replica, by rank of a hash as for Server-Limit, without messages. A request counts from its dispatch until 1 s after the replica has begun to answer, so delayed requests can't add up. The shares add up to half of the bound. A replica that turns cold gets nothing for 1.3 s. If all replicas of a pool are cold and have no free share, a request that can't wait that long is refused with the time to retry.

Result: ColdReplicaTests pass, 27 cases with up to 150 instances, among them unknown instances, stalled links and a cold zone. DeclaredRateTests, DecisionFunctions- Tests, DecoderTests, RequestTranslatorTests, PlatformNamesTests and all 5 GatewayEvacuationTests pass.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayListener.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/call/RelayListener.java
@@ -16,6 +16,14 @@
 	 */
 	void rateDeclared(double requestsPerSecond);
 
+	/**
+	 * Called before {@link #answerStarted} and {@link #ended} if the replica states in
+	 * its response whether it is cold.
+	 * @param coldMs time in milliseconds for which it remains cold, 0 if it is warm
+	 */
+	default void coldStated(long coldMs) {
+	}
+
 	/**
 	 * Called when forwarding of the response to the caller has started.
 	 * @param load load that the replica reported in the response header, or {@code null}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/RateShares.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/RateShares.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import net.openhft.hashing.LongHashFunction;
@@ -33,18 +34,40 @@
 	 */
 	private static final double USED_TOLERANCE = 0.5;
 
+	/**
+	 * Fraction of the requests that a cold replica survives which the shares add up to.
+	 * The remainder covers instances that others do not know yet. With 0.6, 70 instances
+	 * of which 35 did not know each other sent 46 requests to a replica that survives 45.
+	 */
+	private static final double USED_COLD_TOLERANCE = 0.5;
+
 	private final InstanceId self;
 
 	private final Supplier<? extends Collection<InstanceId>> otherInstances;
 
+	private final BooleanSupplier areOthersKnown;
+
 	/**
 	 * Creates the shares of one instance.
 	 * @param self this instance
 	 * @param otherInstances returns all other instances that send requests
 	 */
 	public RateShares(InstanceId self, Supplier<? extends Collection<InstanceId>> otherInstances) {
+		this(self, otherInstances, () -> true);
+	}
+
+	/**
+	 * Creates the shares of one instance that may not know the others yet.
+	 * @param self this instance
+	 * @param otherInstances returns all other instances that send requests
+	 * @param areOthersKnown whether all instances that were listed at the start of this
+	 * one are among them
+	 */
+	public RateShares(InstanceId self, Supplier<? extends Collection<InstanceId>> otherInstances,
+			BooleanSupplier areOthersKnown) {
 		this.self = self;
 		this.otherInstances = otherInstances;
+		this.areOthersKnown = areOthersKnown;
 	}
 
 	/**
@@ -70,6 +93,29 @@
 		return (precedingInstances < users) ? requestsPerSecond / users : 0;
 	}
 
+	/**
+	 * Returns the number of requests that this instance may have under way to a cold
+	 * replica. The numbers of all instances add up to a part of those that the replica
+	 * survives. An instance that knows more others than a second one, such as some that
+	 * have stopped, gets at most the number that it would get with the view of the second
+	 * one, so only instances that others don't know can raise the sum.
+	 * @param replica the replica
+	 * @param survivedRequests number of requests in one window that the replica survives
+	 * @return number of requests, 0 if only other instances use the replica or the others
+	 * are not known yet
+	 */
+	int coldShareOf(UpstreamId replica, double survivedRequests) {
+		if (!this.areOthersKnown.getAsBoolean()) {
+			return 0;
+		}
+		Collection<InstanceId> others = this.otherInstances.get();
+		long requests = (long) (survivedRequests * USED_COLD_TOLERANCE);
+		long ownWeight = weight(this.self, replica);
+		long precedingInstances = others.stream().filter((other) -> weight(other, replica) > ownWeight).count();
+		int instances = others.size() + 1;
+		return (int) Math.max(0, (requests - precedingInstances + instances - 1) / instances);
+	}
+
 	private static long weight(InstanceId instance, UpstreamId replica) {
 		return LongHashFunction.xx().hashChars(instance + "/" + replica);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -76,6 +76,14 @@
 
 	private final UniformRandomProvider random;
 
+	/**
+	 * Additional cost in milliseconds of a cold replica, which is slow to an unknown
+	 * degree: a warm one is used until its queue costs more than about one call.
+	 */
+	private static final double COLD_COST_MS = 100;
+
+	private @Nullable ColdReplicas coldReplicas;
+
 	private int instances = 1;
 
 	/**
@@ -114,6 +122,15 @@
 		this.random = random;
 	}
 
+	/**
+	 * Limits the calls to cold replicas from now on.
+	 * @param rules rules that the index informs of the replicas
+	 */
+	public void limitCold(ColdReplicas rules) {
+		this.coldReplicas = rules;
+		rules.retain(this.replicas.keySet());
+	}
+
 	/**
 	 * Replaces the upstreams by those of a configuration. Upstreams that are leaving
 	 * receive no new calls.
@@ -124,6 +141,9 @@
 		for (Upstream upstream : upstreams.values()) {
 			this.replicas.computeIfAbsent(upstream.id(), (id) -> new ReplicaState(upstream)).setUpstream(upstream);
 		}
+		if (this.coldReplicas != null) {
+			this.coldReplicas.retain(this.replicas.keySet());
+		}
 		this.replicasByPool.clear();
 		List<UpstreamId> ordered = new ArrayList<>(this.replicas.keySet());
 		ordered.sort(null);
@@ -176,7 +196,9 @@
 	 */
 	public double leastLoad(String pool) {
 		long nowMs = this.timer.nowMs();
-		return this.replicasByPool.getOrDefault(pool, List.of()).stream().mapToDouble((state) -> {
+		List<ReplicaState> poolReplicas = this.replicasByPool.getOrDefault(pool, List.of());
+		List<ReplicaState> usable = usable(poolReplicas);
+		return (usable.isEmpty() ? poolReplicas : usable).stream().mapToDouble((state) -> {
 			double missingTokens = state.declaredRate().missingTokens(nowMs);
 			return (missingTokens > 0) ? Math.max(state.load(nowMs), 1 + missingTokens) : state.load(nowMs);
 		}).min().orElse(0);
@@ -197,6 +219,34 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Returns the time until a replica of a pool may get a further call, if all of them
+	 * are cold and have as many calls as they may get now.
+	 * @param pool name of the pool
+	 * @param queuedCalls number of calls that wait for the pool already
+	 * @return milliseconds, 0 if a replica may get a call now
+	 */
+	public double coldWaitMs(String pool, int queuedCalls) {
+		return (this.coldReplicas != null)
+				? this.coldReplicas.waitMs(this.replicasByPool.getOrDefault(pool, List.of()), queuedCalls) : 0;
+	}
+
+	private List<ReplicaState> usable(List<ReplicaState> poolReplicas) {
+		return (this.coldReplicas != null) ? this.coldReplicas.usable(poolReplicas) : poolReplicas;
+	}
+
+	/**
+	 * Applies what a replica has stated in a response about being cold.
+	 * @param id the replica
+	 * @param coldMs time in milliseconds for which it remains cold, 0 if it is warm
+	 * @param sentMs time in milliseconds at which the call was sent
+	 */
+	public void coldStated(UpstreamId id, long coldMs, long sentMs) {
+		if (this.coldReplicas != null) {
+			this.coldReplicas.stated(id, coldMs, sentMs);
+		}
+	}
+
 	public boolean hasPool(String pool) {
 		return this.replicasByPool.containsKey(pool);
 	}
@@ -215,7 +265,9 @@
 			Set<UpstreamId> excluded) {
 		List<ReplicaState> poolReplicas = this.replicasByPool.getOrDefault(pool, List.of());
 		ReplicaState assumedHolder = findAssumedHolder(poolReplicas, prompt);
-		List<ReplicaState> candidates = selectCandidates(poolReplicas, prompt, assumedHolder);
+		List<ReplicaState> usable = usable(poolReplicas);
+		List<ReplicaState> candidates = selectCandidates(usable, prompt,
+				(usable == poolReplicas || usable.contains(assumedHolder)) ? assumedHolder : null);
 		int promptTokens = PromptPart.tokensOf(prompt);
 		List<ReplicaView> views = new ArrayList<>(candidates.size());
 		for (ReplicaState state : candidates) {
@@ -259,16 +311,24 @@
 				this.cache.recordPrefix(part.id(), upstream.id(), part.tokens(), this.timer.nowMs());
 			}
 		}
+		if (isCold(reservation.replica())) {
+			return;
+		}
 		this.outliers.recordAnswer(upstream.id(), poolOf(upstream), actualMs, expectedMs, poolSize(upstream),
 				this.timer.nowMs());
 	}
 
+	private boolean isCold(ReplicaState state) {
+		return this.coldReplicas != null && this.coldReplicas.isCold(state);
+	}
+
 	/**
 	 * Records that a replica has started to answer a call.
 	 * @param reservation slot of the call
 	 */
 	public void recordAnswerStarted(Reservation reservation) {
 		reservation.markOutputStarted();
+		reservation.call().markAnswered(this.timer.nowMs());
 		this.zones.recordAnswer(reservation.upstream().availabilityZone(), this.timer.nowMs());
 	}
 
@@ -302,6 +362,15 @@
 		return reservation.upstream();
 	}
 
+	/**
+	 * Releases the slot of a call that was cancelled. The replica may still receive it.
+	 * @param reservation slot of the call
+	 */
+	public void releaseCancelled(Reservation reservation) {
+		reservation.call().markCancelled();
+		release(reservation);
+	}
+
 	/**
 	 * Applies a load report; ignored if there is no such replica.
 	 * @param id the replica
@@ -460,7 +529,8 @@
 		return "replicas=" + this.replicas.size() + " pools=" + this.replicasByPool.size() + " inFlight="
 				+ this.replicas.values().stream().mapToInt(ReplicaState::ownInFlight).sum() + " ejected="
 				+ this.outliers.ejectedReplicaCount(this.timer.nowMs()) + " cachedPrograms=" + this.cache.ownerCount()
-				+ " lostCacheEvents=" + this.cache.lostEventCount();
+				+ " lostCacheEvents=" + this.cache.lostEventCount()
+				+ ((this.coldReplicas != null) ? this.coldReplicas.dump(this.replicas.values()) : "");
 	}
 
 	private static String poolOf(Upstream upstream) {
@@ -546,6 +616,9 @@
 		if (!this.zones.isReachable(upstream.availabilityZone(), nowMs)) {
 			crossingMs += UNREACHABLE_COST_MS;
 		}
+		if (isCold(state)) {
+			crossingMs += COLD_COST_MS;
+		}
 		return new ReplicaView(upstream.id(), crossingMs, state.ownInFlight(), state.othersInFlight(nowMs),
 				state.othersAgeMs(nowMs), state.ownAtReport(), state.freeAtReport(),
 				state.backlogTokens(nowMs, this.costs.prefillPerTokenMs()), cachedTokens, state.freeCacheTokens(),
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaState.java
@@ -20,6 +20,13 @@
 	 */
 	private static final long ENDED_CALL_RETENTION_MS = 5_000;
 
+	/**
+	 * Time in milliseconds for which a call that was cancelled before its answer counts
+	 * as under way: a stalled link may still deliver it. A zone is cut off for about 6 s,
+	 * and a call is cancelled at its deadline.
+	 */
+	private static final long CANCELLED_CALL_MS = ENDED_CALL_RETENTION_MS;
+
 	private static final long OTHERS_HALF_LIFE_MS = 1_000;
 
 	private static final int MAX_HALVINGS = 31;
@@ -88,6 +95,34 @@
 		}
 	}
 
+	// Returns the number of own calls that may have reached the replica in the last
+	// window or may still reach it.
+	int underWay(long nowMs, long windowMs) {
+		int count = 0;
+		for (InFlightCall call : this.ownCalls) {
+			count += (call.remainingWindowMs(nowMs, windowMs) > 0) ? 1 : 0;
+		}
+		for (InFlightCall call : this.endedCalls) {
+			count += (call.remainingWindowMs(nowMs, windowMs) > 0) ? 1 : 0;
+		}
+		return count;
+	}
+
+	// Returns the time until the first call that is under way no longer is. A running
+	// call is expected to be answered now.
+	long nextReleaseMs(long nowMs, long windowMs) {
+		long nextMs = Long.MAX_VALUE;
+		for (InFlightCall call : this.ownCalls) {
+			long remainingMs = call.remainingWindowMs(nowMs, windowMs);
+			nextMs = (remainingMs > 0) ? Math.min(nextMs, remainingMs) : nextMs;
+		}
+		for (InFlightCall call : this.endedCalls) {
+			long remainingMs = call.remainingWindowMs(nowMs, windowMs);
+			nextMs = (remainingMs > 0) ? Math.min(nextMs, remainingMs) : nextMs;
+		}
+		return nextMs;
+	}
+
 	int ownInFlight() {
 		return this.ownCalls.size();
 	}
@@ -199,6 +234,10 @@
 
 		private long endedAtMs = Long.MAX_VALUE;
 
+		private long answeredAtMs = Long.MAX_VALUE;
+
+		private boolean isCancelled;
+
 		private boolean hasOutput;
 
 		private InFlightCall(long startedAtMs, int prefillTokens) {
@@ -206,6 +245,24 @@
 			this.prefillTokens = prefillTokens;
 		}
 
+		void markAnswered(long nowMs) {
+			this.answeredAtMs = Math.min(this.answeredAtMs, nowMs);
+		}
+
+		void markCancelled() {
+			this.isCancelled = true;
+		}
+
+		private long remainingWindowMs(long nowMs, long windowMs) {
+			if (this.answeredAtMs < Long.MAX_VALUE) {
+				return this.answeredAtMs + windowMs - nowMs;
+			}
+			if (this.endedAtMs < Long.MAX_VALUE) {
+				return this.endedAtMs + (this.isCancelled ? CANCELLED_CALL_MS : windowMs) - nowMs;
+			}
+			return windowMs;
+		}
+
 		void markOutputStarted() {
 			this.hasOutput = true;
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -69,6 +69,8 @@
 
 	private final Consumer<UpstreamId> restartListener;
 
+	private final ReplicaEntryListener entryListener;
+
 	private final Map<UpstreamId, Upstream> replicas = new HashMap<>();
 
 	private final Map<UpstreamId, Incarnation> incarnations = new LinkedHashMap<>() {
@@ -100,12 +102,32 @@
 	public ReplicaList(Deployment deployment, TimerService timer, EventLog events,
 			BiFunction<String, String, @Nullable ListedReplica> decoder, StoreHealth storeHealth,
 			Consumer<UpstreamId> restartListener) {
+		this(deployment, timer, events, decoder, storeHealth, restartListener, (replica, isStarted) -> {
+		});
+	}
+
+	/**
+	 * Creates an empty list.
+	 * @param deployment receives the list after each change
+	 * @param timer source of time
+	 * @param events records each change and each entry that doesn't describe a replica
+	 * @param decoder decodes the name and the value of an entry; returns {@code null} if
+	 * the entry doesn't describe a replica
+	 * @param storeHealth provides the time since the last outage of the store
+	 * @param restartListener called with each replica that has restarted under the same
+	 * identifier
+	 * @param entryListener receives each entry before the list is published
+	 */
+	public ReplicaList(Deployment deployment, TimerService timer, EventLog events,
+			BiFunction<String, String, @Nullable ListedReplica> decoder, StoreHealth storeHealth,
+			Consumer<UpstreamId> restartListener, ReplicaEntryListener entryListener) {
 		this.deployment = deployment;
 		this.timer = timer;
 		this.events = events;
 		this.decoder = decoder;
 		this.storeHealth = storeHealth;
 		this.restartListener = restartListener;
+		this.entryListener = entryListener;
 		this.unreadableEntries = new UnreadableEntries(events);
 	}
 
@@ -210,7 +232,10 @@
 	}
 
 	private void update(ListedReplica listed) {
+		Incarnation previousIncarnation = this.incarnations.get(listed.upstream().id());
 		Incarnation incarnation = updateIncarnation(listed);
+		this.entryListener.listed(listed,
+				previousIncarnation == null || previousIncarnation.startedMs() != incarnation.startedMs());
 		// An entry that was written before the replica's statement may arrive after it.
 		Upstream replica = incarnation.isLeaving() ? listed.upstream().asLeaving() : listed.upstream();
 		this.missing.remove(replica.id());
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ResponseMetadata.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ResponseMetadata.java
@@ -16,8 +16,10 @@
  * @param requestsPerSecond rate of requests that the replica accepts from all instances
  * together, 0 if it declared none
  * @param isLeaving whether the replica states that it is about to leave
+ * @param coldMs time in milliseconds for which the replica remains cold, 0 if it is warm,
+ * or {@code null} if it does not state it
  */
 public record ResponseMetadata(@Nullable String attemptId, boolean isDeclined, boolean isMisdirected,
-		RelayEnd.@Nullable ReportedLoad load, double requestsPerSecond, boolean isLeaving) {
+		RelayEnd.@Nullable ReportedLoad load, double requestsPerSecond, boolean isLeaving, @Nullable Long coldMs) {
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -100,6 +100,11 @@
 		this.runner.index().rateDeclared(this.reservation.upstream().id(), requestsPerSecond);
 	}
 
+	@Override
+	public void coldStated(long coldMs) {
+		this.runner.index().coldStated(this.reservation.upstream().id(), coldMs, this.startedMs);
+	}
+
 	private void endUndeclaredRate() {
 		if (!this.isRateDeclared) {
 			this.runner.index().rateNotDeclared(this.reservation.upstream().id(), this.startedMs);
@@ -208,7 +213,7 @@
 			return;
 		}
 		finish();
-		this.runner.index().release(this.reservation);
+		this.runner.index().releaseCancelled(this.reservation);
 		if (this.sendHandle != null) {
 			this.sendHandle.cancel(reason);
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -122,8 +122,8 @@
 		QueueInput input = new QueueInput(this.index.hasPool(pool), isResumed(request),
 				queue.queuedCalls(request.workspace()), this.settings.maxQueuedPerWorkspace(),
 				Math.max(queue.expectedWaitMs(request.workspace()), this.index.rateWaitMs(pool)),
-				this.callCosts.minServiceMs(request), request.timeoutMs(), this.index.leastLoad(pool),
-				maxLoad(request));
+				this.callCosts.minServiceMs(request), request.timeoutMs(), this.index.leastLoad(pool), maxLoad(request),
+				this.index.coldWaitMs(pool, queue.size()));
 		Refusal refusal = input.decide();
 		if (refusal != null) {
 			this.refusalCounts.merge(refusal.reason(), 1, Integer::sum);
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -31,6 +31,9 @@
 import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.placement.ColdReplicas;
+import dev.nutmegdoor.core.placement.ColdStart;
+import dev.nutmegdoor.core.placement.ColdTolerance;
 import dev.nutmegdoor.core.placement.RateShares;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.quarantine.RequestQuarantine;
@@ -39,8 +42,12 @@
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
 import dev.nutmegdoor.core.route.EvacuationList;
+import dev.nutmegdoor.core.route.ReplicaEntryListener;
 import dev.nutmegdoor.core.route.ReplicaList;
+import dev.nutmegdoor.core.route.RouteTable;
+import dev.nutmegdoor.core.route.RoutedService;
 import dev.nutmegdoor.core.schedule.Observers;
 import dev.nutmegdoor.core.schedule.ProgramSchedulingInfoSource;
 import dev.nutmegdoor.core.schedule.ScheduledCallRunner;
@@ -165,6 +172,8 @@
 
 	private final ReplicaTunnelServer tunnels;
 
+	private boolean areGatewaysListed;
+
 	private final DrainDeadline drainDeadline = new DrainDeadline(System::nanoTime);
 
 	/**
@@ -194,10 +203,13 @@
 		this.configurationWatcher = new ListWatcher(this.store, this.control, random, health, events,
 				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations);
 		this.peers = new UsagePeers(settings.instance());
+		RateShares rateShares = new RateShares(settings.instance(), this.peers::instanceIds,
+				() -> this.areGatewaysListed);
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
-				random, events, new RateShares(settings.instance(), this.peers::instanceIds));
+				random, events, rateShares);
+		ReplicaEntryListener entryListener = limitColdReplicas(index, rateShares);
 		ReplicaList replicas = new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode,
-				health, index::resetReplica);
+				health, index::resetReplica, entryListener);
 		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
 				settings.storeWaitMaxMs(),
 				ReplicaList.collectionDelayMs(settings.drainMs(), PlatformConnection.REQUEST_TIMEOUT_MS), replicas);
@@ -335,10 +347,33 @@
 		this.loops.dispose();
 	}
 
+	private ReplicaEntryListener limitColdReplicas(ReplicaIndex index, RateShares rateShares) {
+		ColdTolerance tolerance = this.settings.coldTolerance();
+		if (tolerance == null) {
+			return (replica, isStarted) -> {
+			};
+		}
+		ColdReplicas rules = new ColdReplicas(rateShares, tolerance, this::coldStart, this.control, this.events);
+		index.limitCold(rules);
+		this.metrics.gauge("replicas.cold.delays", () -> rules::delayedSelections);
+		return (replica, isStarted) -> rules.listed(replica.upstream().id(), isStarted, replica.sequence(),
+				replica.coldLeftMs());
+	}
+
+	private @Nullable ColdStart coldStart(String service) {
+		RouteTable routes = this.deployment.routes();
+		RoutedService routedService = (routes != null) ? routes.service(service) : null;
+		return (routedService != null) ? routedService.coldStart() : null;
+	}
+
 	private ListWatcher followEvacuations(UniformRandomProvider random, long evacuationMs) {
 		EvacuationList evacuations = new EvacuationList(this.deployment, this.control, this.events,
 				() -> (this.evacuationWatcher != null) ? this.evacuationWatcher.revision() : 0);
 		evacuations.awaitFirst(evacuationMs);
+		this.metrics.gauge("zones.evacuated", () -> () -> {
+			EvacuatedZones zones = this.deployment.confirmedEvacuations();
+			return (zones != null) ? zones.zones().size() : 0;
+		});
 		return new ListWatcher(this.store, this.control, random, new StoreHealth(this.control), this.events,
 				EvacuationTranslator.KIND, this.settings.storeWaitMaxMs(), 0, evacuations);
 	}
@@ -355,6 +390,8 @@
 					return;
 				}
 				this.peers.addListed(entries);
+				// At the first start of all, the others may register after this list.
+				this.areGatewaysListed = !this.settings.isFirstStart();
 				this.control.schedule(SECOND_LIST_DELAY_MS, () -> listAgain(registry));
 			});
 	}
@@ -367,6 +404,7 @@
 				return;
 			}
 			this.peers.addListed(entries);
+			this.areGatewaysListed = true;
 		});
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -282,6 +282,10 @@
 			if (requestsPerSecond > 0 && !metadata.isMisdirected()) {
 				RelayTransfer.this.control.execute(() -> this.listener.rateDeclared(requestsPerSecond));
 			}
+			Long coldMs = metadata.coldMs();
+			if (coldMs != null && !metadata.isMisdirected()) {
+				RelayTransfer.this.control.execute(() -> this.listener.coldStated(coldMs));
+			}
 			if (metadata.isLeaving() && !metadata.isMisdirected()) {
 				RelayTransfer.this.control
 					.execute(() -> RelayTransfer.this.replicas.statedLeaving(this.upstream.id(), this.startedMs));
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -31,6 +31,7 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.placement.ColdTolerance;
 import dev.nutmegdoor.node.ledger.LedgerNode;
 import dev.nutmegdoor.node.relay.GatewayNode;
 import dev.nutmegdoor.platform.ProcessSettings;
@@ -91,6 +92,9 @@
 	/** Bound of evacuations, or {@code null} if the feature is off. */
 	Long evacuationMs;
 
+	/** Requests that cold replicas survive, or {@code null} if the feature is off. */
+	ColdTolerance coldTolerance;
+
 	@BeforeEach
 	void start() throws Exception {
 		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
@@ -128,7 +132,7 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, this.graceMs, 2_000, this.evacuationMs);
+				5_000, this.folder, 256, this.graceMs, 2_000, this.evacuationMs, this.coldTolerance);
 	}
 
 	@AfterEach
