--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -35,6 +35,9 @@
 import dev.nutmegdoor.core.membership.InstanceRegistry;
 import dev.nutmegdoor.core.membership.StoredInstanceRegistry;
 import dev.nutmegdoor.core.peer.PeerMessage;
+import dev.nutmegdoor.core.placement.ColdReplicas;
+import dev.nutmegdoor.core.placement.ColdStart;
+import dev.nutmegdoor.core.placement.ColdTolerance;
 import dev.nutmegdoor.core.placement.RateShares;
 import dev.nutmegdoor.core.placement.ReplicaIndex;
 import dev.nutmegdoor.core.placement.WorkTimes;
@@ -44,7 +47,12 @@
 import dev.nutmegdoor.core.route.Deployment;
 import dev.nutmegdoor.core.route.DeploymentAnswer;
 import dev.nutmegdoor.core.route.DeploymentRequest;
+import dev.nutmegdoor.core.route.EvacuatedZones;
+import dev.nutmegdoor.core.route.EvacuationList;
+import dev.nutmegdoor.core.route.ReplicaEntryListener;
 import dev.nutmegdoor.core.route.ReplicaList;
+import dev.nutmegdoor.core.route.RouteTable;
+import dev.nutmegdoor.core.route.RoutedService;
 import dev.nutmegdoor.core.schedule.Observers;
 import dev.nutmegdoor.core.schedule.ProgramSchedulingInfoSource;
 import dev.nutmegdoor.core.schedule.ScheduledCallRunner;
@@ -57,6 +65,7 @@
 import dev.nutmegdoor.core.stream.StreamOriginQuery;
 import dev.nutmegdoor.core.stream.StreamOrigins;
 import dev.nutmegdoor.core.tunnel.TunnelMessages;
+import dev.nutmegdoor.core.usage.EvacuationSharing;
 import dev.nutmegdoor.core.usage.LocalUsageEndpoint;
 import dev.nutmegdoor.core.usage.UsageDigest;
 import dev.nutmegdoor.core.usage.UsageLimiter;
@@ -84,6 +93,7 @@
 import dev.nutmegdoor.node.process.ObservationServer;
 import dev.nutmegdoor.node.process.PlatformConnection;
 import dev.nutmegdoor.platform.ConfigurationDecoder;
+import dev.nutmegdoor.platform.EvacuationTranslator;
 import dev.nutmegdoor.platform.ProcessSettings;
 import dev.nutmegdoor.platform.ReplicaDecoder;
 import dev.nutmegdoor.platform.RequestTranslator;
@@ -168,6 +178,8 @@
 
 	private final ListWatcher replicaWatcher;
 
+	private final @Nullable ListWatcher evacuationWatcher;
+
 	private final ScheduledCallRunner runner;
 
 	private final GatewayServer server;
@@ -178,6 +190,8 @@
 
 	private final ReplicaTunnelServer tunnels;
 
+	private boolean areGatewaysListed;
+
 	private final DrainDeadline drainDeadline = new DrainDeadline(System::nanoTime);
 
 	/**
@@ -197,7 +211,7 @@
 				"the gateway requires an address for readiness checks, but the settings have none");
 		UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
 		this.store = new PlatformConnection(settings, this.control, this.loops, random, events,
-				Set.of(ConfigurationDecoder.KIND))
+				Set.of(ConfigurationDecoder.KIND, EvacuationTranslator.KIND))
 			.store();
 		this.deployment = new Deployment(this.invariants, events);
 		this.quarantine = new RequestQuarantine(this.control, events);
@@ -205,14 +219,16 @@
 		ConfigurationListener configurations = new ConfigurationListener(this.deployment, new ConfigurationDecoder(),
 				events);
 		this.peers = new UsagePeers(settings.instance());
+		RateShares rateShares = new RateShares(settings.instance(), this.peers::instanceIds,
+				() -> this.areGatewaysListed);
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
-				random, events, new RateShares(settings.instance(), this.peers::instanceIds));
+				random, events, rateShares);
 		WorkTimes workTimes = index.workTimes();
 		this.metrics.gauge("placement.workTime.statements", () -> workTimes::statements);
 		this.metrics.gauge("placement.workTime.slowStatements", () -> workTimes::slowStatements);
 		this.metrics.gauge("placement.workTime.speedSamples", () -> workTimes::samples);
 		ReplicaList replicas = new ReplicaList(this.deployment, this.control, events, new ReplicaDecoder()::decode,
-				health, index::resetReplica);
+				health, index::resetReplica, limitColdReplicas(index, rateShares));
 		DecisionIds decisionIds = new DecisionIds(settings.instance());
 		DecisionLog decisions = new DecisionLog(decisionIds, DECISION_LOG_BYTES);
 		this.runner = new ScheduledCallRunner(GatewaySettings.SCHEDULE, GatewaySettings.COSTS, index, this.control,
@@ -242,6 +258,8 @@
 				this.sharedWatches);
 		this.sharedWatches.add(this.configurationWatcher);
 		this.sharedWatches.add(this.replicaWatcher);
+		this.evacuationWatcher = (settings.evacuationMs() != null) ? followEvacuations(random, settings.evacuationMs())
+				: null;
 		for (WatchRole role : WatchRole.values()) {
 			this.metrics.gauge("watch.role{role=\"" + role + "\"}",
 					() -> () -> (this.sharedWatches.role() == role) ? 1 : 0);
@@ -252,9 +270,11 @@
 				configurations, this.control, events, settings.seeds(), peerAddress);
 		String incarnation = settings.instance() + "~" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
 		UsageLimiter limiter = new UsageLimiter(this.transport, this.peers, this.deployment, this.control, random,
-				events, UsageSettings.DEFAULT, new LocalUsageEndpoint(incarnation, settings.zone(),
-						peerAddress.getHostString(), peerAddress.getPort()),
-				settings.isFirstStart(), new IndexLoadSharing(index), this.quarantine);
+				events, UsageSettings.DEFAULT,
+				new LocalUsageEndpoint(incarnation, settings.zone(), peerAddress.getHostString(),
+						peerAddress.getPort()),
+				settings.isFirstStart(), new IndexLoadSharing(index), this.quarantine, (settings.evacuationMs() != null)
+						? new DeploymentEvacuationSharing(this.deployment) : EvacuationSharing.NONE);
 		TokenBudgets budgets = new TokenBudgets(new LedgerDependencies(this.transport, this.ledgerMembers,
 				() -> this.peers.reachable(settings.zone(), this.control.nowMs(), UsageSettings.DEFAULT), this.control,
 				this.invariants, events, LedgerSettings.DEFAULT), incarnation);
@@ -283,7 +303,8 @@
 				new StreamOrigins(this.transport, this.peers::instanceIds, this.deployment, this.replicaWatcher,
 						this.control, events),
 				this.drainDeadline, replicas, new RetainedTurns(this.conversations, chainMemory, controlBridge,
-						eventLoop, this.metrics, events, () -> !this.ledgerMembers.all().isEmpty()));
+						eventLoop, this.metrics, events, () -> !this.ledgerMembers.all().isEmpty()),
+				this.deployment::isEvacuated);
 		FilterChain filterChain = new FilterChain(List.of(new RouteFilter(this.deployment, translator),
 				new AuthenticationFilter(new RoutedKeyAuthenticator(this.deployment)),
 				new BudgetFilter(budgets, controlBridge, events),
@@ -311,6 +332,9 @@
 		this.control.execute(() -> {
 			this.configurationWatcher.start();
 			this.replicaWatcher.start();
+			if (this.evacuationWatcher != null) {
+				this.evacuationWatcher.start();
+			}
 			this.deploymentExchange.start();
 			register(new StoredInstanceRegistry(this.store, REGISTRY_KIND, this.events));
 			listLedgerReplicas(new StoredInstanceRegistry(this.store, LedgerNode.REGISTRY_KIND, this.events));
@@ -367,6 +391,37 @@
 		this.loops.dispose();
 	}
 
+	private ReplicaEntryListener limitColdReplicas(ReplicaIndex index, RateShares rateShares) {
+		ColdTolerance tolerance = this.settings.coldTolerance();
+		if (tolerance == null) {
+			return (replica, isStarted) -> {
+			};
+		}
+		ColdReplicas rules = new ColdReplicas(rateShares, tolerance, this::coldStart, this.control, this.events);
+		index.limitCold(rules);
+		this.metrics.gauge("replicas.cold.delays", () -> rules::delayedSelections);
+		return (replica, isStarted) -> rules.listed(replica.upstream().id(), isStarted, replica.sequence(),
+				replica.coldLeftMs());
+	}
+
+	private @Nullable ColdStart coldStart(String service) {
+		RouteTable routes = this.deployment.routes();
+		RoutedService routedService = (routes != null) ? routes.service(service) : null;
+		return (routedService != null) ? routedService.coldStart() : null;
+	}
+
+	private ListWatcher followEvacuations(UniformRandomProvider random, long evacuationMs) {
+		EvacuationList evacuations = new EvacuationList(this.deployment, this.control, this.events,
+				() -> (this.evacuationWatcher != null) ? this.evacuationWatcher.revision() : 0);
+		evacuations.awaitFirst(evacuationMs);
+		this.metrics.gauge("zones.evacuated", () -> () -> {
+			EvacuatedZones zones = this.deployment.confirmedEvacuations();
+			return (zones != null) ? zones.zones().size() : 0;
+		});
+		return new ListWatcher(this.store, this.control, random, new StoreHealth(this.control), this.events,
+				EvacuationTranslator.KIND, this.settings.storeWaitMaxMs(), 0, evacuations);
+	}
+
 	private void register(InstanceRegistry registry) {
 		InetSocketAddress peerAddress = Objects.requireNonNull(this.settings.control());
 		registry
@@ -379,6 +434,8 @@
 					return;
 				}
 				this.peers.addListed(entries);
+				// At the first start of all, the others may register after this list.
+				this.areGatewaysListed = !this.settings.isFirstStart();
 				this.control.schedule(SECOND_LIST_DELAY_MS, () -> listAgain(registry));
 			});
 	}
@@ -391,6 +448,7 @@
 				return;
 			}
 			this.peers.addListed(entries);
+			this.areGatewaysListed = true;
 		});
 	}
 
@@ -428,7 +486,8 @@
 	private Mono<String> dump() {
 		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
 				+ this.drainDeadline.isStarted() + " configuration=" + this.deployment.current().version()
-				+ " replicas=" + this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
+				+ " evacuated=" + this.deployment.dumpEvacuations() + " replicas="
+				+ this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
 				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
 				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " conversations=" + this.conversations.dump()
 				+ " quarantined=" + this.quarantine.dump() + " watches=" + this.sharedWatches.dump() + " runner="
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayRoute.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -15,6 +16,7 @@
 import dev.nutmegdoor.core.call.RefusalReason;
 import dev.nutmegdoor.core.call.Relay;
 import dev.nutmegdoor.core.call.RelayedCall;
+import dev.nutmegdoor.core.configuration.Upstream;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.KeyId;
 import dev.nutmegdoor.core.id.WorkspaceId;
@@ -79,6 +81,8 @@
 
 	private final RetainedTurns retainedTurns;
 
+	private final Predicate<Upstream> isEvacuated;
+
 	/**
 	 * Creates the route.
 	 * @param runner schedules the calls
@@ -93,10 +97,12 @@
 	 * @param drainDeadline limits the time of requests while the instance stops
 	 * @param replicas is told of replicas that leave; used on the control thread
 	 * @param retainedTurns reads and stores the turns of retained routes
+	 * @param isEvacuated whether nothing may be sent to a replica now, because its zone
+	 * is evacuated; called on the event loop
 	 */
 	RelayRoute(CallRunner runner, UpstreamPool pool, ControlBridge control, UniformRandomProvider random,
 			EventLog events, RequestQuarantine quarantine, StreamOrigins origins, DrainDeadline drainDeadline,
-			ReplicaList replicas, RetainedTurns retainedTurns) {
+			ReplicaList replicas, RetainedTurns retainedTurns, Predicate<Upstream> isEvacuated) {
 		this.runner = runner;
 		this.pool = pool;
 		this.control = control;
@@ -108,6 +114,7 @@
 		this.drainDeadline = drainDeadline;
 		this.replicas = replicas;
 		this.retainedTurns = retainedTurns;
+		this.isEvacuated = isEvacuated;
 	}
 
 	@Override
@@ -279,7 +286,7 @@
 			RelayTransfer transfer = new RelayTransfer(this.exchange, this.body, this.response, RelayRoute.this.pool,
 					RelayRoute.this.control, RelayRoute.this.events, tokensPerEvent, this.fingerprint,
 					RelayRoute.this.quarantine, RelayRoute.this.crashWatch, RelayRoute.this.replicas,
-					RelayRoute.this.retainedTurns, this.turn);
+					RelayRoute.this.retainedTurns, this.turn, RelayRoute.this.isEvacuated);
 			String attemptId = routed().facts().attemptId();
 			if (route.kind() != RouteKind.RESUMABLE_STREAM || attemptId == null) {
 				return transfer;
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -73,6 +74,8 @@
 
 	private final @Nullable RetainedTurn turn;
 
+	private final Predicate<Upstream> isEvacuated;
+
 	private final Set<UpstreamConnection> usedConnections = new HashSet<>(2);
 
 	private volatile long sentMs;
@@ -93,10 +96,12 @@
 	 * @param replicas is told of replicas that leave; used on the control thread
 	 * @param retainedTurns stores turns whose response has ended
 	 * @param turn the turn to store, or {@code null} on a route that keeps none
+	 * @param isEvacuated whether nothing may be sent to a replica now, because its zone
+	 * is evacuated
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
 			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine,
-			CrashWatch crashWatch, ReplicaList replicas, RetainedTurns retainedTurns, @Nullable RetainedTurn turn) {
+			CrashWatch crashWatch, ReplicaList replicas, RetainedTurns retainedTurns, @Nullable RetainedTurn turn, Predicate<Upstream> isEvacuated) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
@@ -110,6 +115,7 @@
 		this.replicas = replicas;
 		this.retainedTurns = retainedTurns;
 		this.turn = turn;
+		this.isEvacuated = isEvacuated;
 	}
 
 	@Override
@@ -206,6 +212,14 @@
 				RelayTransfer.this.pool.release(acquiredConnection);
 				return;
 			}
+			// The wait for a connection may outlast the time in which an evacuation must
+			// take
+			// effect.
+			if (RelayTransfer.this.isEvacuated.test(this.upstream)) {
+				RelayTransfer.this.pool.release(acquiredConnection);
+				end(RelayOutcome.EVACUATED, "zone " + this.upstream.availabilityZone() + " is evacuated");
+				return;
+			}
 			this.connection = acquiredConnection;
 			RelayTransfer.this.usedConnections.add(acquiredConnection);
 			acquiredConnection.send(this);
@@ -279,6 +293,10 @@
 			if (requestsPerSecond > 0 && !metadata.isMisdirected()) {
 				RelayTransfer.this.control.execute(() -> this.listener.rateDeclared(requestsPerSecond));
 			}
+			Long coldMs = metadata.coldMs();
+			if (coldMs != null && !metadata.isMisdirected()) {
+				RelayTransfer.this.control.execute(() -> this.listener.coldStated(coldMs));
+			}
 			if (metadata.isLeaving() && !metadata.isMisdirected()) {
 				RelayTransfer.this.control
 					.execute(() -> RelayTransfer.this.replicas.statedLeaving(this.upstream.id(), this.startedMs));
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -32,6 +32,7 @@
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.AvailabilityZone;
 import dev.nutmegdoor.core.id.InstanceId;
+import dev.nutmegdoor.core.placement.ColdTolerance;
 import dev.nutmegdoor.node.ledger.LedgerNode;
 import dev.nutmegdoor.node.relay.GatewayNode;
 import dev.nutmegdoor.platform.ProcessSettings;
@@ -89,6 +90,12 @@
 
 	long graceMs = 8_000;
 
+	/** Bound of evacuations, or {@code null} if the feature is off. */
+	Long evacuationMs;
+
+	/** Requests that cold replicas survive, or {@code null} if the feature is off. */
+	ColdTolerance coldTolerance;
+
 	@BeforeEach
 	void start() throws Exception {
 		this.platform = PlatformStandin.start(PlatformStandinSettings.DEFAULT);
@@ -126,7 +133,8 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, this.graceMs, 2_000, 0, tolerance());
+				5_000, this.folder, 256, this.graceMs, 2_000, 0, tolerance(), this.evacuationMs,
+				this.coldTolerance);
 	}
 
 	FailureTolerance tolerance() {
@@ -169,6 +177,16 @@
 		assertThat(this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(), is(200));
 	}
 
+	void remove(String kind, String name) throws Exception {
+		HttpRequest request = HttpRequest
+			.newBuilder(URI
+				.create("http://" + HOST + ":" + this.platform.address().getPort() + "/objects/" + kind + "/" + name))
+			.timeout(Duration.ofMillis(LIMIT_MS))
+			.DELETE()
+			.build();
+		assertThat(this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode(), is(200));
+	}
+
 	/** Copies the objects of a kind to the platform that is used now. */
 	void copy(PlatformStandin from, String kind) throws Exception {
 		HttpRequest request = HttpRequest
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/LedgerTurnsTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/LedgerTurnsTests.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import reactor.netty.resources.LoopResources;
 
+import dev.nutmegdoor.core.conversation.FailureTolerance;
 import dev.nutmegdoor.core.conversation.StoredTurn;
 import dev.nutmegdoor.core.conversation.TurnChain;
 import dev.nutmegdoor.core.conversation.TurnKey;
@@ -91,7 +92,8 @@
 		this.addresses.put(new InstanceId(name), new InetSocketAddress(HOST, port));
 		LedgerNode node = new LedgerNode(new ProcessSettings(new InstanceId(name),
 				new AvailabilityZone(name.substring(0, 1)), HOST, null, null, null, port, port, List.of(), isFirstStart,
-				this.platform.address(), 5_000, this.data.resolve(name), 256, 8_000, 2_000, 100), 0, EventLog.NONE);
+				this.platform.address(), 5_000, this.data.resolve(name), 256, 8_000, 2_000, 100,
+				FailureTolerance.DEFAULT, null, null), 0, EventLog.NONE);
 		node.start();
 		this.nodes.put(name, node);
 	}
