--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RelayTransfer.java
@@ -101,7 +101,8 @@
 	 */
 	RelayTransfer(Exchange exchange, byte[] body, RelayResponse response, UpstreamPool pool, ControlBridge control,
 			EventLog events, int tokensPerEvent, RequestFingerprint fingerprint, RequestQuarantine quarantine,
-			CrashWatch crashWatch, ReplicaList replicas, RetainedTurns retainedTurns, @Nullable RetainedTurn turn, Predicate<Upstream> isEvacuated) {
+			CrashWatch crashWatch, ReplicaList replicas, RetainedTurns retainedTurns, @Nullable RetainedTurn turn,
+			Predicate<Upstream> isEvacuated) {
 		this.exchange = exchange;
 		this.body = body;
 		this.response = response;
--- a/nutmegdoor-protocol/src/test/java/dev/nutmegdoor/protocol/ObservedLoadMessageTests.java
+++ b/nutmegdoor-protocol/src/test/java/dev/nutmegdoor/protocol/ObservedLoadMessageTests.java
@@ -25,7 +25,7 @@
 		List<ObservedLoad> loads = List.of(new ObservedLoad(REPLICA, 3, 20, 1.5, 250, 0.5, 2.0),
 				new ObservedLoad(REPLICA, 3, 20, null));
 		UsageReport report = new UsageReport("i", new AvailabilityZone("a"), "127.0.0.1", 1, false, Map.of(), Map.of(),
-				1, loads, List.of());
+				1, loads, List.of(), null);
 		FrameCodec codec = new FrameCodec(new MessageTypes(List.of(UsageReport.class)));
 		assertThat(codec.message(codec.frame(FrameKind.ONE_WAY, report, 0, 0)), is(report));
 	}
