Send no call to a cold replica shortly before its deadline

Change: a call needs 150 ms when it is sent to a cold replica; while all replicas of its pool are cold and have no free share, it is refused as not run once it has less.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -318,6 +318,16 @@
 				this.timer.nowMs());
 	}
 
+	/**
+	 * Returns whether a replica is cold.
+	 * @param id the replica
+	 * @return {@code false} also if there is no such replica
+	 */
+	public boolean isCold(UpstreamId id) {
+		ReplicaState state = this.replicas.get(id);
+		return state != null && isCold(state);
+	}
+
 	private boolean isCold(ReplicaState state) {
 		return this.coldReplicas != null && this.coldReplicas.isCold(state);
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/Dispatcher.java
@@ -25,6 +25,13 @@
  */
 final class Dispatcher {
 
+	/**
+	 * Minimum time in milliseconds that a call must have left when it is sent to a cold
+	 * replica. Calls wait for one until shortly before their deadlines, and answers take
+	 * about 100 ms.
+	 */
+	static final long MIN_COLD_CALL_MS = 150;
+
 	private final ScheduledCallRunner runner;
 
 	private final ReplicaIndex index;
@@ -64,6 +71,9 @@
 			}
 			return false;
 		}
+		if (this.index.isCold(chosen.id()) && call.deadlineMs - this.timer.nowMs() < MIN_COLD_CALL_MS) {
+			return false;
+		}
 		int uncachedTokens = Math.max(0, input.promptTokens() - this.index.cachedTokens(call.prompt, chosen.id()));
 		Reservation reservation = this.index.reserve(chosen.id(), uncachedTokens);
 		if (reservation == null) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/ScheduledCallRunner.java
@@ -275,8 +275,9 @@
 		this.queuesByPool.forEach((pool, queue) -> {
 			// The replicas of an old software version leave for good.
 			boolean isUnservable = !this.index.hasPool(pool);
+			double minColdMs = (this.index.coldWaitMs(pool, 0) > 0) ? Dispatcher.MIN_COLD_CALL_MS : 0;
 			for (QueuedCall call : queue.callsMissingDeadline((queued) -> (isUnservable && isResumed(queued.request))
-					? Double.MAX_VALUE : this.callCosts.minServiceMs(queued.request), nowMs)) {
+					? Double.MAX_VALUE : Math.max(minColdMs, this.callCosts.minServiceMs(queued.request)), nowMs)) {
 				queue.remove(call);
 				refuse(call,
 						new Refusal(RefusalReason.DEADLINE_EXCEEDED,
