--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -388,6 +388,16 @@
 		return this.workTimes;
 	}
 
+	/**
+	 * Returns whether a replica is cold.
+	 * @param id the replica
+	 * @return {@code false} also if there is no such replica
+	 */
+	public boolean isCold(UpstreamId id) {
+		ReplicaState state = this.replicas.get(id);
+		return state != null && isCold(state);
+	}
+
 	private boolean isCold(ReplicaState state) {
 		return this.coldReplicas != null && this.coldReplicas.isCold(state);
 	}
