Learn the times of all replicas where capacity is scarce

The costs of placement are constants of other engines. In deployments whose Contracts contain pressure, replicas that do not state how long work takes count as stating the usual time, so that their speed and prefill time are learned from answers.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -51,6 +51,8 @@
 	 */
 	private static final double MODELLED_CALL_MS = 150;
 
+	private static final int USUAL_WORK_PERCENT = 100;
+
 	private final Map<UpstreamId, ReplicaState> replicas = new LinkedHashMap<>();
 
 	private final Map<String, List<ReplicaState>> replicasByPool = new HashMap<>();
@@ -92,6 +94,9 @@
 
 	private @Nullable ColdReplicas coldReplicas;
 
+	/** Assumed for replicas that state nothing; {@code null} if they are not timed. */
+	private @Nullable Integer usualWorkPercent;
+
 	private int instances = 1;
 
 	/**
@@ -131,6 +136,14 @@
 		this.random = random;
 	}
 
+	/**
+	 * Learns the times of all replicas from now on. One that reports a load but does not
+	 * state how long work takes counts as one where it takes as long as usual.
+	 */
+	public void learnAllWorkTimes() {
+		this.usualWorkPercent = USUAL_WORK_PERCENT;
+	}
+
 	/**
 	 * Limits the calls to cold replicas from now on.
 	 * @param rules rules that the index informs of the replicas
@@ -469,13 +482,14 @@
 	 * time, or {@code null} if the response does not state that
 	 */
 	public void reportReceived(UpstreamId id, LoadReport report, @Nullable Integer workPercent) {
+		Integer percent = (workPercent != null) ? workPercent : this.usualWorkPercent;
 		ReplicaState state = this.replicas.get(id);
 		if (state != null) {
 			state.applyReport(report, this.timer.nowMs());
-			this.workTimes.stated(state, workPercent, this.timer.nowMs() - report.ageMs());
+			this.workTimes.stated(state, percent, this.timer.nowMs() - report.ageMs());
 			this.unsharedLoads.add(
 					List.of(new ObservedLoad(id, report.runningCalls() + report.waitingCalls(), report.ageMs(),
-							state.declaredRate().requestsPerSecond(this.timer.nowMs()), workPercent, null, null)),
+							state.declaredRate().requestsPerSecond(this.timer.nowMs()), percent, null, null)),
 					this.timer.nowMs());
 		}
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/WorkTimeTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/placement/WorkTimeTests.java
@@ -221,6 +221,27 @@
 
 	}
 
+	@Nested
+	class ScarceCapacity {
+
+		// Guards against turns that are placed by constants of other engines where
+		// capacity
+		// is scarce, because the replicas don't state how long work takes.
+		@Test
+		void learnsTimesOfReplicasThatStateNothing() {
+			WorkTimeTests.this.index.learnAllWorkTimes();
+			for (int i = 0; i < 20; i++) {
+				state(FIRST, null);
+				state(SECOND, null);
+				answer(FIRST, MODELLED_MS / 0.6);
+				answer(SECOND, MODELLED_MS / 1.6);
+			}
+			assertThat(workTime(FIRST).speedFactor(), is(closeTo(1 / 0.6, 0.1)));
+			assertThat(workTime(SECOND).speedFactor(), is(closeTo(1 / 1.6, 0.1)));
+		}
+
+	}
+
 	@Nested
 	class SpeedOfMachines {
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -223,6 +223,9 @@
 				() -> this.areGatewaysListed);
 		ReplicaIndex index = new ReplicaIndex(settings.zone(), ZONE_CROSSING_MS, GatewaySettings.COSTS, this.control,
 				random, events, rateShares);
+		if (settings.isCapacityScarce()) {
+			index.learnAllWorkTimes();
+		}
 		WorkTimes workTimes = index.workTimes();
 		this.metrics.gauge("placement.workTime.statements", () -> workTimes::statements);
 		this.metrics.gauge("placement.workTime.slowStatements", () -> workTimes::slowStatements);
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/LedgerTurnsTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/LedgerTurnsTests.java
@@ -93,7 +93,7 @@
 		LedgerNode node = new LedgerNode(
 				new ProcessSettings(new InstanceId(name), new AvailabilityZone(name.substring(0, 1)), HOST, null, null,
 						null, port, port, List.of(), isFirstStart, this.platform.address(), 5_000,
-						this.data.resolve(name), 256, 8_000, 2_000, 100, FailureTolerance.DEFAULT, null, null),
+						this.data.resolve(name), 256, 8_000, 2_000, 100, FailureTolerance.DEFAULT, null, null, false),
 				0, EventLog.NONE);
 		node.start();
 		this.nodes.put(name, node);
