--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -489,12 +489,12 @@
 	private Mono<String> dump() {
 		return Mono.fromFuture(this.control.call(() -> "instance=" + this.settings.instance() + " leaving="
 				+ this.drainDeadline.isStarted() + " configuration=" + this.deployment.current().version()
-				+ " evacuated=" + this.deployment.dumpEvacuations() + " replicas="
-				+ this.deployment.current().upstreams().size() + " gateways=" + this.peers.instances()
-				+ " reachesReplicas=" + !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels()
-				+ " ledgerReplicas=" + this.ledgerMembers.all().size() + " conversations=" + this.conversations.dump()
-				+ " quarantined=" + this.quarantine.dump() + " watches=" + this.sharedWatches.dump() + " runner="
-				+ this.runner.dump() + " violations=" + this.invariants.violations()));
+				+ " replicas=" + this.deployment.current().upstreams().size() + " evacuated="
+				+ this.deployment.dumpEvacuations() + " gateways=" + this.peers.instances() + " reachesReplicas="
+				+ !this.reachability.isIsolated() + " tunnels=" + this.tunnels.openTunnels() + " ledgerReplicas="
+				+ this.ledgerMembers.all().size() + " conversations=" + this.conversations.dump() + " quarantined="
+				+ this.quarantine.dump() + " watches=" + this.sharedWatches.dump() + " runner=" + this.runner.dump()
+				+ " violations=" + this.invariants.violations()));
 	}
 
 	/**
