Start with a list of the current objects again

Cause, found in review: the first list of a process could be seconds old (StaleOk=1). If the watch that follows fails, or the store goes down at that moment, an old configuration, a withdrawn key or an evacuation that is missing stays in force for the whole outage.

A confirmation by a further short watch would cost more than a stale list saves.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/BudgetedObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/BudgetedObjectStore.java
@@ -89,12 +89,6 @@
 				() -> submit(kind, () -> this.store.list(kind, prefix)));
 	}
 
-	@Override
-	public CompletableFuture<StorePage> listStale(String kind, String prefix) {
-		return this.coalescer.read("listStale " + kind + "/" + prefix,
-				() -> submit(kind, () -> this.store.listStale(kind, prefix)));
-	}
-
 	@Override
 	public CompletableFuture<StoredObject> create(String kind, String name, String value) {
 		return submit(kind, () -> this.store.create(kind, name, value));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -77,8 +77,6 @@
 
 	private boolean isConfirmationFailed;
 
-	private boolean isEverListed;
-
 	private boolean isPaused;
 
 	private boolean isProbing;
@@ -139,13 +137,8 @@
 		list();
 	}
 
-	// The watch that follows brings what a stale first list lacks. A later list may not
-	// be
-	// older than what has been applied already.
 	private void list() {
-		CompletableFuture<StorePage> call = this.isEverListed ? this.store.list(this.kind, "")
-				: this.store.listStale(this.kind, "");
-		call.whenComplete((page, error) -> {
+		this.store.list(this.kind, "").whenComplete((page, error) -> {
 			if (error != null) {
 				onFailure(error);
 				return;
@@ -153,7 +146,6 @@
 			onSuccess();
 			this.lastVersion = page.version();
 			this.isListed = true;
-			this.isEverListed = true;
 			this.sharing.listed(this.kind, page.version());
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ObjectStore.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ObjectStore.java
@@ -28,18 +28,6 @@
 	 */
 	CompletableFuture<StorePage> list(String kind, String prefix);
 
-	/**
-	 * Lists the objects of a kind as {@link #list} does, possibly as of a few seconds
-	 * ago. The platform charges less for it. Only for a caller that watches from the
-	 * version of the page at once.
-	 * @param kind kind of the objects
-	 * @param prefix prefix of the names; empty for all objects of the kind
-	 * @return the objects and the version from which to watch
-	 */
-	default CompletableFuture<StorePage> listStale(String kind, String prefix) {
-		return list(kind, prefix);
-	}
-
 	/**
 	 * Creates an object.
 	 * @param kind kind of the object
