Learn times of work only from what ran as usual

Found in review, by reading: a replica without a statement, such as one that has just restarted, scored 0 ms beside 150 ms of the others and drew all calls; an error of 2 ms counted as eight times the speed; the slowness of a cold replica, and the weight of crossing zones (20 ms, a round trip takes 1 ms), went into the learned speed; the prefill factor had no lower bound; the weight of samples decayed twice over the same span; the small sample could consist of a zone out of reach; percentages of peers were not checked.

Change: unstated replicas of a timed pool are compared by the times of the pool; only 2xx responses of warm replicas teach, without the crossing weight; factors and percentages are bounded; the sample is drawn from zones in reach first.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/Placement.java
@@ -82,8 +82,10 @@
 		int uncachedTokens = Math.max(0, input.promptTokens() - replica.cachedTokens());
 		PoolTimes times = input.times();
 		WorkTime workTime = (times != null) ? replica.workTime() : null;
-		double prefillFactor = (times != null && workTime != null) ? times.prefillFactor() : 1;
-		boolean isTimedCall = times != null && workTime != null && input.answerTokens() == 0;
+		// A replica that states nothing, such as one that has just restarted, is compared
+		// by the times of its pool, so that it is not preferred for lack of figures.
+		double prefillFactor = (times != null) ? times.prefillFactor() : 1;
+		boolean isTimedCall = times != null && input.answerTokens() == 0;
 		double callMs = (times != null && isTimedCall) ? times.callMs() : 0;
 		double idleMs = callMs + uncachedTokens * costs.prefillPerTokenMs() * prefillFactor
 				+ input.answerTokens() * (costs.stepBaseMs() + costs.stepPerCallMs() * (running + 1));
@@ -119,7 +121,7 @@
 	// SPREAD_MS of its additional cost.
 	private static double tieBreakMs(PlacementInput input, ReplicaView replica) {
 		double fraction = pseudoRandomFraction(input.seed(), replica.id());
-		if (input.times() == null || replica.workTime() == null) {
+		if (input.times() == null) {
 			return fraction * input.costs().tieBreakMs();
 		}
 		return SPREAD_MS * Math.log(-Math.log(MIN_FRACTION + fraction * (1 - 2 * MIN_FRACTION)));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaIndex.java
@@ -366,12 +366,12 @@
 	 * @param actualMs duration of the call in milliseconds
 	 */
 	public void recordServiceCall(Reservation reservation, double actualMs) {
-		learnSpeed(reservation, actualMs - crossingMs(reservation.upstream()), MODELLED_CALL_MS, true);
+		learnSpeed(reservation, actualMs, MODELLED_CALL_MS, true);
 	}
 
 	private void learnSpeed(Reservation reservation, double actualMs, double modelledMs, boolean isCall) {
 		ReplicaState replica = reservation.replica();
-		if (replica.workTime().isStated()) {
+		if (replica.workTime().isStated() && !isCold(replica)) {
 			DurationSample sample = this.workTimes.answered(poolOf(replica.upstream()), replica, actualMs, modelledMs,
 					isCall, this.timer.nowMs());
 			if (sample != null) {
@@ -388,11 +388,10 @@
 	 */
 	public void recordPrefill(Reservation reservation, double firstOutputMs) {
 		ReplicaState replica = reservation.replica();
-		if (replica.workTime().isStated()) {
+		if (replica.workTime().isStated() && !isCold(replica)) {
 			int tokens = reservation.call().prefillTokens();
 			double stepMs = this.costs.stepBaseMs() + this.costs.stepPerCallMs();
-			this.workTimes.outputStarted(poolOf(replica.upstream()), replica,
-					firstOutputMs - stepMs - crossingMs(replica.upstream()), tokens,
+			this.workTimes.outputStarted(poolOf(replica.upstream()), replica, firstOutputMs - stepMs, tokens,
 					tokens * this.costs.prefillPerTokenMs(), this.timer.nowMs());
 		}
 	}
@@ -647,6 +646,10 @@
 				+ ((this.coldReplicas != null) ? this.coldReplicas.dump(this.replicas.values()) : "");
 	}
 
+	private boolean isInReach(ReplicaState state) {
+		return this.zones.isReachable(state.upstream().availabilityZone(), this.timer.nowMs());
+	}
+
 	private double crossingMs(Upstream upstream) {
 		return upstream.availabilityZone().equals(this.ownZone) ? 0 : this.zoneCrossingMs;
 	}
@@ -679,9 +682,14 @@
 		}
 		if (poolReplicas.stream().anyMatch((state) -> state.workTime().isStated())) {
 			TimedSample
-				.draw(poolReplicas, (state) -> !selected.contains(state) && isUsable(state, excluded), this.ownZone,
-						this.random)
+				.draw(poolReplicas,
+						(state) -> !selected.contains(state) && isUsable(state, excluded) && isInReach(state),
+						this.ownZone, this.random)
 				.forEach(selected::add);
+			if (selected.isEmpty()) {
+				TimedSample.draw(poolReplicas, (state) -> isUsable(state, excluded), this.ownZone, this.random)
+					.forEach(selected::add);
+			}
 			return selected;
 		}
 		for (int i = 0; i < SAMPLE_SIZE; i++) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaWorkTime.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/ReplicaWorkTime.java
@@ -31,6 +31,8 @@
 
 	private static final double PERCENT = 100;
 
+	private static final int MAX_WORK_PERCENT = 10_000;
+
 	private double usualFactor = 1;
 
 	private double statedFactor = 1;
@@ -66,7 +68,8 @@
 	// Applies a statement that another instance received. It is silent if its version
 	// does not know such statements.
 	void statedElsewhere(@Nullable Integer workPercent, long measuredAtMs) {
-		if (workPercent == null || measuredAtMs < this.statedAtMs) {
+		if (workPercent == null || workPercent <= 0 || workPercent > MAX_WORK_PERCENT
+				|| measuredAtMs < this.statedAtMs) {
 			return;
 		}
 		this.isStated = true;
@@ -116,8 +119,12 @@
 		this.logFactorSum = 0;
 	}
 
+	// Samples describe the past, and the weight must not decay twice over the same span.
 	private void decay(long nowMs) {
-		double factor = Math.pow(2, -Math.max(0, nowMs - this.weightAtMs) / SPEED_HALF_LIFE_MS);
+		if (nowMs <= this.weightAtMs) {
+			return;
+		}
+		double factor = Math.pow(2, -(nowMs - this.weightAtMs) / SPEED_HALF_LIFE_MS);
 		this.logFactorSum *= factor;
 		this.weight *= factor;
 		this.weightAtMs = nowMs;
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/WorkTimes.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/placement/WorkTimes.java
@@ -162,7 +162,8 @@
 		// moves it no further than any other.
 		double step = Math.max(PREFILL_STEP, FIRST_PREFILL_STEP / (1 + pool.prefills));
 		pool.prefills++;
-		pool.logPrefillFactor += step * Math.signum(observedFactor - Math.exp(pool.logPrefillFactor));
+		double logFactor = pool.logPrefillFactor + step * Math.signum(observedFactor - Math.exp(pool.logPrefillFactor));
+		pool.logPrefillFactor = Math.max(-MAX_LOG_FACTOR, Math.min(MAX_LOG_FACTOR, logFactor));
 	}
 
 	WorkTime of(String pool, ReplicaState replica, long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/schedule/RelayAttempt.java
@@ -174,13 +174,15 @@
 			long decodeStartedMs = (this.responseStartedMs > 0) ? this.responseStartedMs : this.timer.nowMs();
 			double decodeMs = (double) this.timer.nowMs() - decodeStartedMs;
 			int tokens = Math.max(1, end.generatedTokens() - 1);
-			if (this.responseStartedMs > 0) {
+			if (this.responseStartedMs > 0 && isSuccess(end.status())) {
 				this.runner.index().recordGeneration(this.reservation, decodeMs, tokens, this.runningCalls);
 			}
 			this.runner.index().recordAnswer(this.reservation, this.payload.prompt(), decodeMs, stepMs * tokens);
 		}
 		else {
-			this.runner.index().recordServiceCall(this.reservation, durationMs);
+			if (isSuccess(end.status())) {
+				this.runner.index().recordServiceCall(this.reservation, durationMs);
+			}
 			this.runner.index()
 				.recordAnswer(this.reservation, this.payload.prompt(), durationMs,
 						Math.max(durationMs, this.runner.settings().serviceCallCostMs()));
@@ -202,6 +204,11 @@
 		}
 	}
 
+	// The time of an error says nothing about the time of work.
+	private static boolean isSuccess(int status) {
+		return status / 100 == 2;
+	}
+
 	private boolean isRetryable(RelayOutcome outcome) {
 		if (outcome == RelayOutcome.WITHHELD) {
 			return false;
