Deny a kept turn only while no removed member may have it

Found in review, by reading: a member with a wiped disk counted as complete once it had removed an unreachable one, so that a turn whose last copy is on a machine that starts later got 404. A member that kept no turns seconds ago was left out of a search although it may have been upgraded. A whole record that can't be decoded cut the log like a torn tail and would have dropped later acknowledged entries. An unexpected exception on the disk thread or in the client left a response open.

TurnRepairTests expects completeness after that time in the two cases where a member is lost for good, and has a case with a member that returns.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnCopier.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnCopier.java
@@ -40,6 +40,14 @@
 
 	private static final int MAX_MISSING = 1_000;
 
+	/**
+	 * Time in milliseconds for which a member that has lost its disk stays incomplete
+	 * after another member was removed from the list before its turns were copied: the
+	 * removed member may have the last copy of a turn, and returns with it. Longer than
+	 * turns are usually kept.
+	 */
+	static final long UNCOPIED_MEMBER_HOLD_MS = 60_000 + TurnStorage.MARGIN_MS;
+
 	private static final int MAX_REQUESTED_TURNS = 200;
 
 	private final LedgerMember self;
@@ -66,6 +74,15 @@
 
 	private long retryAtMs = Long.MIN_VALUE;
 
+	/**
+	 * Members that were removed before their turns were copied, with the time in
+	 * milliseconds until which this member does not count as complete without them.
+	 */
+	private final Map<InstanceId, Long> uncopied = new HashMap<>();
+
+	/** Time as in {@link #uncopied}, while no member at all has been copied. */
+	private long aloneUntilMs = Long.MIN_VALUE;
+
 	private boolean isComplete = true;
 
 	private boolean isJoined;
@@ -100,15 +117,35 @@
 
 	void joined() {
 		this.isJoined = true;
+		if (!this.isComplete && this.members.all().isEmpty()) {
+			this.aloneUntilMs = holdIncomplete();
+		}
 		membersChanged();
 	}
 
 	void membersChanged() {
-		this.due.keySet().removeIf((id) -> this.members.member(id) == null);
+		for (InstanceId id : List.copyOf(this.due.keySet())) {
+			if (this.members.member(id) == null) {
+				this.due.remove(id);
+				if (!this.isComplete) {
+					this.uncopied.computeIfAbsent(id, (removed) -> holdIncomplete());
+				}
+			}
+		}
 		this.members.all().forEach((member) -> this.due.put(member.id(), ++this.causes));
 		completeIfCopied();
 	}
 
+	private long holdIncomplete() {
+		this.timer.schedule(UNCOPIED_MEMBER_HOLD_MS, this::completeIfCopied);
+		return this.timer.nowMs() + UNCOPIED_MEMBER_HOLD_MS;
+	}
+
+	private void copied(InstanceId id) {
+		this.uncopied.remove(id);
+		this.aloneUntilMs = Long.MIN_VALUE;
+	}
+
 	void memberRegained(InstanceId id) {
 		this.due.put(id, ++this.causes);
 	}
@@ -128,6 +165,7 @@
 		if (turns == null || turns == 0) {
 			this.due.remove(id);
 			this.ready.remove(id);
+			copied(id);
 			completeIfCopied();
 			return;
 		}
@@ -136,7 +174,14 @@
 	}
 
 	private void completeIfCopied() {
-		if (!this.isComplete && this.isJoined && this.due.isEmpty()) {
+		if (this.isComplete || !this.isJoined) {
+			return;
+		}
+		long nowMs = this.timer.nowMs();
+		boolean isHeld = nowMs < this.aloneUntilMs
+				|| this.uncopied.values().stream().anyMatch((untilMs) -> untilMs > nowMs);
+		// A member that others still list does not count once the hold has ended.
+		if (!isHeld && this.uncopied.keySet().containsAll(this.due.keySet())) {
 			this.isComplete = true;
 			this.storage.log().setComplete(true);
 			this.events.record("turns.complete", "replica", this.self.id(), "turns", this.storage.index().size());
@@ -160,6 +205,7 @@
 			this.isCopying = false;
 			if (error == null || TurnHandOver.isUnknownType(error)) {
 				this.due.remove(id, cause);
+				copied(id);
 				completeIfCopied();
 			}
 			else if (TurnHandOver.causeOf(error) instanceof TurnLogException) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnSearch.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/conversation/TurnSearch.java
@@ -168,7 +168,8 @@
 	// Members that other members list are asked as well, because this instance may not
 	// know all of them.
 	private void decide() {
-		for (LedgerMember member : this.members.all()) {
+		// One that was of a version without turns may have been upgraded since.
+		for (LedgerMember member : List.copyOf(this.dependencies.members().all())) {
 			if (!this.result.isDone() && !this.asked.contains(member.id())) {
 				ask(member.id());
 			}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnRepairTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/conversation/TurnRepairTests.java
@@ -114,7 +114,29 @@
 			TurnRepairTests.this.fleet.timer.advance(1_000);
 			assertThat(TurnRepairTests.this.fleet.replicas.get("a1").isComplete(), is(false));
 			TurnRepairTests.this.fleet.timer.advance(LedgerSettings.DEFAULT.evictMs() + 5_000);
+			assertThat(TurnRepairTests.this.fleet.replicas.get("a1").isComplete(), is(false));
+			TurnRepairTests.this.fleet.timer
+				.advance(TurnCopier.UNCOPIED_MEMBER_HOLD_MS + LedgerSettings.DEFAULT.evictMs());
+			assertThat(TurnRepairTests.this.fleet.replicas.get("a1").isComplete(), is(true));
+		}
+
+		// Guards against the denial of a turn whose last copy is on a machine that starts
+		// later than those that have lost their disks, which remove it meanwhile.
+		@Test
+		void staysIncompleteWhileRemovedMemberMayReturn() {
+			storeChains();
+			TurnReplicaFleet.NAMES.forEach(TurnRepairTests.this.fleet::crash);
+			TurnRepairTests.this.fleet.timer.advance(500);
+			TurnReplicaFleet.NAMES.stream()
+				.filter((name) -> !name.equals("c1") && !name.equals("a1"))
+				.forEach((name) -> TurnRepairTests.this.fleet.start(name, false));
+			TurnRepairTests.this.fleet.restartWithEmptyDisk("a1");
+			TurnRepairTests.this.fleet.timer.advance(8_000);
+			assertThat(TurnRepairTests.this.fleet.replicas.get("a1").isComplete(), is(false));
+			TurnRepairTests.this.fleet.start("c1", false);
+			TurnRepairTests.this.fleet.timer.advance(5_000);
 			assertThat(TurnRepairTests.this.fleet.replicas.get("a1").isComplete(), is(true));
+			assertThatAllAreStoredByChosen(allNames());
 		}
 
 		// Guards against a new system that denies nothing because no member is complete.
@@ -149,8 +171,11 @@
 			TurnRepairTests.this.fleet.timer.advance(1_500);
 			TurnRepairTests.this.fleet.start("b3", false);
 			TurnRepairTests.this.fleet.timer.advance(10_000);
-			assertThat(TurnRepairTests.this.fleet.replicas.get("b3").isComplete(), is(true));
 			assertThatAllAreStoredByChosen("a1", "a2", "b2", "b3", "c1", "c2");
+			assertThat(TurnRepairTests.this.fleet.replicas.get("b3").isComplete(), is(false));
+			TurnRepairTests.this.fleet.timer
+				.advance(TurnCopier.UNCOPIED_MEMBER_HOLD_MS + LedgerSettings.DEFAULT.evictMs());
+			assertThat(TurnRepairTests.this.fleet.replicas.get("b3").isComplete(), is(true));
 		}
 
 		// Guards against turns that stay on two machines after a member was removed.
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/disk/RecordFile.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/disk/RecordFile.java
@@ -158,23 +158,26 @@
 		DataInputStream input = new DataInputStream(
 				new BufferedInputStream(Channels.newInputStream(this.channel), READ_BUFFER_BYTES));
 		while (sizeBytes - offset >= HEADER_BYTES) {
+			byte[] content;
 			try {
 				int length = input.readInt();
 				int checksum = input.readInt();
 				if (length <= 0 || length > maxRecordBytes || length > sizeBytes - offset - HEADER_BYTES) {
 					return offset;
 				}
-				byte[] content = new byte[length];
+				content = new byte[length];
 				input.readFully(content);
 				if (checksum(content) != checksum) {
 					return offset;
 				}
-				listener.found(offset, content);
-				offset += HEADER_BYTES + length;
 			}
 			catch (EOFException ex) {
 				return offset;
 			}
+			// A whole record that can't be decoded is no torn tail: cutting it would drop
+			// what was acknowledged after it.
+			listener.found(offset, content);
+			offset += HEADER_BYTES + content.length;
 		}
 		return offset;
 	}
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/FileTurnLog.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/ledger/FileTurnLog.java
@@ -259,7 +259,7 @@
 				T value = task.run();
 				this.control.execute(() -> result.complete(value));
 			}
-			catch (IOException ex) {
+			catch (IOException | RuntimeException | OutOfMemoryError ex) {
 				logger.errorf("event=turns.disk_failed error=\"%s\"", ex.getMessage());
 				TurnLogException failure = new TurnLogException("the disk failed: " + ex.getMessage(), ex);
 				this.control.execute(() -> result.completeExceptionally(failure));
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RetainedTurns.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/RetainedTurns.java
@@ -1,6 +1,7 @@
 package dev.nutmegdoor.node.relay;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -16,6 +17,7 @@
 import dev.nutmegdoor.core.conversation.ChainMemory;
 import dev.nutmegdoor.core.conversation.ConversationClient;
 import dev.nutmegdoor.core.conversation.ConversationException;
+import dev.nutmegdoor.core.conversation.StoredTurn;
 import dev.nutmegdoor.core.conversation.TurnKey;
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.core.id.WorkspaceId;
@@ -207,13 +209,23 @@
 		}
 		long startedNs = System.nanoTime();
 		byte[] output = recorder.data();
-		this.control.execute(() -> this.client.store(turn.toStored(key, output)).whenComplete((stored, error) -> {
+		this.control.execute(() -> storeAt(turn.toStored(key, output)).whenComplete((stored, error) -> {
 			this.metrics.counter((error != null) ? "turns.not-stored" : "turns.stored").inc();
 			this.metrics.timer("turns.store").update(Duration.ofNanos(System.nanoTime() - startedNs));
 			this.eventLoop.execute(() -> listener.accept(error == null));
 		}));
 	}
 
+	// The response must end even if the client fails unexpectedly.
+	private CompletableFuture<Void> storeAt(StoredTurn turn) {
+		try {
+			return this.client.store(turn);
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	static EventDataRecorder recorderFor(RetainedTurn turn) {
 		return new EventDataRecorder(ConversationClient.MAX_TURN_BYTES - turn.input().length);
 	}
