Log how old the last proof of the store's state is

A follower's log said when a watching gateway was last heard, but not when the store had last answered that gateway, so the hypotheses of the incident could not be told apart. A list now knows the latest time for which the store is known to have held nothing else: that at which a call was sent whose response has been applied. Watching gateways send its age with each update (verifiedAgeMs; absent from an older version).

store.changed, watch.fallback, watch.role, the dump and the metric watch.verifiedAge.ms have that age, store.lost says for how long a call had no answer, replica.missing whether only others had observed the outage. No decision uses it yet.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/route/ReplicaList.java
@@ -271,7 +271,8 @@
 		if (!this.missing.add(id)) {
 			return;
 		}
-		this.events.record("replica.missing", "replica", id, "sinceOutageMs", this.storeHealth.timeSinceOutageMs());
+		this.events.record("replica.missing", "replica", id, "sinceOutageMs", this.storeHealth.timeSinceOutageMs(),
+				"outageElsewhere", this.storeHealth.isOutageElsewhere());
 		if (this.missing.size() == 1) {
 			this.timer.schedule(remainingGraceMs(), this::removeMissing);
 		}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -43,6 +43,8 @@
 	 */
 	private static final long MAX_REPORTED_OUTAGE_MS = 86_400_000;
 
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	private final ObjectStore store;
 
 	private final TimerService timer;
@@ -71,6 +73,8 @@
 
 	private long lastResponseMs;
 
+	private long verifiedMs = NEVER_MS;
+
 	private boolean isListed;
 
 	private boolean isConnected;
@@ -138,14 +142,16 @@
 	}
 
 	private void list() {
+		long openedMs = this.timer.nowMs();
 		this.store.list(this.kind, "").whenComplete((page, error) -> {
 			if (error != null) {
-				onFailure(error);
+				onFailure(error, openedMs);
 				return;
 			}
 			onSuccess();
 			this.lastVersion = page.version();
 			this.isListed = true;
+			recordVerified(openedMs);
 			this.sharing.listed(this.kind, page.version());
 			this.events.record("store.listed", "kind", this.kind, "revision", page.version(), "objects",
 					page.objects().size(), "sinceResponseMs", this.timer.nowMs() - this.lastResponseMs);
@@ -245,6 +251,17 @@
 		return this.lastVersion;
 	}
 
+	/**
+	 * Returns the latest time for which it is known that the store held no change that is
+	 * not applied here. A call shows it for the time at which it was sent: the response
+	 * may have been on its way for any part of the time since, and a watch that has not
+	 * returned shows nothing.
+	 * @return time in milliseconds, a very small number before the first listing
+	 */
+	public long verifiedMs() {
+		return this.verifiedMs;
+	}
+
 	@Override
 	public CompletableFuture<Boolean> confirm() {
 		return this.confirmations.request();
@@ -277,6 +294,7 @@
 			else if (!result.events().isEmpty() && result.version() > this.lastVersion) {
 				return callToConfirm();
 			}
+			recordVerified(openedMs);
 			return CompletableFuture.completedFuture(true);
 		}).thenCompose((confirmed) -> confirmed);
 	}
@@ -292,7 +310,7 @@
 				? Math.min(PROBE_TIMEOUT_MS, this.watchTimeoutMs) : this.watchTimeoutMs;
 		this.store.watch(this.kind, afterVersion, timeoutMs).whenComplete((result, error) -> {
 			if (error != null) {
-				onFailure(error);
+				onFailure(error, openedMs);
 				return;
 			}
 			onSuccess();
@@ -313,6 +331,7 @@
 				apply(result, openedMs);
 				this.lastVersion = Math.max(this.lastVersion, result.version());
 			}
+			recordVerified(openedMs);
 			this.lastResponseMs = this.timer.nowMs();
 			if (this.batchDelayMs == 0 || (result.events().isEmpty() && !isOutdated)) {
 				watch();
@@ -323,13 +342,18 @@
 		});
 	}
 
+	private void recordVerified(long atMs) {
+		this.verifiedMs = Math.max(this.verifiedMs, atMs);
+	}
+
 	private void apply(StoreWatchResult result, long openedMs) {
 		List<StoreEvent> changes = result.events();
 		if (!changes.isEmpty()) {
 			long afterVersion = this.lastVersion;
 			this.lastVersion = Math.max(this.lastVersion, result.version());
 			this.events.record("store.changed", "kind", this.kind, "revision", this.lastVersion, "changes",
-					changes.size(), "unwatchedMs", openedMs - this.lastResponseMs);
+					changes.size(), "unwatchedMs", openedMs - this.lastResponseMs, "verifiedAgeMs",
+					this.timer.nowMs() - this.verifiedMs);
 			notifyListener(() -> this.listener.changed(changes));
 			this.sharing.changed(this.kind, ChangeRevisions.of(changes, afterVersion, this.lastVersion),
 					this.lastVersion);
@@ -367,7 +391,7 @@
 		}
 	}
 
-	private void onFailure(Throwable error) {
+	private void onFailure(Throwable error, long openedMs) {
 		// The others show that the store answers; only this instance doesn't reach it.
 		if (this.isListed && !this.sharing.isWatchNeeded(this.kind)) {
 			this.isPaused = true;
@@ -375,7 +399,8 @@
 		}
 		Throwable cause = StoreException.causeOf(error);
 		if (this.isConnected || this.consecutiveFailures == 0) {
-			this.events.record("store.lost", "kind", this.kind, "error", String.valueOf(cause.getMessage()));
+			this.events.record("store.lost", "kind", this.kind, "revision", this.lastVersion, "unansweredMs",
+					this.timer.nowMs() - openedMs, "error", String.valueOf(cause.getMessage()));
 		}
 		changeState(() -> this.isConnected = false);
 		this.health.recordFailure();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
@@ -25,6 +25,8 @@
 
 	private long lastOutageEndMs = NEVER_MS;
 
+	private long lastOutageElsewhereMs = NEVER_MS;
+
 	private boolean isFailing;
 
 	public StoreHealth(TimerService timer) {
@@ -65,7 +67,15 @@
 	 * @return milliseconds, 0 during an outage, a very large number if there was none
 	 */
 	public long timeSinceOutageMs() {
-		return isOutage() ? 0 : this.timer.nowMs() - this.lastOutageEndMs;
+		return isOutage() ? 0 : this.timer.nowMs() - Math.max(this.lastOutageEndMs, this.lastOutageElsewhereMs);
+	}
+
+	/**
+	 * Returns whether only others have observed the latest outage.
+	 * @return {@code false} if calls of this process failed
+	 */
+	public boolean isOutageElsewhere() {
+		return !isOutage() && this.lastOutageElsewhereMs > this.lastOutageEndMs;
 	}
 
 	/**
@@ -73,7 +83,7 @@
 	 * @param ageMs time since its end in milliseconds; 0 if it continues
 	 */
 	public void recordOutageElsewhere(long ageMs) {
-		this.lastOutageEndMs = Math.max(this.lastOutageEndMs, this.timer.nowMs() - ageMs);
+		this.lastOutageElsewhereMs = Math.max(this.lastOutageElsewhereMs, this.timer.nowMs() - ageMs);
 	}
 
 	private boolean isOutage() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/KindUpdate.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/KindUpdate.java
@@ -15,18 +15,21 @@
  * that is behind it can't be served
  * @param afterRevision revision after which the changes are complete
  * @param revision revision up to which they are complete
+ * @param verifiedAgeMs time in milliseconds since the sender last knew that the store
+ * held no later change than that of {@code revision}; {@code null} from an older version
  * @param changes changes, oldest first; none in a periodic message
  */
 public record KindUpdate(String kind, boolean isHealthy, long baseRevision, long afterRevision, long revision,
-		List<WatchedChange> changes) {
+		@Nullable Long verifiedAgeMs, List<WatchedChange> changes) {
 
 	public KindUpdate(String kind, boolean isHealthy, long baseRevision, long afterRevision, long revision,
-			@Nullable List<WatchedChange> changes) {
+			@Nullable Long verifiedAgeMs, @Nullable List<WatchedChange> changes) {
 		this.kind = kind;
 		this.isHealthy = isHealthy;
 		this.baseRevision = baseRevision;
 		this.afterRevision = afterRevision;
 		this.revision = revision;
+		this.verifiedAgeMs = verifiedAgeMs;
 		this.changes = (changes != null) ? List.copyOf(changes) : List.of();
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
@@ -4,6 +4,7 @@
 
 import dev.nutmegdoor.core.store.ListWatcher;
 import dev.nutmegdoor.core.store.StoreEvent;
+import dev.nutmegdoor.core.time.TimerService;
 
 /**
  * One kind whose changes are shared.
@@ -12,14 +13,17 @@
 
 	private final ListWatcher watcher;
 
+	private final TimerService timer;
+
 	private final ChangeBuffer buffer;
 
 	private long jitterMs;
 
 	private long fallbacks;
 
-	SharedList(ListWatcher watcher, SharedWatchSettings settings) {
+	SharedList(ListWatcher watcher, TimerService timer, SharedWatchSettings settings) {
 		this.watcher = watcher;
+		this.timer = timer;
 		this.buffer = new ChangeBuffer(settings);
 	}
 
@@ -65,9 +69,17 @@
 				? update(revision, this.buffer.after(revision)) : state();
 	}
 
+	/**
+	 * Returns the time since it was last known that nothing is missing.
+	 * @return milliseconds, a very large number before the first listing
+	 */
+	long verifiedAgeMs() {
+		return this.timer.nowMs() - this.watcher.verifiedMs();
+	}
+
 	private KindUpdate update(long afterRevision, List<WatchedChange> changes) {
 		return new KindUpdate(this.watcher.kind(), this.watcher.isWatching(), this.buffer.baseRevision(), afterRevision,
-				this.watcher.revision(), changes);
+				this.watcher.revision(), verifiedAgeMs(), changes);
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -74,6 +74,8 @@
 
 	private volatile long oldestFreshMs;
 
+	private volatile long oldestVerifiedMs;
+
 	private volatile long fallbacks;
 
 	/**
@@ -118,7 +120,7 @@
 	 * @param watcher list that asks this object whether it has to watch the store
 	 */
 	public void add(ListWatcher watcher) {
-		this.lists.put(watcher.kind(), new SharedList(watcher, this.settings));
+		this.lists.put(watcher.kind(), new SharedList(watcher, this.timer, this.settings));
 	}
 
 	@Override
@@ -311,8 +313,8 @@
 					list.countFallback();
 					this.fallbacks = this.lists.values().stream().mapToLong(SharedList::fallbacks).sum();
 					this.events.record("watch.fallback", "kind", kind, "ageMs",
-							Math.min(nowMs - freshMs, MAX_OUTAGE_AGE_MS), "revision", list.watcher().revision(),
-							"chosen", this.sources.chosen());
+							Math.min(nowMs - freshMs, MAX_OUTAGE_AGE_MS), "verifiedAgeMs", list.verifiedAgeMs(),
+							"revision", list.watcher().revision(), "chosen", this.sources.chosen());
 				}
 				list.watcher().resume();
 			}
@@ -327,10 +329,20 @@
 		}
 		if (current != this.role) {
 			this.events.record("watch.role", "role", current, "before", this.role, "chosen", this.sources.chosen(),
-					"subscribers", this.subscribers.current(this.timer.nowMs()).size());
+					"subscribers", this.subscribers.current(this.timer.nowMs()).size(), "verifiedAgeMs",
+					verifiedAgesMs());
 			this.role = current;
 		}
 		this.oldestFreshMs = this.lists.keySet().stream().mapToLong(this.sources::freshMs).min().orElse(0);
+		this.oldestVerifiedMs = this.lists.values()
+			.stream()
+			.mapToLong((list) -> list.watcher().verifiedMs())
+			.min()
+			.orElse(0);
+	}
+
+	private List<Long> verifiedAgesMs() {
+		return this.lists.values().stream().map((list) -> Math.min(list.verifiedAgeMs(), MAX_OUTAGE_AGE_MS)).toList();
 	}
 
 	/**
@@ -360,6 +372,15 @@
 		return (this.role != WatchRole.FOLLOWER) ? 0 : this.timer.nowMs() - this.oldestFreshMs;
 	}
 
+	/**
+	 * Returns the time since this instance last knew that it lacks no change of the
+	 * store, from its own calls or from those of others. May be called from any thread.
+	 * @return milliseconds for the kind that waits longest
+	 */
+	public long verifiedAgeMs() {
+		return Math.min(this.timer.nowMs() - this.oldestVerifiedMs, MAX_OUTAGE_AGE_MS);
+	}
+
 	/**
 	 * Describes the state in one line.
 	 * @return role, chosen instances, subscribers and the state of each kind
@@ -371,7 +392,8 @@
 				list) -> kinds.add(kind + "@" + list.watcher().revision()
 						+ (list.watcher().isPaused() ? " ageMs=" + (nowMs - this.sources.freshMs(kind))
 								: " watched=" + list.watcher().isWatching())
-						+ " remembered=" + list.buffer().size() + " fallbacks=" + list.fallbacks()));
+						+ " verifiedAgeMs=" + list.verifiedAgeMs() + " remembered=" + list.buffer().size()
+						+ " fallbacks=" + list.fallbacks()));
 		return this.role + " chosen=" + this.sources.chosen() + " subscribers=" + this.subscribers.current(nowMs).size()
 				+ " kinds=" + kinds;
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
@@ -14,7 +14,7 @@
 	private final WatchSource source = new WatchSource();
 
 	private boolean isTrusted(long revision, long appliedRevision, long nowMs) {
-		return this.source.isTrusted(new KindUpdate("k", true, 1, 1, revision, List.of()), appliedRevision, nowMs,
+		return this.source.isTrusted(new KindUpdate("k", true, 1, 1, revision, 0L, List.of()), appliedRevision, nowMs,
 				AHEAD_MS);
 	}
 
--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -268,6 +268,7 @@
 					() -> () -> (this.sharedWatches.role() == role) ? 1 : 0);
 		}
 		this.metrics.gauge("watch.age.ms", () -> this.sharedWatches::ageMs);
+		this.metrics.gauge("watch.verifiedAge.ms", () -> this.sharedWatches::verifiedAgeMs);
 		this.metrics.gauge("watch.fallbacks", () -> this.sharedWatches::fallbacks);
 		this.deploymentExchange = new DeploymentExchange(this.transport, this.deployment, this.ledgerMembers,
 				configurations, this.control, events, settings.seeds(), peerAddress);
