--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakePeerNetwork.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/fake/FakePeerNetwork.java
@@ -32,6 +32,8 @@
 
 	private final Set<String> partitionedPairs = new HashSet<>();
 
+	private final Map<InstanceId, Long> additionalDelaysMs = new HashMap<>();
+
 	private LinkSettings settings;
 
 	private long sentMessages;
@@ -79,6 +81,15 @@
 		setPairPartitioned("instance:" + first, "instance:" + second, isPartitioned);
 	}
 
+	/**
+	 * Sets the additional delay of the messages that an instance sends or receives.
+	 * @param id an instance
+	 * @param delayMs additional delay in milliseconds, 0 for none
+	 */
+	public void setAdditionalDelay(InstanceId id, long delayMs) {
+		this.additionalDelaysMs.put(id, delayMs);
+	}
+
 	/**
 	 * Sets the observer of all messages, including answers and messages that are lost.
 	 * @param messageObserver called when a message is sent
@@ -128,7 +139,9 @@
 		boolean isSameZone = from.availabilityZone().equals(to.availabilityZone());
 		long baseMs = isSameZone ? this.settings.zoneDelayMs() : this.settings.crossZoneDelayMs();
 		long jitterMs = this.settings.jitterMs();
-		return baseMs + ((jitterMs > 0) ? this.random.nextLong(jitterMs + 1) : 0);
+		long additionalMs = this.additionalDelaysMs.getOrDefault(from.id(), 0L)
+				+ this.additionalDelaysMs.getOrDefault(to.id(), 0L);
+		return baseMs + additionalMs + ((jitterMs > 0) ? this.random.nextLong(jitterMs + 1) : 0);
 	}
 
 	private final class Endpoint implements PeerTransport {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchedFleet.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchedFleet.java
@@ -58,7 +58,7 @@
 	/** Adds an instance that nobody knows yet. */
 	WatchedInstance add(int number, boolean isSharing) {
 		String name = "i-" + (100 + number);
-		WatchedInstance instance = new WatchedInstance(this, name, ZONES.get(number % ZONES.size()), isSharing);
+		WatchedInstance instance = new WatchedInstance(this, number, name, ZONES.get(number % ZONES.size()), isSharing);
 		this.instances.put(name, instance);
 		instance.start();
 		return instance;
@@ -94,6 +94,21 @@
 		return restarted;
 	}
 
+	/** Starts or ends that calls of some instances to the store get no answer. */
+	void setUnanswered(List<Integer> numbers, boolean isUnanswered) {
+		numbers.forEach((number) -> this.store.setUnanswered(instance(number).id(), isUnanswered));
+	}
+
+	/** Starts or ends that the store rejects the calls of some instances. */
+	void setRejected(List<Integer> numbers, boolean isRejected) {
+		numbers.forEach((number) -> this.store.setRejected(instance(number).id(), isRejected));
+	}
+
+	/** Sets the additional delay of the messages that an instance sends or receives. */
+	void setAdditionalDelay(int number, long delayMs) {
+		this.network.setAdditionalDelay(instance(number).id(), delayMs);
+	}
+
 	String put(String kind, String name) {
 		String value = String.valueOf(++this.lastValue);
 		put(kind, name, value);
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchedInstance.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchedInstance.java
@@ -30,6 +30,8 @@
 
 	private final WatchedFleet fleet;
 
+	private final int number;
+
 	private final DirectoryEntry entry;
 
 	private final FakeHost host;
@@ -48,8 +50,9 @@
 
 	private final List<String> faults = new ArrayList<>();
 
-	WatchedInstance(WatchedFleet fleet, String name, String zone, boolean isSharing) {
+	WatchedInstance(WatchedFleet fleet, int number, String name, String zone, boolean isSharing) {
 		this.fleet = fleet;
+		this.number = number;
 		this.entry = new DirectoryEntry(new InstanceId(name), new AvailabilityZone(zone), "127.0.0.1", 1, false);
 		this.host = new FakeHost(fleet.timer, this.entry.id(), this.entry.availabilityZone(),
 				fleet.random.nextLong(1_000_000));
@@ -82,6 +85,10 @@
 		}
 	}
 
+	int number() {
+		return this.number;
+	}
+
 	FakeHost host() {
 		return this.host;
 	}
