Follow a watching gateway only on a recent proof of the store's state

What callers saw: gateways that the store answers refused requests with 404 or served them by a configuration that had been replaced more than 3 s before, and sent requests to replicas that had left, for as long as the store answered no watching gateway of their zone.

Cause: followers trusted a statement (isHealthy) that only says that the last call succeeded. A watch waits for up to 30 s, so a gateway whose watch hangs states for up to 31.5 s that nothing has changed.

A follower now trusts the age of the last proof, which a watching gateway states with each update: the time at which a call was sent whose response has been applied. One call proves all kinds while the revision of the store stays the same. A proof keeps its age however often it is passed on, so it doesn't matter who follows whom. An instance that watches for itself also asks, so a watch that hangs no longer keeps it behind.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -210,12 +210,13 @@
 	 * Applies changes that another instance has received from the store.
 	 * @param afterRevision revision after which the changes are complete
 	 * @param revision revision up to which they are complete
+	 * @param shownMs time in milliseconds for which they show the state of the store
 	 * @param changes changes with their revisions, oldest first; those that have been
 	 * applied already are skipped
 	 * @return {@code false} if changes between the last applied revision and the first
 	 * one are missing; nothing has been applied then
 	 */
-	public boolean applyShared(long afterRevision, long revision, List<StoreEvent> changes) {
+	public boolean applyShared(long afterRevision, long revision, long shownMs, List<StoreEvent> changes) {
 		if (!this.isListed || afterRevision > this.lastVersion) {
 			return false;
 		}
@@ -225,9 +226,22 @@
 			apply(new StoreWatchResult(missing, revision, false), this.lastResponseMs);
 			this.lastVersion = Math.max(this.lastVersion, revision);
 		}
+		recordVerified(shownMs);
 		return true;
 	}
 
+	/**
+	 * Applies what a call for another kind has shown. All kinds share the revision of the
+	 * store, so nothing is missing here if it is not above the own one.
+	 * @param revision revision that the store did not exceed
+	 * @param shownMs time in milliseconds for which that is known
+	 */
+	public void recordStoreRevision(long revision, long shownMs) {
+		if (this.isListed && revision <= this.lastVersion) {
+			recordVerified(shownMs);
+		}
+	}
+
 	/**
 	 * Records that another instance watches the store successfully, and that what it
 	 * received has been applied here.
@@ -290,6 +304,7 @@
 			}
 			if (this.lastVersion == afterVersion) {
 				apply(result, openedMs);
+				this.lastVersion = Math.max(this.lastVersion, result.version());
 			}
 			else if (!result.events().isEmpty() && result.version() > this.lastVersion) {
 				return callToConfirm();
@@ -324,14 +339,14 @@
 			// ones.
 			boolean isOutdated = this.lastVersion != afterVersion;
 			if (isOutdated) {
-				applyShared(afterVersion, result.version(),
+				applyShared(afterVersion, result.version(), openedMs,
 						ChangeRevisions.of(result.events(), afterVersion, result.version()));
 			}
 			else {
 				apply(result, openedMs);
 				this.lastVersion = Math.max(this.lastVersion, result.version());
+				recordVerified(openedMs);
 			}
-			recordVerified(openedMs);
 			this.lastResponseMs = this.timer.nowMs();
 			if (this.batchDelayMs == 0 || (result.events().isEmpty() && !isOutdated)) {
 				watch();
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
@@ -1,13 +1,14 @@
 package dev.nutmegdoor.core.watch;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import dev.nutmegdoor.core.store.ListWatcher;
 import dev.nutmegdoor.core.store.StoreEvent;
 import dev.nutmegdoor.core.time.TimerService;
 
 /**
- * One kind whose changes are shared.
+ * One kind whose changes are shared, with what is known of its age.
  */
 final class SharedList {
 
@@ -17,6 +18,12 @@
 
 	private final ChangeBuffer buffer;
 
+	private long sharedVerifiedMs = WatchSource.NEVER_MS;
+
+	private long missingRevision;
+
+	private long verificationMs = WatchSource.NEVER_MS;
+
 	private long jitterMs;
 
 	private long fallbacks;
@@ -35,6 +42,44 @@
 		return this.buffer;
 	}
 
+	/**
+	 * Returns the latest time for which a watching instance has shown that nothing is
+	 * missing here.
+	 * @return time in milliseconds, a very small number if a change is known to be
+	 * missing
+	 */
+	long sharedVerifiedMs() {
+		return (this.watcher.revision() >= this.missingRevision) ? this.sharedVerifiedMs : WatchSource.NEVER_MS;
+	}
+
+	void recordShared(long verifiedMs) {
+		this.sharedVerifiedMs = Math.max(this.sharedVerifiedMs, verifiedMs);
+	}
+
+	/**
+	 * Records that changes up to a revision exist and can be had from the store only.
+	 * @param revision revision of the latest of these changes
+	 */
+	void recordMissing(long revision) {
+		this.missingRevision = Math.max(this.missingRevision, revision);
+	}
+
+	/**
+	 * Returns whether the store has to be asked for another proof of its state.
+	 * @param ageMs age of the last proof in milliseconds from which it is asked
+	 * @param intervalMs minimum time between two questions in milliseconds
+	 * @return {@code false} if others show the state
+	 */
+	boolean isVerificationDue(long ageMs, long intervalMs) {
+		return verifiedAgeMs() >= ageMs && this.timer.nowMs() - this.verificationMs >= intervalMs
+				&& !this.watcher.isPaused();
+	}
+
+	CompletableFuture<Boolean> verify() {
+		this.verificationMs = this.timer.nowMs();
+		return this.watcher.confirm();
+	}
+
 	long jitterMs() {
 		return this.jitterMs;
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,9 +28,9 @@
 /**
  * Shares the watches on the platform's store in large deployments. Two instances of each
  * zone watch the store; the others subscribe to them and receive the changes. A follower
- * that hears no healthy watching instance, or lacks a change, watches the store itself
- * from the last revision that it has applied. In a small deployment there are no timers
- * and no messages. Runs on the control thread.
+ * that gets no recent proof of the store's state, or lacks a change, watches the store
+ * itself from the last revision that it has applied. In a small deployment there are no
+ * timers and no messages. Runs on the control thread.
  */
 public final class SharedWatches implements WatchSharing {
 
@@ -131,7 +132,8 @@
 		if (this.tick == null) {
 			scheduleTick(0);
 		}
-		return isWatcher() || !isFresh(kind);
+		SharedList list = this.lists.get(kind);
+		return isWatcher() || list == null || !isFresh(list);
 	}
 
 	@Override
@@ -169,8 +171,8 @@
 		return this.sources.isSelfChosen() || !this.subscribers.current(this.timer.nowMs()).isEmpty();
 	}
 
-	private boolean isFresh(String kind) {
-		return this.timer.nowMs() - this.sources.freshMs(kind) < this.settings.freshMs();
+	private boolean isFresh(SharedList list) {
+		return this.timer.nowMs() - list.sharedVerifiedMs() < this.settings.freshMs();
 	}
 
 	private WatchUpdate message(List<KindUpdate> kinds) {
@@ -205,17 +207,18 @@
 	private void receive(InstanceId from, WatchUpdate update) {
 		long nowMs = this.timer.nowMs();
 		WatchSource source = this.sources.source(from);
-		if (!source.accept(update, nowMs)) {
+		if (!source.accept(update, nowMs, this.settings.freshMs())) {
 			return;
 		}
-		Long sinceOutageMs = this.sources.sinceOutageMs(nowMs);
+		// A watching instance knows outages from its own calls.
+		Long sinceOutageMs = isWatcher() ? null : this.sources.sinceOutageMs(nowMs);
 		if (sinceOutageMs != null) {
 			this.health.recordOutageElsewhere(sinceOutageMs);
 		}
 		boolean isBehind = false;
 		for (KindUpdate kind : update.kinds()) {
 			SharedList list = this.lists.get(kind.kind());
-			if (list != null && kind.isHealthy()) {
+			if (list != null) {
 				isBehind |= !apply(source, list, kind, nowMs);
 			}
 		}
@@ -229,18 +232,22 @@
 	// Returns false if changes are missing that the source remembers.
 	private boolean apply(WatchSource source, SharedList list, KindUpdate update, long nowMs) {
 		ListWatcher watcher = list.watcher();
-		String kind = watcher.kind();
-		boolean isTrusted = source.isTrusted(update, watcher.revision(), nowMs, this.settings.aheadMs());
-		if (isTrusted && watcher.applyShared(update.afterRevision(), update.revision(), update.toEvents())) {
-			source.setFresh(kind, nowMs);
-			watcher.recordSharedSuccess();
+		if (!watcher.isListed() || !source.isTrusted(update, watcher.revision(), nowMs, this.settings.aheadMs())) {
+			return true;
+		}
+		long verifiedMs = source.verifiedMs(update);
+		if (watcher.applyShared(update.afterRevision(), update.revision(), verifiedMs, update.toEvents())) {
+			list.recordShared(verifiedMs);
+			if (isFresh(list)) {
+				watcher.recordSharedSuccess();
+			}
 			return true;
 		}
-		boolean isRemembered = isTrusted && watcher.isListed() && watcher.revision() >= update.baseRevision();
-		if (!isRemembered) {
-			source.setNotFresh(kind);
+		if (watcher.revision() >= update.baseRevision()) {
+			return false;
 		}
-		return !isRemembered;
+		list.recordMissing(update.revision());
+		return true;
 	}
 
 	private void onTick() {
@@ -260,12 +267,50 @@
 		}
 		Set<InstanceId> receivers = this.subscribers.current(nowMs);
 		if (!receivers.isEmpty() && nowMs - this.heartbeatMs >= this.settings.heartbeatMs()) {
-			this.heartbeatMs = nowMs;
-			this.transport.sendAll(receivers, message(this.lists.values().stream().map(SharedList::state).toList()));
+			sendState();
 		}
 		updateRole();
 		resumeWatches();
-		scheduleTick(receivers.isEmpty() ? followerDelayMs(nowMs) : this.settings.heartbeatMs());
+		verifyOldest();
+		scheduleTick((this.role == WatchRole.WATCHER) ? watcherDelayMs() : followerDelayMs(nowMs));
+	}
+
+	private long verifyMs() {
+		return isWatcher() ? this.settings.verifyMs() + this.sources.ownRank() * this.settings.verifyStepMs()
+				: this.settings.freshMs();
+	}
+
+	// One call proves the state of all lists unless the store has changed.
+	private void verifyOldest() {
+		this.lists.values()
+			.stream()
+			.filter((list) -> list.isVerificationDue(verifyMs(), this.settings.verifyMs()))
+			.max(Comparator.comparingLong(SharedList::verifiedAgeMs))
+			.ifPresent((list) -> list.verify().thenAccept((isVerified) -> {
+				if (isVerified) {
+					ListWatcher watcher = list.watcher();
+					this.lists.values()
+						.forEach((other) -> other.watcher()
+							.recordStoreRevision(watcher.revision(), watcher.verifiedMs()));
+					verifyOldest();
+					sendState();
+				}
+			}));
+	}
+
+	private void sendState() {
+		this.heartbeatMs = this.timer.nowMs();
+		this.transport.sendAll(this.subscribers.current(this.heartbeatMs),
+				message(this.lists.values().stream().map(SharedList::state).toList()));
+	}
+
+	// Until the next message is due, or a proof becomes too old.
+	private long watcherDelayMs() {
+		return this.lists.values()
+			.stream()
+			.mapToLong((list) -> verifyMs() - list.verifiedAgeMs())
+			.filter((delayMs) -> delayMs > 0)
+			.reduce(this.settings.heartbeatMs(), Math::min);
 	}
 
 	private void subscribe(InstanceId target, long nowMs) {
@@ -283,9 +328,8 @@
 	// Until the first of the lists may have to be watched, or the choice may change.
 	private long followerDelayMs(long nowMs) {
 		long delayMs = this.settings.silentMs();
-		for (Map.Entry<String, SharedList> list : this.lists.entrySet()) {
-			long deadlineMs = this.sources.freshMs(list.getKey()) + this.settings.freshMs()
-					+ list.getValue().jitterMs();
+		for (SharedList list : this.lists.values()) {
+			long deadlineMs = list.sharedVerifiedMs() + this.settings.freshMs() + list.jitterMs();
 			if (deadlineMs > nowMs) {
 				delayMs = Math.min(delayMs, deadlineMs - nowMs);
 			}
@@ -305,16 +349,16 @@
 	private void resumeWatches() {
 		long nowMs = this.timer.nowMs();
 		this.lists.forEach((kind, list) -> {
-			long freshMs = this.sources.freshMs(kind);
-			boolean isDue = !isInUse() || isWatcher() || nowMs - freshMs >= this.settings.freshMs() + list.jitterMs();
+			long sharedAgeMs = nowMs - list.sharedVerifiedMs();
+			boolean isDue = !isInUse() || isWatcher() || sharedAgeMs >= this.settings.freshMs() + list.jitterMs();
 			if (isDue && list.watcher().isPaused()) {
 				list.setJitterMs(this.random.nextLong(this.settings.jitterMs() + 1));
 				if (this.role == WatchRole.FALLBACK) {
 					list.countFallback();
 					this.fallbacks = this.lists.values().stream().mapToLong(SharedList::fallbacks).sum();
 					this.events.record("watch.fallback", "kind", kind, "ageMs",
-							Math.min(nowMs - freshMs, MAX_OUTAGE_AGE_MS), "verifiedAgeMs", list.verifiedAgeMs(),
-							"revision", list.watcher().revision(), "chosen", this.sources.chosen());
+							Math.min(sharedAgeMs, MAX_OUTAGE_AGE_MS), "verifiedAgeMs", list.verifiedAgeMs(), "revision",
+							list.watcher().revision(), "chosen", this.sources.chosen());
 				}
 				list.watcher().resume();
 			}
@@ -324,7 +368,7 @@
 	private void updateRole() {
 		WatchRole current = WatchRole.DIRECT;
 		if (isInUse()) {
-			boolean areAllFresh = this.lists.keySet().stream().allMatch(this::isFresh);
+			boolean areAllFresh = this.lists.values().stream().allMatch(this::isFresh);
 			current = isWatcher() ? WatchRole.WATCHER : areAllFresh ? WatchRole.FOLLOWER : WatchRole.FALLBACK;
 		}
 		if (current != this.role) {
@@ -333,7 +377,7 @@
 					verifiedAgesMs());
 			this.role = current;
 		}
-		this.oldestFreshMs = this.lists.keySet().stream().mapToLong(this.sources::freshMs).min().orElse(0);
+		this.oldestFreshMs = this.lists.values().stream().mapToLong(SharedList::sharedVerifiedMs).min().orElse(0);
 		this.oldestVerifiedMs = this.lists.values()
 			.stream()
 			.mapToLong((list) -> list.watcher().verifiedMs())
@@ -363,8 +407,8 @@
 	}
 
 	/**
-	 * Returns the age of the last message of a healthy watching instance. May be called
-	 * from any thread.
+	 * Returns the age of the last proof of the store's state from a watching instance.
+	 * May be called from any thread.
 	 * @return milliseconds for the kind that waits longest, 0 unless this instance is a
 	 * follower
 	 */
@@ -390,7 +434,7 @@
 		List<String> kinds = new ArrayList<>();
 		this.lists.forEach((kind,
 				list) -> kinds.add(kind + "@" + list.watcher().revision()
-						+ (list.watcher().isPaused() ? " ageMs=" + (nowMs - this.sources.freshMs(kind))
+						+ (list.watcher().isPaused() ? " ageMs=" + (nowMs - list.sharedVerifiedMs())
 								: " watched=" + list.watcher().isWatching())
 						+ " verifiedAgeMs=" + list.verifiedAgeMs() + " remembered=" + list.buffer().size()
 						+ " fallbacks=" + list.fallbacks()));
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
@@ -38,9 +38,11 @@
 	 * Records the arrival of a message.
 	 * @param update the message
 	 * @param nowMs current time in milliseconds
+	 * @param freshMs age in milliseconds up to which a proof of the store's state shows
+	 * that the source is healthy
 	 * @return {@code false} if a later message has arrived before
 	 */
-	boolean accept(WatchUpdate update, long nowMs) {
+	boolean accept(WatchUpdate update, long nowMs, long freshMs) {
 		if (!update.run().equals(this.run)) {
 			this.run = update.run();
 			this.kinds.clear();
@@ -51,12 +53,22 @@
 		this.sequence = update.sequence();
 		this.sinceOutageMs = update.sinceOutageMs();
 		this.heardMs = nowMs;
-		if (update.kinds().stream().allMatch(KindUpdate::isHealthy)) {
+		if (update.kinds().stream().allMatch((kind) -> nowMs - verifiedMs(kind) < freshMs)) {
 			recordHealthy(nowMs);
 		}
 		return true;
 	}
 
+	/**
+	 * Returns for which time a message of this source shows the state of the store.
+	 * @param update part of the last message
+	 * @return time in milliseconds, a very small number if it shows nothing
+	 */
+	long verifiedMs(KindUpdate update) {
+		Long ageMs = update.verifiedAgeMs();
+		return (ageMs != null) ? this.heardMs - ageMs : NEVER_MS;
+	}
+
 	void recordHealthy(long nowMs) {
 		this.healthyMs = nowMs;
 		this.suspectedUntilMs = NEVER_MS;
@@ -88,25 +100,6 @@
 		return state.behindSinceMs == Long.MAX_VALUE || nowMs - state.behindSinceMs <= aheadMs;
 	}
 
-	void setFresh(String kind, long nowMs) {
-		kind(kind).freshMs = nowMs;
-	}
-
-	void setNotFresh(String kind) {
-		kind(kind).freshMs = NEVER_MS;
-	}
-
-	/**
-	 * Returns when the source last stated that it is healthy while everything before had
-	 * been applied here.
-	 * @param kind kind of the objects
-	 * @return time in milliseconds
-	 */
-	long freshMs(String kind) {
-		KindState state = this.kinds.get(kind);
-		return (state != null) ? state.freshMs : NEVER_MS;
-	}
-
 	long sinceOutageMs(long nowMs) {
 		Long reported = this.sinceOutageMs;
 		return (reported != null) ? reported + nowMs - this.heardMs : Long.MAX_VALUE;
@@ -167,8 +160,6 @@
 
 		private long revision;
 
-		private long freshMs = NEVER_MS;
-
 		private long behindSinceMs = Long.MAX_VALUE;
 
 	}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSources.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSources.java
@@ -66,11 +66,9 @@
 		}
 		for (InstanceId id : this.chosen) {
 			boolean isSelf = id.equals(this.self);
-			// A chosen instance is not subscribed to the other one. While the store
-			// answers
-			// nobody, another choice would not help.
+			// While the store answers nobody, another choice would not help.
 			boolean isUnhealthyAccepted = !isSelf && !isOwnWatchHealthy;
-			if ((isSelf || !isSelfChosen()) && source(id).suspectIfSilent(nowMs, isUnhealthyAccepted, this.settings)) {
+			if ((isSelf || isHeard(id)) && source(id).suspectIfSilent(nowMs, isUnhealthyAccepted, this.settings)) {
 				this.events.record("watch.source-suspected", "instance", id, "ownWatchHealthy", isOwnWatchHealthy);
 			}
 		}
@@ -105,15 +103,31 @@
 		return this.chosen.contains(this.self);
 	}
 
+	/**
+	 * Returns the position of this instance among the watching ones.
+	 * @return 0 for the first one; 1 for all others, because an instance that is not
+	 * chosen here has subscribers only while views differ
+	 */
+	int ownRank() {
+		return (this.chosen.indexOf(this.self) == 0) ? 0 : 1;
+	}
+
+	// A chosen instance is subscribed to those before it.
+	private boolean isHeard(InstanceId id) {
+		return !isSelfChosen() || this.chosen.indexOf(id) < this.chosen.indexOf(this.self);
+	}
+
 	/**
 	 * Returns the instances to subscribe to: the chosen ones, and those that are healthy
-	 * now until all chosen ones are.
+	 * now until all chosen ones are. If this instance is chosen, those before it: it uses
+	 * their proofs of the store's state in place of calls of its own.
 	 * @param nowMs current time in milliseconds
-	 * @return other instances, none if this instance is chosen
+	 * @return other instances
 	 */
 	Set<InstanceId> targets(long nowMs) {
 		Set<InstanceId> targets = new LinkedHashSet<>();
 		if (isSelfChosen()) {
+			targets.addAll(this.chosen.subList(0, this.chosen.indexOf(this.self)));
 			return targets;
 		}
 		targets.addAll(this.chosen);
@@ -133,19 +147,6 @@
 		return targets;
 	}
 
-	/**
-	 * Returns when a healthy instance was last heard whose changes have been applied.
-	 * @param kind kind of the objects
-	 * @return time in milliseconds
-	 */
-	long freshMs(String kind) {
-		long freshMs = WatchSource.NEVER_MS;
-		for (WatchSource source : this.sources.values()) {
-			freshMs = Math.max(freshMs, source.freshMs(kind));
-		}
-		return freshMs;
-	}
-
 	/**
 	 * Returns the time since the end of an outage that all instances that are heard have
 	 * observed. One that the store rejects alone is not the sign of an outage.
