Count the age of a proof from the time at which it was sent

Cause: the age of an update counted from its arrival. A message that had waited in a queue, on a slow link or behind a frozen receiver was as good as a new one.

An update now has the time of its sender's monotonic clock. The first message after a start shows no delay of its own.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -177,8 +177,8 @@
 
 	private WatchUpdate message(List<KindUpdate> kinds) {
 		long sinceOutageMs = this.health.timeSinceOutageMs();
-		return new WatchUpdate(this.run, ++this.sequence, (sinceOutageMs <= MAX_OUTAGE_AGE_MS) ? sinceOutageMs : null,
-				kinds);
+		return new WatchUpdate(this.run, ++this.sequence, this.timer.nowMs(),
+				(sinceOutageMs <= MAX_OUTAGE_AGE_MS) ? sinceOutageMs : null, kinds);
 	}
 
 	private void receive(InstanceId from, WatchSubscription subscription) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
@@ -22,6 +22,10 @@
 
 	private @Nullable Long sinceOutageMs;
 
+	private ClockDifference clockDifference = new ClockDifference();
+
+	private long sentMs = NEVER_MS;
+
 	private long heardMs = NEVER_MS;
 
 	private long healthyMs = NEVER_MS;
@@ -46,6 +50,7 @@
 		if (!update.run().equals(this.run)) {
 			this.run = update.run();
 			this.kinds.clear();
+			this.clockDifference = new ClockDifference();
 		}
 		else if (update.sequence() <= this.sequence) {
 			return false;
@@ -53,6 +58,8 @@
 		this.sequence = update.sequence();
 		this.sinceOutageMs = update.sinceOutageMs();
 		this.heardMs = nowMs;
+		Long sentMs = update.sentMs();
+		this.sentMs = (sentMs != null) ? this.clockDifference.toOwnTime(sentMs, nowMs) : NEVER_MS;
 		if (update.kinds().stream().allMatch((kind) -> nowMs - verifiedMs(kind) < freshMs)) {
 			recordHealthy(nowMs);
 		}
@@ -66,7 +73,7 @@
 	 */
 	long verifiedMs(KindUpdate update) {
 		Long ageMs = update.verifiedAgeMs();
-		return (ageMs != null) ? this.heardMs - ageMs : NEVER_MS;
+		return (ageMs != null && this.sentMs != NEVER_MS) ? this.sentMs - ageMs : NEVER_MS;
 	}
 
 	void recordHealthy(long nowMs) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchUpdate.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchUpdate.java
@@ -12,16 +12,20 @@
  * @param run identifier of the sender's process
  * @param sequence number of the message, which increases within a run; a message that
  * arrives after a later one is ignored
+ * @param sentMs time by the sender's monotonic clock in milliseconds; {@code null} from
+ * an older version
  * @param sinceOutageMs time in milliseconds since the store answered the sender again
  * after an outage, 0 during an outage, {@code null} if there was none lately
  * @param kinds state and changes of one or more kinds
  */
-public record WatchUpdate(String run, long sequence, @Nullable Long sinceOutageMs,
+public record WatchUpdate(String run, long sequence, @Nullable Long sentMs, @Nullable Long sinceOutageMs,
 		List<KindUpdate> kinds) implements PeerMessage {
 
-	public WatchUpdate(String run, long sequence, @Nullable Long sinceOutageMs, @Nullable List<KindUpdate> kinds) {
+	public WatchUpdate(String run, long sequence, @Nullable Long sentMs, @Nullable Long sinceOutageMs,
+			@Nullable List<KindUpdate> kinds) {
 		this.run = run;
 		this.sequence = sequence;
+		this.sentMs = sentMs;
 		this.sinceOutageMs = sinceOutageMs;
 		this.kinds = (kinds != null) ? List.copyOf(kinds) : List.of();
 	}
