Take no outage of the watching gateways for one of the store

What callers saw: requests went to replicas whose entry was gone for up to 2 s longer than necessary, at gateways that the store answered, because it rejected the watching gateways of their zone.

Cause: StoreHealth took over outages that others reported without comparing them with its own calls. ReplicaList keeps a replica without an entry during an outage.

A report now counts only until the store answers a call of this process that was made while calls of the reporting gateway failed; ReportedOutage remembers that until the next outage begins. If a call of this process failed too, the report stands. A watching gateway passes on and uses only what its own calls have shown.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -251,7 +251,7 @@
 		if (this.isPaused && !this.isConnected) {
 			this.consecutiveFailures = 0;
 			this.isConnected = true;
-			this.health.recordSuccess();
+			this.health.recordSuccessElsewhere();
 		}
 	}
 
@@ -299,6 +299,7 @@
 				return CompletableFuture.completedFuture(false);
 			}
 			this.isConfirmationFailed = false;
+			this.health.recordSuccess();
 			if (result.isReset() || !this.isListed) {
 				return CompletableFuture.completedFuture(false);
 			}
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/StoreHealth.java
@@ -13,7 +13,7 @@
 	 * interrupt a single watch at any time, and the next call then succeeds within this
 	 * time.
 	 */
-	private static final long MIN_OUTAGE_MS = 500;
+	public static final long MIN_OUTAGE_MS = 500;
 
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
@@ -25,7 +25,13 @@
 
 	private long lastOutageEndMs = NEVER_MS;
 
-	private long lastOutageElsewhereMs = NEVER_MS;
+	private long lastAnswerMs = NEVER_MS;
+
+	private long outageElsewhereStartMs = NEVER_MS;
+
+	private long outageElsewhereEndMs = NEVER_MS;
+
+	private boolean isOutageElsewhereOngoing;
 
 	private boolean isFailing;
 
@@ -45,15 +51,38 @@
 	}
 
 	/**
-	 * Records that the store has answered a call at the current time.
+	 * Records that the store has answered a call at the current time. What others take
+	 * for an outage at that time is none of the store.
 	 */
 	public void recordSuccess() {
+		recordSuccessElsewhere();
+		this.lastAnswerMs = this.timer.nowMs();
+		if (this.isOutageElsewhereOngoing && hasAnsweredSince(this.outageElsewhereStartMs)) {
+			this.outageElsewhereEndMs = NEVER_MS;
+			this.isOutageElsewhereOngoing = false;
+		}
+	}
+
+	/**
+	 * Records that the store answers others, from whom this process receives changes.
+	 */
+	public void recordSuccessElsewhere() {
 		if (isOutage()) {
 			this.lastOutageEndMs = this.timer.nowMs();
 		}
 		this.isFailing = false;
 	}
 
+	/**
+	 * Returns whether the store has answered this process, and no call has failed, since
+	 * others began to observe an outage.
+	 * @param startMs time in milliseconds since which their calls have failed
+	 * @return {@code true} if it is not the store that is out
+	 */
+	public boolean hasAnsweredSince(long startMs) {
+		return this.lastAnswerMs >= startMs && this.lastFailureMs < startMs;
+	}
+
 	/**
 	 * Returns the time since a call last failed.
 	 * @return milliseconds, a very large number if no call has failed
@@ -67,7 +96,16 @@
 	 * @return milliseconds, 0 during an outage, a very large number if there was none
 	 */
 	public long timeSinceOutageMs() {
-		return isOutage() ? 0 : this.timer.nowMs() - Math.max(this.lastOutageEndMs, this.lastOutageElsewhereMs);
+		return Math.min(timeSinceOwnOutageMs(), this.timer.nowMs() - this.outageElsewhereEndMs);
+	}
+
+	/**
+	 * Returns the time since the store answered this process again after an outage.
+	 * @return milliseconds, 0 during an outage, a very large number if only others have
+	 * observed one
+	 */
+	public long timeSinceOwnOutageMs() {
+		return isOutage() ? 0 : this.timer.nowMs() - this.lastOutageEndMs;
 	}
 
 	/**
@@ -75,15 +113,18 @@
 	 * @return {@code false} if calls of this process failed
 	 */
 	public boolean isOutageElsewhere() {
-		return !isOutage() && this.lastOutageElsewhereMs > this.lastOutageEndMs;
+		return timeSinceOutageMs() < timeSinceOwnOutageMs();
 	}
 
 	/**
 	 * Records an outage that others have observed while this process made no calls.
+	 * @param startMs time in milliseconds since which their calls have failed
 	 * @param ageMs time since its end in milliseconds; 0 if it continues
 	 */
-	public void recordOutageElsewhere(long ageMs) {
-		this.lastOutageElsewhereMs = Math.max(this.lastOutageElsewhereMs, this.timer.nowMs() - ageMs);
+	public void recordOutageElsewhere(long startMs, long ageMs) {
+		this.outageElsewhereStartMs = startMs;
+		this.outageElsewhereEndMs = Math.max(this.outageElsewhereEndMs, this.timer.nowMs() - ageMs);
+		this.isOutageElsewhereOngoing = ageMs == 0;
 	}
 
 	private boolean isOutage() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -176,7 +176,7 @@
 	}
 
 	private WatchUpdate message(List<KindUpdate> kinds) {
-		long sinceOutageMs = this.health.timeSinceOutageMs();
+		long sinceOutageMs = this.health.timeSinceOwnOutageMs();
 		return new WatchUpdate(this.run, ++this.sequence, this.timer.nowMs(),
 				(sinceOutageMs <= MAX_OUTAGE_AGE_MS) ? sinceOutageMs : null, kinds);
 	}
@@ -210,10 +210,11 @@
 		if (!source.accept(update, nowMs, this.settings.freshMs())) {
 			return;
 		}
+		source.outage().update(update.sinceOutageMs(), this.health, nowMs);
 		// A watching instance knows outages from its own calls.
-		Long sinceOutageMs = isWatcher() ? null : this.sources.sinceOutageMs(nowMs);
-		if (sinceOutageMs != null) {
-			this.health.recordOutageElsewhere(sinceOutageMs);
+		ReportedOutage outage = isWatcher() ? null : this.sources.outage(nowMs);
+		if (outage != null) {
+			this.health.recordOutageElsewhere(outage.startMs(), nowMs - outage.endMs(nowMs));
 		}
 		boolean isBehind = false;
 		for (KindUpdate kind : update.kinds()) {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
@@ -3,8 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.jspecify.annotations.Nullable;
-
 /**
  * What is known of an instance that watches the store, or is expected to.
  */
@@ -20,7 +18,7 @@
 
 	private long sequence;
 
-	private @Nullable Long sinceOutageMs;
+	private final ReportedOutage outage = new ReportedOutage();
 
 	private ClockDifference clockDifference = new ClockDifference();
 
@@ -56,7 +54,6 @@
 			return false;
 		}
 		this.sequence = update.sequence();
-		this.sinceOutageMs = update.sinceOutageMs();
 		this.heardMs = nowMs;
 		Long sentMs = update.sentMs();
 		this.sentMs = (sentMs != null) ? this.clockDifference.toOwnTime(sentMs, nowMs) : NEVER_MS;
@@ -107,9 +104,8 @@
 		return state.behindSinceMs == Long.MAX_VALUE || nowMs - state.behindSinceMs <= aheadMs;
 	}
 
-	long sinceOutageMs(long nowMs) {
-		Long reported = this.sinceOutageMs;
-		return (reported != null) ? reported + nowMs - this.heardMs : Long.MAX_VALUE;
+	ReportedOutage outage() {
+		return this.outage;
 	}
 
 	long heardMs() {
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSources.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSources.java
@@ -148,19 +148,21 @@
 	}
 
 	/**
-	 * Returns the time since the end of an outage that all instances that are heard have
-	 * observed. One that the store rejects alone is not the sign of an outage.
+	 * Returns the latest outage if all instances that are heard have observed one. One
+	 * that the store rejects alone is not the sign of an outage.
 	 * @param nowMs current time in milliseconds
-	 * @return milliseconds, 0 during an outage, or {@code null} if there was none
+	 * @return the outage that ended first, or {@code null} if there was none
 	 */
-	@Nullable Long sinceOutageMs(long nowMs) {
-		long sinceOutageMs = -1;
-		for (WatchSource source : this.sources.values()) {
-			if (nowMs - source.heardMs() <= this.settings.freshMs()) {
-				sinceOutageMs = Math.max(sinceOutageMs, source.sinceOutageMs(nowMs));
-			}
+	@Nullable ReportedOutage outage(long nowMs) {
+		List<ReportedOutage> outages = this.sources.values()
+			.stream()
+			.filter((source) -> nowMs - source.heardMs() <= this.settings.freshMs())
+			.map(WatchSource::outage)
+			.toList();
+		if (!outages.stream().allMatch(ReportedOutage::isObserved)) {
+			return null;
 		}
-		return (sinceOutageMs < 0 || sinceOutageMs == Long.MAX_VALUE) ? null : sinceOutageMs;
+		return outages.stream().min(Comparator.comparingLong((outage) -> outage.endMs(nowMs))).orElse(null);
 	}
 
 	List<InstanceId> chosen() {
