Distrust a watching gateway that doesn't reach an applied revision in time

What callers would see: after the store was restored from an older state, followers of a gateway that counts from there skip its changes as old ones, and took themselves for up to date for 35 s (the longest wait of a watch and 5 s).

Cause: a watching gateway could be behind its followers for as long as its watch had not returned. It asks the store at least once per period now, so it reaches whatever a follower has applied before within the time for which a proof is fresh, or its revisions are not those of the follower.

The time counts from the moment at which the source was first behind one revision, so a source that applies each change a little later than its follower stays trusted. The setting aheadMs is gone. WatchSourceTests: the test of 15 s checks 1.3 s now; a new one has 100 changes that each arrive later.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatchSettings.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatchSettings.java
@@ -19,14 +19,12 @@
  * @param suspectMs time in milliseconds for which an instance is not chosen the first
  * time; doubled each time up to the maximum
  * @param maxSuspectMs maximum of that time in milliseconds
- * @param aheadMs time in milliseconds for which a watching instance may be behind a
- * follower
  * @param bufferedChanges maximum number of remembered changes of a kind
  * @param bufferedLength maximum length in characters of the remembered changes of a kind;
  * a longer change is not sent, and followers read it from the store
  */
 public record SharedWatchSettings(int directInstances, long heartbeatMs, long verifyMs, long verifyStepMs, long freshMs,
-		long jitterMs, long renewMs, long leaseMs, long silentMs, long suspectMs, long maxSuspectMs, long aheadMs,
+		long jitterMs, long renewMs, long leaseMs, long silentMs, long suspectMs, long maxSuspectMs,
 		int bufferedChanges, int bufferedLength) {
 
 	private static final double VERIFY_SHARE = 0.4;
@@ -35,22 +33,18 @@
 
 	private static final double FRESH_SHARE = 0.65;
 
-	/** Time in milliseconds that the response to a watch may take beyond its wait. */
-	private static final long RESPONSE_MS = 5_000;
-
 	/**
 	 * Returns the default settings. The first watching instance of a zone, the second one
 	 * and then each follower asks the store for itself, in time for the bound. The limit
 	 * of a message keeps a change for 25 followers below 0.5 s on a link of 21 Mbit/s.
 	 * @param boundMs time in milliseconds after which an acknowledged change must be in
 	 * use
-	 * @param watchTimeoutMs maximum wait of a watch in milliseconds
-	 * @return settings for all kinds that are watched with this wait
+	 * @return settings for all kinds that are shared
 	 */
-	public static SharedWatchSettings of(long boundMs, long watchTimeoutMs) {
+	public static SharedWatchSettings forBound(long boundMs) {
 		return new SharedWatchSettings(16, 350, Math.round(boundMs * VERIFY_SHARE),
 				Math.round(boundMs * VERIFY_STEP_SHARE), Math.round(boundMs * FRESH_SHARE), 200, 2_000, 5_000, 1_500,
-				3_000, 60_000, watchTimeoutMs + RESPONSE_MS, 256, 50_000);
+				3_000, 60_000, 256, 50_000);
 	}
 
 }
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -233,7 +233,7 @@
 	// Returns false if changes are missing that the source remembers.
 	private boolean apply(WatchSource source, SharedList list, KindUpdate update, long nowMs) {
 		ListWatcher watcher = list.watcher();
-		if (!watcher.isListed() || !source.isTrusted(update, watcher.revision(), nowMs, this.settings.aheadMs())) {
+		if (!watcher.isListed() || !source.isTrusted(update, watcher.revision(), nowMs, this.settings.freshMs())) {
 			return true;
 		}
 		long verifiedMs = source.verifiedMs(update);
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
@@ -86,22 +86,25 @@
 	 * @param update state of the source
 	 * @param appliedRevision revision up to which changes have been applied here
 	 * @param nowMs current time in milliseconds
-	 * @param aheadMs time for which the source may be behind in milliseconds
+	 * @param catchUpMs time in milliseconds in which the source must reach a revision
+	 * that has been applied here
 	 * @return {@code false} if the revision of the source went back or stays behind
 	 */
-	boolean isTrusted(KindUpdate update, long appliedRevision, long nowMs, long aheadMs) {
+	boolean isTrusted(KindUpdate update, long appliedRevision, long nowMs, long catchUpMs) {
 		KindState state = kind(update.kind());
-		if (update.revision() >= appliedRevision) {
-			state.behindSinceMs = Long.MAX_VALUE;
+		if (update.revision() < state.revision && update.revision() < appliedRevision) {
+			state.isReset = true;
 		}
-		else if (update.revision() < state.revision) {
-			state.behindSinceMs = NEVER_MS;
+		if (update.revision() >= appliedRevision) {
+			state.isReset = false;
+			state.expectedRevision = 0;
 		}
-		else if (state.behindSinceMs == Long.MAX_VALUE) {
+		else if (update.revision() >= state.expectedRevision) {
+			state.expectedRevision = appliedRevision;
 			state.behindSinceMs = nowMs;
 		}
 		state.revision = update.revision();
-		return state.behindSinceMs == Long.MAX_VALUE || nowMs - state.behindSinceMs <= aheadMs;
+		return state.expectedRevision == 0 || (!state.isReset && nowMs - state.behindSinceMs <= catchUpMs);
 	}
 
 	ReportedOutage outage() {
@@ -163,7 +166,11 @@
 
 		private long revision;
 
-		private long behindSinceMs = Long.MAX_VALUE;
+		private long expectedRevision;
+
+		private long behindSinceMs;
+
+		private boolean isReset;
 
 	}
 
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/SharedWatchesTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/SharedWatchesTests.java
@@ -333,8 +333,7 @@
 		@Test
 		void readsLongChangesFromTheStore() {
 			SharedWatchesTests.this.fleet.put(WatchedFleet.CONFIGURATION, "main",
-					" ".repeat(SharedWatchSettings.of(BOUND_MS, WatchedInstance.WATCH_MS).bufferedLength())
-							+ "1000000");
+					" ".repeat(SharedWatchSettings.forBound(BOUND_MS).bufferedLength()) + "1000000");
 			assertApplied(BOUND_MS);
 			SharedWatchesTests.this.fleet.put(WatchedFleet.CONFIGURATION, "main", "1000001");
 			assertApplied(BOUND_MS);
@@ -344,8 +343,7 @@
 
 		// One instance of each zone asks, once for all kinds.
 		private long proofsOf(long durationMs) {
-			return WatchedFleet.ZONES.size() * durationMs
-					/ SharedWatchSettings.of(BOUND_MS, WatchedInstance.WATCH_MS).verifyMs();
+			return WatchedFleet.ZONES.size() * durationMs / SharedWatchSettings.forBound(BOUND_MS).verifyMs();
 		}
 
 		private long fallbacks() {
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
@@ -9,13 +9,13 @@
 
 class WatchSourceTests {
 
-	private static final long AHEAD_MS = 15_000;
+	private static final long CATCH_UP_MS = 1_300;
 
 	private final WatchSource source = new WatchSource();
 
 	private boolean isTrusted(long revision, long appliedRevision, long nowMs) {
 		return this.source.isTrusted(new KindUpdate("k", true, 1, 1, revision, 0L, List.of()), appliedRevision, nowMs,
-				AHEAD_MS);
+				CATCH_UP_MS);
 	}
 
 	// Guards against changes of a store that was restored from an older state, which are
@@ -31,20 +31,20 @@
 	// Guards against a source that never reaches the own revision because the store was
 	// restored before the source started.
 	@Test
-	void distrustsSourceThatStaysBehindLongerThanAWatch() {
+	void distrustsSourceThatDoesNotReachAnAppliedRevision() {
 		assertThat(isTrusted(50, 500, 0), is(true));
-		assertThat(isTrusted(51, 500, AHEAD_MS), is(true));
-		assertThat(isTrusted(52, 500, AHEAD_MS + 1), is(false));
+		assertThat(isTrusted(51, 500, CATCH_UP_MS), is(true));
+		assertThat(isTrusted(52, 510, CATCH_UP_MS + 1), is(false));
+		assertThat(isTrusted(510, 510, CATCH_UP_MS + 2), is(true));
 	}
 
-	// Guards against a healthy source that is passed over because its watch has not
-	// returned since this instance's own.
+	// Guards against a healthy source that is passed over because it applies each change
+	// a little later than this instance.
 	@Test
-	void trustsSourceThatIsBehindForTheTimeOfAWatch() {
-		assertThat(isTrusted(100, 105, 0), is(true));
-		assertThat(isTrusted(100, 105, 10_000), is(true));
-		assertThat(isTrusted(106, 105, 10_001), is(true));
-		assertThat(isTrusted(106, 107, 20_000), is(true));
+	void trustsSourceThatReachesEachRevisionLater() {
+		for (long i = 0; i < 100; i++) {
+			assertThat(isTrusted(100 + 5 * i, 105 + 5 * i, i * CATCH_UP_MS), is(true));
+		}
 	}
 
 	// Guards against a message that overtakes a later one on another connection.
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchedInstance.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchedInstance.java
@@ -62,7 +62,7 @@
 		this.health = new StoreHealth(this.host);
 		this.sharing = new SharedWatches(fleet.network.join(this.host), this.entry, this.others::values,
 				(subscriber) -> this.others.putIfAbsent(subscriber.id(), subscriber), this.host, random, this.health,
-				EventLog.NONE, SharedWatchSettings.of(BOUND_MS, WATCH_MS));
+				EventLog.NONE, SharedWatchSettings.forBound(BOUND_MS));
 		// An instance of an older version neither sends nor understands messages.
 		if (!isSharing) {
 			fleet.network.join(this.host);
