Take the bound of shared watches from DrainMs and ConfigApplyMs

A deployment may allow less time for configurations than for leaving replicas; the age of proofs follows the smaller bound.

--- a/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
+++ b/nutmegdoor-node/src/main/java/dev/nutmegdoor/node/relay/GatewayNode.java
@@ -252,7 +252,7 @@
 				new DirectoryEntry(settings.instance(), settings.zone(), peerAddress.getHostString(),
 						peerAddress.getPort(), false),
 				this.peers::entries, (subscriber) -> this.peers.addListed(List.of(subscriber)), this.control, random,
-				health, events, SharedWatchSettings.forBound(settings.drainMs()));
+				health, events, SharedWatchSettings.forBound(Math.min(settings.drainMs(), settings.configurationMs())));
 		this.configurationWatcher = new ListWatcher(this.store, this.control, random, health, events,
 				ConfigurationDecoder.KIND, settings.storeWaitMaxMs(), 0, configurations, this.sharedWatches);
 		this.replicaWatcher = new ListWatcher(this.store, this.control, random, health, events, ReplicaDecoder.KIND,
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayDetourTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayDetourTests.java
@@ -127,8 +127,8 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("b"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, freePort()), freePort(), freePort(), List.of(), true,
-				this.platform.address(), 5_000, this.folder, 256, this.graceMs, 2_000, 0, tolerance(), null, null,
-				false);
+				this.platform.address(), 5_000, this.folder, 256, this.graceMs, 2_000, 2_000, 0, tolerance(), null,
+				null, false);
 	}
 
 	@AfterEach
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -133,8 +133,8 @@
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
 				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, this.graceMs, 2_000, 0, tolerance(), this.evacuationMs, this.coldTolerance,
-				false);
+				5_000, this.folder, 256, this.graceMs, 2_000, 2_000, 0, tolerance(), this.evacuationMs,
+				this.coldTolerance, false);
 	}
 
 	FailureTolerance tolerance() {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/LedgerTurnsTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/LedgerTurnsTests.java
@@ -90,11 +90,10 @@
 	private void start(String name, boolean isFirstStart) throws IOException {
 		int port = GatewayEnvironment.freePort();
 		this.addresses.put(new InstanceId(name), new InetSocketAddress(HOST, port));
-		LedgerNode node = new LedgerNode(
-				new ProcessSettings(new InstanceId(name), new AvailabilityZone(name.substring(0, 1)), HOST, null, null,
-						null, port, port, List.of(), isFirstStart, this.platform.address(), 5_000,
-						this.data.resolve(name), 256, 8_000, 2_000, 100, FailureTolerance.DEFAULT, null, null, false),
-				0, EventLog.NONE);
+		LedgerNode node = new LedgerNode(new ProcessSettings(new InstanceId(name),
+				new AvailabilityZone(name.substring(0, 1)), HOST, null, null, null, port, port, List.of(), isFirstStart,
+				this.platform.address(), 5_000, this.data.resolve(name), 256, 8_000, 2_000, 2_000, 100,
+				FailureTolerance.DEFAULT, null, null, false), 0, EventLog.NONE);
 		node.start();
 		this.nodes.put(name, node);
 	}
