Let a confirmed list reach the revision of the store

Cause: if another instance brought a revision while a confirmation was under way, an empty answer confirmed the list for the time of the call and left its revision behind that of the answer. The other kind took that revision for the store's.

The test failed before (revision 1 instead of 2).

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/store/ListWatcher.java
@@ -307,7 +307,10 @@
 				apply(result, openedMs);
 				this.lastVersion = Math.max(this.lastVersion, result.version());
 			}
-			else if (!result.events().isEmpty() && result.version() > this.lastVersion) {
+			else if (result.events().isEmpty()) {
+				this.lastVersion = Math.max(this.lastVersion, result.version());
+			}
+			else if (result.version() > this.lastVersion) {
 				return callToConfirm();
 			}
 			recordVerified(openedMs);
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/store/ListWatcherTests.java
@@ -305,6 +305,24 @@
 			assertThat(ListWatcherTests.this.observedValues, is(List.of("first", "second")));
 		}
 
+		// Guards against other lists that pass for complete because this one is confirmed
+		// for a later time than its revision.
+		@Test
+		void reachesRevisionOfTheStoreWhenAnotherInstanceBringsAnEarlierOneMeanwhile() {
+			ListWatcherTests.this.timer.advance(100);
+			long revision = this.watcher.revision();
+			ListWatcherTests.this.client.create("other", "one", "first");
+			ListWatcherTests.this.client.create("other", "two", "second");
+			ListWatcherTests.this.store.setFaults(new StoreFaults(50, 0, 0, Integer.MAX_VALUE));
+			this.watcher.confirm();
+			long askedMs = ListWatcherTests.this.host.nowMs();
+			ListWatcherTests.this.timer.advance(75);
+			this.watcher.applyShared(revision, revision + 1, 0, List.of());
+			ListWatcherTests.this.timer.advance(100);
+			assertThat(this.watcher.verifiedMs(), is(askedMs));
+			assertThat(this.watcher.revision(), is(revision + 2));
+		}
+
 	}
 
 }
