Move the questions for proofs out of SharedWatches

No change of behaviour. SharedWatches has the messages and the roles, ListVerification decides when the store is asked and which lists an answer proves.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -65,6 +64,8 @@
 
 	private final Map<String, SharedList> lists = new LinkedHashMap<>();
 
+	private final ListVerification verification;
+
 	private long sequence;
 
 	private long heartbeatMs = WatchSource.NEVER_MS;
@@ -105,6 +106,7 @@
 		this.events = events;
 		this.settings = settings;
 		this.run = Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
+		this.verification = new ListVerification(this.lists.values(), settings.verifyMs());
 		this.sources = new WatchSources(self.id(), self.availabilityZone(), settings, events);
 		transport.subscribe(WatchSubscription.class, (from, subscription) -> {
 			receive(from, subscription);
@@ -271,14 +273,14 @@
 				subscribe(target, nowMs);
 			}
 		}
-		Set<InstanceId> receivers = this.subscribers.current(nowMs);
-		if (!receivers.isEmpty() && nowMs - this.heartbeatMs >= this.settings.heartbeatMs()) {
+		if (nowMs - this.heartbeatMs >= this.settings.heartbeatMs()) {
 			sendState();
 		}
 		updateRole();
 		resumeWatches();
-		verifyOldest();
-		scheduleTick((this.role == WatchRole.WATCHER) ? watcherDelayMs() : followerDelayMs(nowMs));
+		this.verification.verify(verifyMs(), this::sendState);
+		scheduleTick((this.role == WatchRole.WATCHER)
+				? this.verification.delayMs(verifyMs(), this.settings.heartbeatMs()) : followerDelayMs(nowMs));
 	}
 
 	private long verifyMs() {
@@ -286,37 +288,12 @@
 				: this.settings.freshMs();
 	}
 
-	// One call proves the state of all lists unless the store has changed.
-	private void verifyOldest() {
-		this.lists.values()
-			.stream()
-			.filter((list) -> list.isVerificationDue(verifyMs(), this.settings.verifyMs()))
-			.max(Comparator.comparingLong(SharedList::verifiedAgeMs))
-			.ifPresent((list) -> list.verify().thenAccept((isVerified) -> {
-				if (isVerified) {
-					ListWatcher watcher = list.watcher();
-					this.lists.values()
-						.forEach((other) -> other.watcher()
-							.recordStoreRevision(watcher.revision(), watcher.verifiedMs()));
-					verifyOldest();
-					sendState();
-				}
-			}));
-	}
-
 	private void sendState() {
-		this.heartbeatMs = this.timer.nowMs();
-		this.transport.sendAll(this.subscribers.current(this.heartbeatMs),
-				message(this.lists.values().stream().map(SharedList::state).toList()));
-	}
-
-	// Until the next message is due, or a proof becomes too old.
-	private long watcherDelayMs() {
-		return this.lists.values()
-			.stream()
-			.mapToLong((list) -> verifyMs() - list.verifiedAgeMs())
-			.filter((delayMs) -> delayMs > 0)
-			.reduce(this.settings.heartbeatMs(), Math::min);
+		Set<InstanceId> receivers = this.subscribers.current(this.timer.nowMs());
+		if (!receivers.isEmpty()) {
+			this.heartbeatMs = this.timer.nowMs();
+			this.transport.sendAll(receivers, message(this.lists.values().stream().map(SharedList::state).toList()));
+		}
 	}
 
 	private void subscribe(InstanceId target, long nowMs) {
