--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewayEnvironment.java
@@ -130,11 +130,16 @@
 	}
 
 	ProcessSettings settings(String name, int controlPort, int ledgerPort, List<InetSocketAddress> seeds) {
+		return settings(name, controlPort, ledgerPort, seeds, this.platform.address(), 5_000);
+	}
+
+	ProcessSettings settings(String name, int controlPort, int ledgerPort, List<InetSocketAddress> seeds,
+			InetSocketAddress store, long storeWaitMaxMs) {
 		return new ProcessSettings(new InstanceId(name), new AvailabilityZone("a"), HOST,
 				new InetSocketAddress(HOST, this.clientPort), new InetSocketAddress(HOST, this.readinessPort),
-				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, this.platform.address(),
-				5_000, this.folder, 256, this.graceMs, 2_000, 2_000, 0, tolerance(), this.evacuationMs,
-				this.coldTolerance, false);
+				new InetSocketAddress(HOST, controlPort), ledgerPort, ledgerPort, seeds, true, store, storeWaitMaxMs,
+				this.folder, 256, this.graceMs, 2_000, 2_000, 0, tolerance(), this.evacuationMs, this.coldTolerance,
+				false);
 	}
 
 	FailureTolerance tolerance() {
--- a/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewaySharedWatchTests.java
+++ b/nutmegdoor-standin/src/test/java/dev/nutmegdoor/standin/relay/GatewaySharedWatchTests.java
@@ -1,5 +1,6 @@
 package dev.nutmegdoor.standin.relay;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -8,6 +9,7 @@
 
 import dev.nutmegdoor.core.event.EventLog;
 import dev.nutmegdoor.node.relay.GatewayNode;
+import dev.nutmegdoor.platform.ProcessSettings;
 
 /**
  * Gateways of one zone that share their watches over real connections.
@@ -16,6 +18,11 @@
 
 	private static final int GATEWAYS = 18;
 
+	private static final int WATCHERS = 2;
+
+	/** Longer than a test waits, so that a watch that hangs is not noticed by itself. */
+	private static final long WATCHERS_WAIT_MS = 60_000;
+
 	private final List<GatewayNode> gateways = new ArrayList<>();
 
 	private final List<Integer> readinessPorts = new ArrayList<>();
@@ -25,13 +32,20 @@
 		this.gateways.forEach(GatewayNode::stop);
 	}
 
-	// Their identifiers precede that of the first gateway, which the environment stops.
 	private void startOthers() throws Exception {
+		startOthers(this.platform.address());
+	}
+
+	// Their identifiers precede that of the first gateway, which the environment stops.
+	private void startOthers(InetSocketAddress storeOfWatchers) throws Exception {
 		for (int i = 0; i < GATEWAYS - 1; i++) {
 			this.clientPort = freePort();
 			this.readinessPort = freePort();
-			GatewayNode other = new GatewayNode(settings("i-0" + (20 + i), freePort(), freePort(), List.of()), 0,
-					EventLog.NONE);
+			String name = "i-0" + (20 + i);
+			ProcessSettings settings = (i < WATCHERS)
+					? settings(name, freePort(), freePort(), List.of(), storeOfWatchers, WATCHERS_WAIT_MS)
+					: settings(name, freePort(), freePort(), List.of());
+			GatewayNode other = new GatewayNode(settings, 0, EventLog.NONE);
 			this.gateways.add(other);
 			this.readinessPorts.add(this.readinessPort);
 			other.start();
@@ -79,4 +93,19 @@
 		await(this::doMostFollow);
 	}
 
+	// Guards against followers that keep an old configuration while the store answers
+	// them, but not the gateways that watch it for them.
+	@Test
+	void applyChangesWhileStoreAnswersNoWatchingGateway() throws Exception {
+		try (InterruptibleLink link = new InterruptibleLink(this.platform.address().getPort())) {
+			startOthers(new InetSocketAddress(HOST, link.port()));
+			await(this::doMostFollow);
+			putVersion(2);
+			await(() -> count("configuration=2 ") == GATEWAYS - 1);
+			link.cut();
+			putVersion(3);
+			await(() -> count("configuration=3 ") >= GATEWAYS - 1 - WATCHERS);
+		}
+	}
+
 }
