Bound what a watching gateway can state, and end the wait for a lost revision

A negative age, or a clock that jumps after it was asked for, would have made a proof valid for as long as the error; a proof is never of a later time than its arrival now. A follower that knew of a revision that only the store can deliver waited for it for good if the store was restored to a lower one; a new list ends the wait.

--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedList.java
@@ -42,6 +42,15 @@
 		return this.buffer;
 	}
 
+	/**
+	 * Records that the objects have been listed.
+	 * @param revision revision of the list; lower than before if the store was restored
+	 */
+	void listed(long revision) {
+		this.buffer.reset(revision);
+		this.missingRevision = 0;
+	}
+
 	/**
 	 * Returns the latest time for which a watching instance has shown that nothing is
 	 * missing here.
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/SharedWatches.java
@@ -142,7 +142,7 @@
 	public void listed(String kind, long revision) {
 		SharedList list = this.lists.get(kind);
 		if (list != null) {
-			list.buffer().reset(revision);
+			list.listed(revision);
 		}
 	}
 
--- a/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
+++ b/nutmegdoor-core/src/main/java/dev/nutmegdoor/core/watch/WatchSource.java
@@ -65,8 +65,8 @@
 		if (sentMs != null && askedMs != null && askedMs == this.askedMs) {
 			this.clockDifference.record(askedMs, sentMs, nowMs);
 		}
-		this.sentMs = (sentMs != null && this.clockDifference.isKnown()) ? this.clockDifference.toOwnTime(sentMs)
-				: NEVER_MS;
+		this.sentMs = (sentMs != null && this.clockDifference.isKnown())
+				? Math.min(nowMs, this.clockDifference.toOwnTime(sentMs)) : NEVER_MS;
 		if (update.kinds().stream().allMatch((kind) -> nowMs - verifiedMs(kind) < freshMs)) {
 			recordHealthy(nowMs);
 		}
@@ -80,7 +80,7 @@
 	 */
 	long verifiedMs(KindUpdate update) {
 		Long ageMs = update.verifiedAgeMs();
-		return (ageMs != null && this.sentMs != NEVER_MS) ? this.sentMs - ageMs : NEVER_MS;
+		return (ageMs != null && this.sentMs != NEVER_MS) ? this.sentMs - Math.max(0, ageMs) : NEVER_MS;
 	}
 
 	/**
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
@@ -55,4 +55,32 @@
 		assertThat(this.source.accept(new WatchUpdate("next", 1, 0L, null, null, List.of()), 2, 1_000), is(true));
 	}
 
+	// Guards against a clock that jumps, or a wrong age, which would make a proof valid
+	// for long.
+	@Test
+	void showsNoStateOfTheFuture() {
+		Long askedMs = this.source.subscribe(1_000);
+		KindUpdate update = new KindUpdate("k", true, 1, 1, 1, -5_000L, List.of());
+		this.source.accept(new WatchUpdate("run", 1, 500L, askedMs, null, List.of(update)), 1_002, 1_300);
+		assertThat(this.source.verifiedMs(update), is(1_000L));
+		this.source.accept(new WatchUpdate("run", 2, 90_500L, null, null, List.of(update)), 1_352, 1_300);
+		assertThat(this.source.verifiedMs(update), is(1_352L));
+	}
+
+	// Guards against a proof that counts although the way of its message is not known,
+	// also from a version that states no time.
+	@Test
+	void showsNothingBeforeTheClockIsKnown() {
+		KindUpdate update = new KindUpdate("k", true, 1, 1, 1, 0L, List.of());
+		Long askedMs = this.source.subscribe(1_000);
+		this.source.accept(new WatchUpdate("run", 1, 500L, null, null, List.of(update)), 1_002, 1_300);
+		assertThat(this.source.verifiedMs(update), is(WatchSource.NEVER_MS));
+		this.source.accept(new WatchUpdate("run", 2, 500L, askedMs - 1, null, List.of(update)), 1_002, 1_300);
+		assertThat(this.source.verifiedMs(update), is(WatchSource.NEVER_MS));
+		this.source.accept(new WatchUpdate("run", 3, 500L, askedMs, null, List.of(update)), 1_002, 1_300);
+		assertThat(this.source.verifiedMs(update), is(1_000L));
+		this.source.accept(new WatchUpdate("run", 4, null, null, null, List.of(update)), 1_004, 1_300);
+		assertThat(this.source.verifiedMs(update), is(WatchSource.NEVER_MS));
+	}
+
 }
