--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/WatchSourceTests.java
@@ -83,4 +83,13 @@
 		assertThat(this.source.verifiedMs(update), is(WatchSource.NEVER_MS));
 	}
 
+	// Guards against followers of a version that states its health without a proof, which
+	// would stay behind as long as its watch hangs.
+	@Test
+	void isNotHealthyByStatementsOfAnOlderVersion() {
+		KindUpdate update = new KindUpdate("k", true, 1, 1, 1, null, List.of());
+		this.source.accept(new WatchUpdate("run", 1, null, null, null, List.of(update)), 1_000, 1_300);
+		assertThat(this.source.isHealthy(1_000, 1_500), is(false));
+	}
+
 }
