Name the random test of partial store outages as a simulation

Read-through: words of the field, a name for the number of first instances, one map for disturbances and restarts.

--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/PartialStoreOutageTests.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/PartialStoreOutageTests.java
@@ -15,8 +15,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Plays large deployments in which the store serves some instances and not others. An
- * instance that the store answers has a change in time, whoever watches for it.
+ * Large deployments in which the store serves some instances and not others. An instance
+ * that the store answers has a change in time, whoever watches for it.
  */
 class PartialStoreOutageTests {
 
@@ -155,7 +155,7 @@
 		@ParameterizedTest
 		@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
 		void appliesChangesAtInstancesInTouch(long seed) {
-			assertThat("seed " + seed, new StoreOutagePlay(seed, BOUND_MS).run(), is(empty()));
+			assertThat("seed " + seed, new StoreOutageSimulation(seed, BOUND_MS).run(), is(empty()));
 		}
 
 	}
--- a/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/StoreOutagePlay.java
+++ b/nutmegdoor-core/src/test/java/dev/nutmegdoor/core/watch/StoreOutageSimulation.java
@@ -4,14 +4,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 /**
- * Seeded play in which the store stops to answer a share of the instances, again and
- * again, while others freeze, end or have slow links. Notes each instance in touch that
- * lacks a change for longer than the bound.
+ * Seeded simulation in which the store stops to answer a share of the instances, again
+ * and again, while others freeze, end or have slow links. Reports each instance in touch
+ * that lacks a change for longer than the bound.
  */
-final class StoreOutagePlay {
+final class StoreOutageSimulation {
 
 	/** Undisturbed time in milliseconds after which an instance is in touch. */
 	private static final long CONTACT_MS = 4_000;
@@ -20,17 +19,20 @@
 
 	private static final int STEPS = 60;
 
+	/**
+	 * Number of instances, three in each zone, that are the first to watch for others.
+	 */
+	private static final int FIRST_INSTANCES = 9;
+
 	private final WatchedFleet fleet;
 
 	private final long boundMs;
 
 	private final Map<Integer, Long> disturbedUntilMs = new HashMap<>();
 
-	private final Map<Integer, Long> startedMs = new HashMap<>();
-
 	private final List<String> violations = new ArrayList<>();
 
-	StoreOutagePlay(long seed, long boundMs) {
+	StoreOutageSimulation(long seed, long boundMs) {
 		this.fleet = new WatchedFleet(seed);
 		this.boundMs = boundMs;
 	}
@@ -71,18 +73,15 @@
 	}
 
 	private boolean isInTouch(WatchedInstance instance) {
-		long sinceMs = this.fleet.timer.nowMs() - CONTACT_MS;
-		return Objects.requireNonNullElse(this.disturbedUntilMs.get(instance.number()), 0L) <= sinceMs
-				&& Objects.requireNonNullElse(this.startedMs.get(instance.number()), 0L) <= sinceMs;
+		return this.disturbedUntilMs.getOrDefault(instance.number(), 0L) <= this.fleet.timer.nowMs() - CONTACT_MS;
 	}
 
-	// The first instances of each zone are those that watch for the others.
 	private void disturb() {
 		double share = this.fleet.random.nextDouble();
 		boolean areOnlyWatchersHit = this.fleet.random.nextBoolean();
 		int kind = this.fleet.random.nextInt(5);
 		long durationMs = 3_000 + this.fleet.random.nextInt(7_000);
-		for (int number = 0; number < (areOnlyWatchersHit ? 9 : SIZE); number++) {
+		for (int number = 0; number < (areOnlyWatchersHit ? FIRST_INSTANCES : SIZE); number++) {
 			boolean isDisturbed = this.disturbedUntilMs.getOrDefault(number, 0L) >= this.fleet.timer.nowMs();
 			if (!isDisturbed && (areOnlyWatchersHit || this.fleet.random.nextDouble() < share)) {
 				this.disturbedUntilMs.put(number, this.fleet.timer.nowMs() + durationMs);
@@ -113,10 +112,7 @@
 			}
 			default -> {
 				this.fleet.instance(number).host().crash();
-				this.fleet.timer.schedule(durationMs, () -> {
-					this.fleet.restart(number);
-					this.startedMs.put(number, this.fleet.timer.nowMs());
-				});
+				this.fleet.timer.schedule(durationMs, () -> this.fleet.restart(number));
 			}
 		}
 	}
